Serve one request and one batch job from end to end in separate processes

Found on the way: g++ 12 frees twice an aggregate built inside a co_await expression ("free(): invalid pointer" in the first request). Ruled out: the peer link and the server, by a request without any worker.

--- /dev/null
+++ b/src/app/commands.h
@@ -0,0 +1,19 @@
+// The subcommands of the binary. Each returns the exit code: 0 done, 1 failed, 2 bad use.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace monsoon {
+
+inline constexpr int kExitDone = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitBadUse = 2;
+
+using Arguments = std::vector<std::string>;  // the subcommand's name, then its arguments
+
+int RunServe(Arguments aArguments);    // one process of the system
+int RunCheck(Arguments aArguments);    // reads settings, prints every error
+int RunStandin(Arguments aArguments);  // platform or worker stand-in, for tests and trials
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,60 @@
+#include <tclap/ArgException.h>
+
+#include <csignal>
+#include <iostream>
+#include <span>
+
+#include "app/commands.h"
+
+namespace {
+
+struct Subcommand
+{
+  const char* mName;
+  const char* mBrief;
+  int (*mRun)(monsoon::Arguments);
+};
+
+constexpr Subcommand kSubcommands[] = {
+  { "serve", "run one process of the system", &monsoon::RunServe },
+  { "check", "read settings and print every error", &monsoon::RunCheck },
+  { "standin", "run a stand-in of the platform or of a worker", &monsoon::RunStandin },
+};
+
+int PrintUse(std::ostream& aOut, int aExitCode)
+{
+  aOut
+    << "monsoonstage: cluster scheduler for unlike workloads on one shared fleet\n\n"
+    << "usage: monsoonstage SUBCOMMAND [ARGUMENTS]; monsoonstage SUBCOMMAND --help tells more\n\n";
+  for (const Subcommand& it : kSubcommands)
+    aOut << "  " << it.mName << "\t" << it.mBrief << '\n';
+  aOut << "\nexit: 0 done, 1 failed, 2 bad use\n";
+  return aExitCode;
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::span<char*> words(argv, static_cast<std::size_t>(argc));
+  if (words.size() < 2)
+    return PrintUse(std::cerr, monsoon::kExitBadUse);
+  const std::string name = words[1];
+  if (name == "--help" || name == "-h")
+    return PrintUse(std::cout, monsoon::kExitDone);
+  for (const Subcommand& it : kSubcommands) {
+    if (name != it.mName)
+      continue;
+    try {
+      return it.mRun(monsoon::Arguments(words.begin() + 1, words.end()));
+    } catch (const TCLAP::ArgException& error) {
+      std::cerr << name << ": " << error.error() << " " << error.argId() << '\n';
+      return monsoon::kExitBadUse;
+    } catch (const TCLAP::ExitException& exit) {
+      return exit.getExitStatus() == 0 ? monsoon::kExitDone : monsoon::kExitBadUse;
+    }
+  }
+  std::cerr << "unknown subcommand: " << name << "\n\n";
+  return PrintUse(std::cerr, monsoon::kExitBadUse);
+}
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,61 @@
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+#include "app/commands.h"
+#include "app/node.h"
+#include "app/signals.h"
+
+namespace monsoon {
+
+namespace {
+
+// Settings from a file, with every error printed. Nothing when there was one.
+std::optional<Settings> LoadOrPrint(const std::string& aFile)
+{
+  SettingsResult result = LoadSettings(aFile);
+  for (const SettingsError& error : result.mErrors)
+    std::cerr << FormatError(error) << '\n';
+  if (!result.mErrors.empty())
+    return std::nullopt;
+  return std::move(result.mSettings);
+}
+
+}  // namespace
+
+int RunServe(Arguments aArguments)
+{
+  TCLAP::CmdLine line("Runs one process of the system until SIGTERM.", ' ', "0.1.0");
+  TCLAP::ValueArg<std::string> config(
+    "c", "config", "TOML settings of this process", true, "", "FILE", line);
+  line.parse(aArguments);
+  auto settings = LoadOrPrint(config.getValue());
+  if (!settings)
+    return kExitBadUse;
+
+  BlockStopSignals();
+  Node node(std::move(*settings));
+  auto started = node.Start();
+  if (!started) {
+    std::cerr << GetName(started.error().mKind) << ": " << started.error().mDetail << '\n';
+    return kExitFailed;
+  }
+  std::cout << "listening on port " << node.GetHttpPort() << std::endl;
+  WaitForStopSignal();
+  node.Stop();
+  return kExitDone;
+}
+
+int RunCheck(Arguments aArguments)
+{
+  TCLAP::CmdLine line("Reads settings and prints every error.", ' ', "0.1.0");
+  TCLAP::ValueArg<std::string> config(
+    "c", "config", "TOML settings of one process", true, "", "FILE", line);
+  line.parse(aArguments);
+  if (!LoadOrPrint(config.getValue()))
+    return kExitBadUse;
+  std::cout << config.getValue() << ": settings are good\n";
+  return kExitDone;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/core/json.h
@@ -0,0 +1,51 @@
+// Small readers and writers over Boost.JSON: a missing or mistyped member reads as its default.
+// Bad outer input is caught by ParseJson; strict checks belong to whoever knows the field.
+#pragma once
+
+#include <boost/json.hpp>
+
+#include <string>
+#include <string_view>
+
+#include "core/errors.h"
+#include "core/model.h"
+
+namespace monsoon {
+
+[[nodiscard]] Result<boost::json::value> ParseJson(
+  std::string_view aText);  // BadInput; depth at most 32
+
+[[nodiscard]] std::string GetString(const boost::json::value& aValue,
+                                    std::string_view aKey,
+                                    std::string aDefault = {});
+[[nodiscard]] std::uint64_t GetUnsigned(const boost::json::value& aValue,
+                                        std::string_view aKey,
+                                        std::uint64_t aDefault = 0);
+[[nodiscard]] std::int64_t GetSigned(const boost::json::value& aValue,
+                                     std::string_view aKey,
+                                     std::int64_t aDefault = 0);
+[[nodiscard]] bool GetBool(const boost::json::value& aValue,
+                           std::string_view aKey,
+                           bool aDefault = false);
+[[nodiscard]] const boost::json::array& GetArray(const boost::json::value& aValue,
+                                                 std::string_view aKey);
+[[nodiscard]] const boost::json::value& GetMember(const boost::json::value& aValue,
+                                                  std::string_view aKey);  // null if absent
+
+// Model
+[[nodiscard]] boost::json::object MakeJson(const Resources& aResources);
+[[nodiscard]] Resources ParseResources(const boost::json::value& aValue);
+[[nodiscard]] boost::json::object MakeJson(const WorkerSpec& aWorker);
+[[nodiscard]] WorkerSpec ParseWorkerSpec(const boost::json::value& aValue);
+[[nodiscard]] boost::json::object MakeJson(const JobSpec& aSpec);
+[[nodiscard]] Result<JobSpec> ParseJobSpec(
+  const boost::json::value& aValue);  // BadInput names the member
+
+// URLs
+[[nodiscard]] std::string EncodeTarget(std::string_view aText);  // percent-encoding, '/' kept
+[[nodiscard]] std::string DecodeTarget(std::string_view aText);
+[[nodiscard]] std::string GetQuery(std::string_view aTarget,
+                                   std::string_view aKey);         // empty if absent
+[[nodiscard]] std::string_view GetPath(std::string_view aTarget);  // without the query
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,131 @@
+#include "http/client.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+
+namespace monsoon {
+
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kMaxIdlePerAddress = 64;
+
+// An idle connection that the other side closed shows as readable; using it would lose the request.
+bool IsStillOpen(tcp::socket& aSocket)
+{
+  boost::system::error_code ec;
+  aSocket.non_blocking(true, ec);
+  char byte = 0;
+  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
+}  // namespace
+
+HttpClient::Stream HttpClient::TakeIdle(const PoolKey& aKey)
+{
+  std::lock_guard lock(mLock);
+  auto it = mIdle.find(aKey);
+  if (it == mIdle.end())
+    return nullptr;
+  while (!it->second.empty()) {
+    Stream stream = std::move(it->second.back());
+    it->second.pop_back();
+    if (IsStillOpen(stream->socket()))
+      return stream;
+  }
+  return nullptr;
+}
+
+void HttpClient::PutIdle(const PoolKey& aKey, Stream aStream)
+{
+  std::lock_guard lock(mLock);
+  auto& idle = mIdle[aKey];
+  if (idle.size() < kMaxIdlePerAddress)
+    idle.push_back(std::move(aStream));
+}
+
+Async<Result<HttpResponse>> HttpClient::Call(HttpAddress aAddress,
+                                             HttpRequest aRequest,
+                                             Duration aDeadline,
+                                             std::size_t aMaxBodyBytes)
+{
+  auto executor = co_await asio::this_coro::executor;
+  const PoolKey key{ &executor.context(), aAddress };
+  const TimePoint deadline = BootClock::now() + aDeadline;
+
+  Stream stream = TakeIdle(key);
+  if (!stream) {
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(aAddress.mHost, ec);
+    if (ec)
+      co_return MakeFailure(FailureKind::BadInput, "not an IP number: " + aAddress.mHost);
+    stream = std::make_unique<beast::tcp_stream>(executor);
+    stream->expires_after(aDeadline);
+    auto [connectError] =
+      co_await stream->async_connect(tcp::endpoint(address, aAddress.mPort), kNoThrow);
+    if (connectError)
+      co_return MakeFailure(FailureKind::EndpointUnreachable, connectError.message());
+    stream->socket().set_option(tcp::no_delay(true), ec);
+  }
+
+  aRequest.set(http::field::host, aAddress.mHost);
+  aRequest.keep_alive(true);
+  aRequest.prepare_payload();
+  stream->expires_after(std::max<Duration>(deadline - BootClock::now(), Duration::zero()));
+  auto [writeError, written] = co_await http::async_write(*stream, aRequest, kNoThrow);
+  if (writeError) {
+    const bool nothingSent = written == 0 && writeError != beast::error::timeout;
+    co_return MakeFailure(nothingSent ? FailureKind::EndpointUnreachable
+                                      : FailureKind::EndpointUnknown,
+                          writeError.message());
+  }
+
+  beast::flat_buffer buf;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(aMaxBodyBytes);
+  auto [readError, read] = co_await http::async_read(*stream, buf, parser, kNoThrow);
+  if (readError == beast::error::timeout)
+    co_return MakeFailure(FailureKind::Timeout, "no whole answer before the deadline");
+  if (readError)
+    co_return MakeFailure(FailureKind::EndpointUnknown, readError.message());
+
+  HttpResponse response = parser.release();
+  // Bytes beyond the answer belong to nobody: such a connection can't be trusted with another
+  // request.
+  if (response.keep_alive() && buf.size() == 0) {
+    stream->expires_never();
+    PutIdle(key, std::move(stream));
+  }
+  co_return response;
+}
+
+void HttpClient::Clear()
+{
+  std::lock_guard lock(mLock);
+  mIdle.clear();
+}
+
+Result<HttpAddress> ParseAddress(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos)
+    return MakeFailure(FailureKind::BadInput, "expected HOST:PORT");
+  HttpAddress address;
+  address.mHost = std::string(aText.substr(0, colon));
+  const std::string_view port = aText.substr(colon + 1);
+  const auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), address.mPort);
+  if (ec != std::errc() || end != port.data() + port.size())
+    return MakeFailure(FailureKind::BadInput, "the port must be a number from 0 to 65535");
+  boost::system::error_code error;
+  asio::ip::make_address(address.mHost, error);
+  if (error)
+    return MakeFailure(FailureKind::BadInput, "the host must be an IP number");
+  return address;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,272 @@
+#include "http/server.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <mutex>
+#include <set>
+
+namespace monsoon {
+
+namespace beast = boost::beast;
+namespace json = boost::json;
+using asio::ip::tcp;
+
+struct HttpServer::State : std::enable_shared_from_this<State>
+{
+  HttpLimits mLimits{};
+  HttpHandler mHandler{};
+  std::vector<asio::io_context*> mContexts{};
+  std::unique_ptr<tcp::acceptor> mAcceptor{};
+  std::atomic<bool> mStopping = false;
+  std::atomic<std::size_t> mInFlight = 0;
+  std::atomic<std::size_t> mConnections = 0;
+
+  // Streams that wait for their next request; closed by StopAccepting. Each is touched on its own
+  // thread only.
+  std::mutex mIdleLock{};
+  std::set<beast::tcp_stream*> mIdle{};
+
+  Async<void> Accept();
+  Async<void> Serve(tcp::socket aSocket);
+  bool EnterIdle(beast::tcp_stream& aStream);
+  void LeaveIdle(beast::tcp_stream& aStream);
+};
+
+bool HttpServer::State::EnterIdle(beast::tcp_stream& aStream)
+{
+  std::lock_guard lock(mIdleLock);
+  if (mStopping)
+    return false;
+  mIdle.insert(&aStream);
+  return true;
+}
+
+void HttpServer::State::LeaveIdle(beast::tcp_stream& aStream)
+{
+  std::lock_guard lock(mIdleLock);
+  mIdle.erase(&aStream);
+}
+
+namespace {
+
+// A parse error that deserves an answer; others just close the connection.
+std::optional<HttpResponse> MakeParseAnswer(const beast::error_code& aError)
+{
+  if (aError == http::error::body_limit)
+    return MakeProblem(http::status::payload_too_large,
+                       Outcome::NotRun,
+                       MakeFailure(FailureKind::TooLarge, "body above the limit"));
+  if (aError == http::error::header_limit)
+    return MakeProblem(http::status::request_header_fields_too_large,
+                       Outcome::NotRun,
+                       MakeFailure(FailureKind::TooLarge, "header above the limit"));
+  if (aError == beast::error::timeout)
+    return MakeProblem(
+      http::status::request_timeout,
+      Outcome::NotRun,
+      MakeFailure(FailureKind::Timeout, "the request did not arrive whole in time"));
+  if (aError.category() == http::make_error_code(http::error::bad_method).category() &&
+      aError != http::error::end_of_stream && aError != http::error::partial_message)
+    return MakeProblem(http::status::bad_request,
+                       Outcome::NotRun,
+                       MakeFailure(FailureKind::BadInput, aError.message()));
+  return std::nullopt;
+}
+
+}  // namespace
+
+Async<void> HttpServer::State::Serve(tcp::socket aSocket)
+{
+  auto self = shared_from_this();
+  boost::system::error_code ignored;
+  const auto remote = aSocket.remote_endpoint(ignored);
+  const std::string peerAddress = ignored ? std::string() : remote.address().to_string();
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  beast::tcp_stream stream(std::move(aSocket));
+  beast::flat_buffer buf;
+
+  while (!mStopping) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(mLimits.mMaxBodyBytes);
+    parser.header_limit(mLimits.mMaxHeaderBytes);
+
+    if (buf.size() == 0) {
+      if (!EnterIdle(stream))
+        break;
+      stream.expires_after(mLimits.mIdleTimeout);
+      auto [ec, n] = co_await stream.async_read_some(buf.prepare(4096), kNoThrow);
+      LeaveIdle(stream);
+      if (ec)
+        break;
+      buf.commit(n);
+    }
+    stream.expires_after(mLimits.mReadTimeout);
+    auto [ec, n] = co_await http::async_read(stream, buf, parser, kNoThrow);
+    if (ec) {
+      if (auto answer = MakeParseAnswer(ec)) {
+        answer->keep_alive(false);
+        stream.expires_after(mLimits.mReadTimeout);
+        co_await http::async_write(stream, *answer, kNoThrow);
+      }
+      break;
+    }
+
+    ++mInFlight;
+    stream.expires_never();
+    HttpRequest request = parser.release();
+    const bool keepAlive = request.keep_alive();
+    const unsigned version = request.version();
+    HttpResponse response = co_await mHandler(std::move(request), peerAddress);
+    response.version(version);
+    response.keep_alive(keepAlive && !mStopping);
+    response.prepare_payload();
+    stream.expires_after(mLimits.mReadTimeout);
+    auto [writeError, written] = co_await http::async_write(stream, response, kNoThrow);
+    --mInFlight;
+    if (writeError || !response.keep_alive())
+      break;
+  }
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  --mConnections;
+}
+
+Async<void> HttpServer::State::Accept()
+{
+  auto self = shared_from_this();
+  for (std::size_t next = 0; !mStopping; ++next) {
+    asio::io_context& context = *mContexts[next % mContexts.size()];
+    auto [ec, socket] = co_await mAcceptor->async_accept(context, kNoThrow);
+    if (mStopping)
+      break;
+    if (ec) {
+      co_await Sleep(milliseconds(10));  // out of descriptors, most often: don't spin
+      continue;
+    }
+    if (mConnections >= mLimits.mMaxConnections)
+      continue;
+    ++mConnections;
+    asio::co_spawn(context, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+HttpServer::HttpServer(HttpLimits aLimits, HttpHandler aHandler)
+  : mState(std::make_shared<State>())
+{
+  mState->mLimits = aLimits;
+  mState->mHandler = std::move(aHandler);
+}
+
+HttpServer::~HttpServer()
+{
+  StopAccepting();
+}
+
+Result<std::uint16_t> HttpServer::Listen(const std::string& aHost,
+                                         std::uint16_t aPort,
+                                         std::vector<asio::io_context*> aContexts)
+{
+  boost::system::error_code ec;
+  const auto address = asio::ip::make_address(aHost, ec);
+  if (ec)
+    return MakeFailure(FailureKind::BadInput, "not an IP number: " + aHost);
+  mState->mContexts = std::move(aContexts);
+  mState->mAcceptor = std::make_unique<tcp::acceptor>(*mState->mContexts.front());
+  const tcp::endpoint endpoint(address, aPort);
+  mState->mAcceptor->open(endpoint.protocol(), ec);
+  if (!ec)
+    mState->mAcceptor->set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec)
+    mState->mAcceptor->bind(endpoint, ec);
+  if (!ec)
+    mState->mAcceptor->listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return MakeFailure(FailureKind::BadInput, "cannot listen on " + aHost + ": " + ec.message());
+  const auto port = mState->mAcceptor->local_endpoint(ec).port();
+  asio::co_spawn(*mState->mContexts.front(), mState->Accept(), asio::detached);
+  return port;
+}
+
+void HttpServer::StopAccepting()
+{
+  if (mState->mStopping.exchange(true))
+    return;
+  if (mState->mAcceptor) {
+    asio::post(mState->mAcceptor->get_executor(), [state = mState] {
+      boost::system::error_code ignored;
+      state->mAcceptor->close(ignored);
+    });
+  }
+  std::lock_guard lock(mState->mIdleLock);
+  for (beast::tcp_stream* stream : mState->mIdle) {
+    asio::post(stream->get_executor(), [state = mState, stream] {
+      std::lock_guard idle(state->mIdleLock);
+      if (state->mIdle.contains(stream))
+        stream->cancel();
+    });
+  }
+}
+
+std::size_t HttpServer::CountInFlight() const noexcept
+{
+  return mState->mInFlight;
+}
+
+HttpResponse MakeJsonResponse(http::status aStatus, std::string aBody)
+{
+  HttpResponse response(aStatus, 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = std::move(aBody);
+  return response;
+}
+
+HttpResponse MakeProblem(http::status aStatus, Outcome aOutcome, const Failure& aFailure)
+{
+  json::object problem;
+  problem["type"] = "about:blank";
+  problem["title"] = std::string(http::obsolete_reason(aStatus));
+  problem["status"] = static_cast<unsigned>(aStatus);
+  problem["detail"] = aFailure.mDetail;
+  problem["reason"] = GetName(aFailure.mKind);
+  problem["outcome"] = GetName(aOutcome);
+  HttpResponse response = MakeJsonResponse(aStatus, json::serialize(problem));
+  response.set(http::field::content_type, "application/problem+json");
+  if (aStatus == http::status::service_unavailable || aStatus == http::status::too_many_requests)
+    response.set(http::field::retry_after, "1");
+  return response;
+}
+
+http::status GetStatus(FailureKind aKind) noexcept
+{
+  switch (aKind) {
+    case FailureKind::BadInput:
+      return http::status::bad_request;
+    case FailureKind::NotFound:
+      return http::status::not_found;
+    case FailureKind::AlreadyExists:
+    case FailureKind::Conflict:
+      return http::status::conflict;
+    case FailureKind::TooLarge:
+      return http::status::payload_too_large;
+    case FailureKind::RateLimited:
+      return http::status::too_many_requests;
+    case FailureKind::NeverFits:
+      return http::status::unprocessable_entity;
+    case FailureKind::Timeout:
+    case FailureKind::EndpointUnknown:
+    case FailureKind::PeerUnknown:
+      return http::status::gateway_timeout;
+    case FailureKind::EndpointRefused:
+    case FailureKind::EndpointUnreachable:
+      return http::status::bad_gateway;
+    case FailureKind::Internal:
+    case FailureKind::CorruptEntry:
+      return http::status::internal_server_error;
+    default:
+      return http::status::service_unavailable;
+  }
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/platform/http_store.cpp
@@ -0,0 +1,206 @@
+#include "platform/http_store.h"
+
+#include <boost/json.hpp>
+
+#include "core/json.h"
+
+namespace monsoon {
+
+namespace json = boost::json;
+
+namespace {
+
+// What a failed call means depends on whether it could have written.
+Failure MakeCallFailure(const Failure& aFailure, bool aWrite)
+{
+  const bool nothingSent = aFailure.mKind == FailureKind::EndpointUnreachable;
+  const bool ambiguous = aWrite && !nothingSent;
+  return MakeFailure(ambiguous ? FailureKind::WriteUnknown : FailureKind::StoreUnavailable,
+                     aFailure.mDetail);
+}
+
+Failure MakeStatusFailure(http::status aStatus)
+{
+  switch (aStatus) {
+    case http::status::conflict:
+      return MakeFailure(FailureKind::Conflict, "revision differs");
+    case http::status::precondition_failed:
+      return MakeFailure(FailureKind::AlreadyExists, "key has a value");
+    case http::status::payload_too_large:
+      return MakeFailure(FailureKind::TooLarge, "value above the platform's limit");
+    case http::status::bad_request:
+      return MakeFailure(FailureKind::BadInput, "platform refused the call");
+    default:
+      return MakeFailure(FailureKind::StoreUnavailable,
+                         "platform answered " + std::to_string(unsigned(aStatus)));
+  }
+}
+
+}  // namespace
+
+HttpStore::HttpStore(HttpClient& aClient, PlatformSettings aSettings)
+  : mClient(aClient)
+  , mSettings(std::move(aSettings))
+{
+}
+
+Async<Result<HttpResponse>> HttpStore::Call(http::verb aVerb,
+                                            std::string aTarget,
+                                            std::string aBody,
+                                            Duration aDeadline,
+                                            CallPurpose aPurpose)
+{
+  ++mCalls[static_cast<std::size_t>(aPurpose)];
+  HttpRequest request(aVerb, aTarget, 11);
+  request.body() = std::move(aBody);
+  auto response = co_await mClient.Call(mSettings.mAddress, std::move(request), aDeadline);
+  const bool write = aVerb == http::verb::put || aVerb == http::verb::delete_;
+  if (!response)
+    co_return MakeCallFailure(response.error(), write);
+  // A 5xx after a write says nothing of whether it took effect, but for 503, which refuses before
+  // acting.
+  if (write && response->result_int() >= 500 &&
+      response->result() != http::status::service_unavailable)
+    co_return MakeFailure(FailureKind::WriteUnknown, "platform failed during a write");
+  co_return response;
+}
+
+Async<Result<std::optional<StoreValue>>> HttpStore::Get(std::string aKey, CallPurpose aPurpose)
+{
+  auto response = co_await Call(
+    http::verb::get, "/v1/kv/" + EncodeTarget(aKey), "", mSettings.mCallTimeout, aPurpose);
+  if (!response)
+    co_return response.error();
+  if (response->result() == http::status::not_found)
+    co_return std::optional<StoreValue>();
+  if (response->result() != http::status::ok)
+    co_return MakeStatusFailure(response->result());
+  auto value = ParseJson(response->body());
+  if (!value)
+    co_return value.error();
+  StoreValue found{ aKey, GetString(*value, "value"), GetUnsigned(*value, "revision") };
+  co_return std::optional<StoreValue>(std::move(found));
+}
+
+Async<Result<std::vector<StoreValue>>> HttpStore::List(std::string aPrefix,
+                                                       std::string aAfter,
+                                                       std::size_t aLimit,
+                                                       CallPurpose aPurpose)
+{
+  const std::string target = "/v1/list?prefix=" + EncodeTarget(aPrefix) +
+                             "&after=" + EncodeTarget(aAfter) + "&limit=" + std::to_string(aLimit);
+  auto response = co_await Call(http::verb::get, target, "", mSettings.mCallTimeout, aPurpose);
+  if (!response)
+    co_return response.error();
+  if (response->result() != http::status::ok)
+    co_return MakeStatusFailure(response->result());
+  auto value = ParseJson(response->body());
+  if (!value)
+    co_return value.error();
+  std::vector<StoreValue> values;
+  for (const auto& it : GetArray(*value, "values"))
+    values.push_back({ GetString(it, "key"), GetString(it, "value"), GetUnsigned(it, "revision") });
+  co_return values;
+}
+
+Async<Result<std::uint64_t>> HttpStore::Create(std::string aKey,
+                                               std::string aValue,
+                                               CallPurpose aPurpose)
+{
+  auto response = co_await Call(http::verb::put,
+                                "/v1/kv/" + EncodeTarget(aKey) + "?create=1",
+                                std::move(aValue),
+                                mSettings.mCallTimeout,
+                                aPurpose);
+  if (!response)
+    co_return response.error();
+  if (response->result() != http::status::ok)
+    co_return MakeStatusFailure(response->result());
+  auto value = ParseJson(response->body());
+  if (!value)
+    co_return MakeFailure(FailureKind::WriteUnknown, "unreadable answer to a write");
+  co_return GetUnsigned(*value, "revision");
+}
+
+Async<Result<std::uint64_t>> HttpStore::CompareAndSwap(std::string aKey,
+                                                       std::string aValue,
+                                                       std::uint64_t aRevision,
+                                                       CallPurpose aPurpose)
+{
+  const std::string target =
+    "/v1/kv/" + EncodeTarget(aKey) + "?revision=" + std::to_string(aRevision);
+  auto response =
+    co_await Call(http::verb::put, target, std::move(aValue), mSettings.mCallTimeout, aPurpose);
+  if (!response)
+    co_return response.error();
+  if (response->result() != http::status::ok)
+    co_return MakeStatusFailure(response->result());
+  auto value = ParseJson(response->body());
+  if (!value)
+    co_return MakeFailure(FailureKind::WriteUnknown, "unreadable answer to a write");
+  co_return GetUnsigned(*value, "revision");
+}
+
+Async<Result<void>> HttpStore::Delete(std::string aKey,
+                                      std::uint64_t aRevision,
+                                      CallPurpose aPurpose)
+{
+  const std::string target =
+    "/v1/kv/" + EncodeTarget(aKey) + "?revision=" + std::to_string(aRevision);
+  auto response = co_await Call(http::verb::delete_, target, "", mSettings.mCallTimeout, aPurpose);
+  if (!response)
+    co_return response.error();
+  if (response->result() != http::status::ok)
+    co_return MakeStatusFailure(response->result());
+  co_return Result<void>();
+}
+
+Async<Result<WatchBatch>> HttpStore::Watch(std::string aPrefix,
+                                           std::uint64_t aAfter,
+                                           Duration aWait)
+{
+  const auto waitMs = std::chrono::duration_cast<milliseconds>(aWait).count();
+  const std::string target = "/v1/watch?prefix=" + EncodeTarget(aPrefix) +
+                             "&after=" + std::to_string(aAfter) +
+                             "&wait_ms=" + std::to_string(waitMs);
+  auto response =
+    co_await Call(http::verb::get, target, "", aWait + mSettings.mCallTimeout, CallPurpose::Watch);
+  if (!response)
+    co_return response.error();
+  if (response->result() != http::status::ok)
+    co_return MakeStatusFailure(response->result());
+  auto value = ParseJson(response->body());
+  if (!value)
+    co_return value.error();
+  WatchBatch batch;
+  batch.mRevision = GetUnsigned(*value, "revision");
+  batch.mLost = GetBool(*value, "lost");
+  for (const auto& it : GetArray(*value, "changes"))
+    batch.mChanges.push_back(
+      { GetString(it, "key"), GetString(it, "value"), GetUnsigned(it, "revision") });
+  co_return batch;
+}
+
+Async<Result<std::vector<WorkerSpec>>> HttpStore::ListWorkers()
+{
+  auto response =
+    co_await Call(http::verb::get, "/v1/vms", "", mSettings.mCallTimeout, CallPurpose::Vms);
+  if (!response)
+    co_return response.error();
+  if (response->result() != http::status::ok)
+    co_return MakeStatusFailure(response->result());
+  auto value = ParseJson(response->body());
+  if (!value)
+    co_return value.error();
+  std::vector<WorkerSpec> workers;
+  for (const auto& it : GetArray(*value, "vms"))
+    workers.push_back(ParseWorkerSpec(it));
+  co_return workers;
+}
+
+std::uint64_t HttpStore::CountCalls(CallPurpose aPurpose) const noexcept
+{
+  return mCalls[static_cast<std::size_t>(aPurpose)];
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/tests/unit/test_codec.cpp
@@ -0,0 +1,37 @@
+// Peer messages survive the wire, and broken bytes become typed failures.
+#include <catch2/catch.hpp>
+
+#include "peer/codec.h"
+
+using namespace monsoon;
+
+TEST_CASE("a request frame survives encoding", "[codec]")
+{
+  RequestFrame frame;
+  frame.mCall = 7;
+  frame.mFrom = "entry-1";
+  frame.mRequest = GrantRequest{
+    .mRequest = "r-1", .mCaller = "c", .mPriority = Priority::Urgent, .mWait = seconds(2)
+  };
+  const auto decoded = DecodeRequest(Encode(frame));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->mCall == 7);
+  const auto& request = std::get<GrantRequest>(decoded->mRequest);
+  CHECK(request.mRequest == "r-1");
+  CHECK(request.mPriority == Priority::Urgent);
+  CHECK(request.mWait == seconds(2));
+}
+
+TEST_CASE("every cut of a frame is bad input, never a crash", "[codec]")
+{
+  ReplyFrame frame;
+  frame.mCall = 9;
+  frame.mFailure = MakeFailure(FailureKind::CapacityFull, "no slot");
+  const std::string bytes = Encode(frame);
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    const auto decoded = DecodeReply(std::span(bytes.data(), n));
+    REQUIRE(decoded.has_error());
+    CHECK(decoded.error().mKind == FailureKind::BadInput);
+  }
+  CHECK(DecodeReply(bytes).has_value());
+}
