Put a fault-injecting proxy between processes of an integration cell

Cause: failures between processes and towards the platform have to be caused on purpose and by seed.

Change: TCP and UDP proxy on one thread of the test (delay, jitter, loss, cut, freeze, swallowed answers); a proxied cell has one per ordered pair of processes and one per process to the platform.

--- a/tests/integration/cell.cpp
+++ b/tests/integration/cell.cpp
@@ -144,11 +144,45 @@
     mHttpPorts.push_back(PickPort());
     mPeerPorts.push_back(PickPort());
   }
+  if (mOptions.mProxied)
+    StartProxies();
   mProcesses.resize(mOptions.mProcesses);
   for (std::uint32_t i = 0; i < mOptions.mProcesses; ++i)
     StartProcess(i);
 }
 
+void Cell::StartProxies()
+{
+  mProxyThread = std::make_unique<ProxyThread>();
+  std::uint64_t seed = mOptions.mSeed;
+  for (std::uint32_t i = 0; i < mOptions.mProcesses; ++i) {
+    mPlatformProxies.push_back(
+      std::make_unique<Proxy>(*mProxyThread, mPlatform->GetPort(), ++seed));
+    for (std::uint32_t k = 0; k < mOptions.mProcesses; ++k)
+      if (k != i)
+        mPeerProxies[{ i, k }] = std::make_unique<Proxy>(*mProxyThread, mPeerPorts[k], ++seed);
+  }
+}
+
+void Cell::SetPeerFaults(std::uint32_t aFrom, std::uint32_t aTo, const LinkFaults& aFaults)
+{
+  mPeerProxies.at({ aFrom, aTo })->SetFaults(aFaults);
+}
+
+void Cell::SetPlatformFaults(std::uint32_t aProcess, const LinkFaults& aFaults)
+{
+  mPlatformProxies.at(aProcess)->SetFaults(aFaults);
+}
+
+void Cell::Isolate(std::uint32_t aProcess, bool aIsolated)
+{
+  LinkFaults faults;
+  faults.mCut = aIsolated;
+  for (const auto& [link, proxy] : mPeerProxies)
+    if (link.first == aProcess || link.second == aProcess)
+      proxy->SetFaults(faults);
+}
+
 Cell::~Cell()
 {
   mProcesses.clear();
@@ -166,13 +200,16 @@
                      GetZone(aIndex, mOptions.mZones) + "\"\n";
   text += "[listen]\nhttp = " + address(mHttpPorts[aIndex]) +
           "\npeer = " + address(mPeerPorts[aIndex]) + "\n";
-  text += "[platform]\naddress = " + address(mPlatform->GetPort()) + "\n" +
-          mOptions.mExtraSettings + "\n";
+  const std::uint16_t platform =
+    mOptions.mProxied ? mPlatformProxies[aIndex]->GetPort() : mPlatform->GetPort();
+  text += "[platform]\naddress = " + address(platform) + "\n" + mOptions.mExtraSettings + "\n";
   for (std::uint32_t i = 0; i < mOptions.mProcesses; ++i) {
     if (i == aIndex)
       continue;
     text += "[[peer]]\nname = \"" + name(i) + "\"\nzone = \"" + GetZone(i, mOptions.mZones) +
-            "\"\naddress = " + address(mPeerPorts[i]) + "\n";
+            "\"\naddress = " +
+            address(mOptions.mProxied ? mPeerProxies.at({ aIndex, i })->GetPort() : mPeerPorts[i]) +
+            "\n";
   }
   return text;
 }
--- a/tests/integration/cell.h
+++ b/tests/integration/cell.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "core/model.h"
+#include "tests/integration/proxy.h"
 
 namespace monsoon::testing {
 
@@ -48,8 +49,10 @@
   std::uint32_t mProcesses = 2;
   std::uint32_t mZones = 1;
   std::uint32_t mWorkers = 2;
-  std::uint32_t mSlots = 8;                          // per worker
-  std::string mExtraSettings{};                      // TOML appended to each process's settings
+  std::uint32_t mSlots = 8;      // per worker
+  bool mProxied = false;         // proxies between processes, and to the platform
+  std::uint64_t mSeed = 1;       // of the proxies
+  std::string mExtraSettings{};  // TOML appended to each process's settings
   std::function<WorkerSpec(std::uint32_t)> mSpec{};  // overrides the standard worker, by index
 };
 
@@ -69,17 +72,29 @@
   [[nodiscard]] std::vector<boost::json::value> ReadEvidence() const;  // of every worker
   [[nodiscard]] std::uint64_t SumEvidence(std::string_view aCounter) const;
   bool WaitUntilReady();  // every process answers /readyz with 200
+  ChildProcess& GetWorker(std::uint32_t aIndex) { return *mWorkers.at(aIndex); }
+
+  // Proxied cells only
+  void SetPeerFaults(std::uint32_t aFrom,
+                     std::uint32_t aTo,
+                     const LinkFaults& aFaults);  // calls of aFrom to aTo
+  void SetPlatformFaults(std::uint32_t aProcess, const LinkFaults& aFaults);
+  void Isolate(std::uint32_t aProcess, bool aIsolated);  // from all other processes, both ways
 
 private:
   std::string MakeSettings(std::uint32_t aIndex) const;
+  void StartProxies();
 
   CellOptions mOptions;
   std::string mDirectory{};
+  std::unique_ptr<ProxyThread> mProxyThread{};
   std::unique_ptr<ChildProcess> mPlatform{};
   std::vector<std::unique_ptr<ChildProcess>> mWorkers{};
   std::vector<std::unique_ptr<ChildProcess>> mProcesses{};
   std::vector<std::uint16_t> mHttpPorts{};
   std::vector<std::uint16_t> mPeerPorts{};
+  std::map<std::pair<std::uint32_t, std::uint32_t>, std::unique_ptr<Proxy>> mPeerProxies{};
+  std::vector<std::unique_ptr<Proxy>> mPlatformProxies{};
 };
 
 // Http
--- a/tests/integration/test_thin_path.cpp
+++ b/tests/integration/test_thin_path.cpp
@@ -40,3 +40,25 @@
   CHECK(cell.SumEvidence("doubled") == 0);
   CHECK(cell.SumEvidence("overcommits") == 0);
 }
+
+TEST_CASE("requests are served over slow and lossy links between processes", "[path]")
+{
+  Cell cell({ .mProcesses = 3, .mZones = 3, .mWorkers = 3, .mProxied = true, .mSeed = 11 });
+  REQUIRE(cell.WaitUntilReady());
+  const LinkFaults zoneLink{ .mDelay = milliseconds(5),
+                             .mJitter = milliseconds(2),
+                             .mDropDatagrams = 0.05 };
+  for (std::uint32_t i = 0; i < 3; ++i)
+    for (std::uint32_t k = 0; k < 3; ++k)
+      if (i != k)
+        cell.SetPeerFaults(i, k, zoneLink);
+  for (std::uint32_t i = 0; i < 30; ++i) {
+    const std::string body = "tray-" + std::to_string(i);
+    const Answer answer =
+      Post(cell.GetHttpPort(i % 3), "/v1/requests", body, { { "Request-Id", body } });
+    REQUIRE(answer.mStatus == 200);
+    CHECK(boost::json::parse(answer.mBody).at("echo").as_string() == body);
+  }
+  CHECK(cell.SumEvidence("requests_run") == 30);
+  CHECK(cell.SumEvidence("overcommits") == 0);
+}
