--- a/tests/integration/cell.cpp
+++ b/tests/integration/cell.cpp
@@ -91,12 +91,30 @@
 
 namespace {
 
-// A port that was free a moment ago, for processes whose peers must know it before they start.
-std::uint16_t PickPort()
+constexpr std::uint16_t kFirstPort = 10000;
+constexpr std::uint16_t kLastPort = 32000;  // outgoing connections take their ports above it
+
+bool IsFree(std::uint16_t aPort)
 {
   boost::asio::io_context context;
-  tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return acceptor.local_endpoint().port();
+  boost::system::error_code ec;
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4(), ec);
+  acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+  acceptor.bind(tcp::endpoint(boost::asio::ip::address_v4::loopback(), aPort), ec);
+  return !ec;
+}
+
+// A free port, for processes whose peers must know it before they start. Programs that run side by
+// side begin at different places.
+std::uint16_t PickPort()
+{
+  static std::uint32_t sNext = static_cast<std::uint32_t>(getpid()) * 131;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + sNext++ % (kLastPort - kFirstPort));
+    if (IsFree(port))
+      return port;
+  }
 }
 
 std::string GetZone(std::uint32_t aIndex, std::uint32_t aZones)
