--- /dev/null
+++ b/src/journal/journal_reading.h
@@ -0,0 +1,131 @@
+// Reading half of Journal. Included by journal.h only.
+#pragma once
+
+namespace monsoon {
+
+// Old values are deleted mKeepFor after they were written. Whoever knew the tail less than half of
+// that ago, by its own clock, can be sure that nothing behind the tail has come and gone since; the
+// other half covers clock drift. Everybody else must look at the snapshot. Without this rule a
+// writer that slept through a snapshot would find its next sequence free again.
+template<Store S>
+bool Journal<S>::MayBeTrimmed(TimePoint aSince) const
+{
+  return mSettings.mNow() - aSince >= mSettings.mKeepFor / 2;
+}
+
+// One pass over snapshot and tail. Conflict: they changed while being read.
+template<Store S>
+Async<Result<JournalState>> Journal<S>::ReadOnce()
+{
+  const TimePoint startedAt = mSettings.mNow();
+  auto snapshot = co_await mReader.ReadSnapshotHead(CallPurpose::Recovery);
+  if (!snapshot)
+    co_return snapshot.error();
+  auto bytes = co_await mReader.ReadSnapshotBytes(snapshot->mHead);
+  if (!bytes)
+    co_return bytes.error();
+  auto tail = co_await mReader.ReadTail(snapshot->mHead.mAt, CallPurpose::Recovery);
+  if (!tail)
+    co_return tail.error();
+  const bool gap = std::any_of(tail->mUnreadable.begin(),
+                               tail->mUnreadable.end(),
+                               [](const auto& it) { return it.mFault == ValueFault::Missing; });
+  if (gap || MayBeTrimmed(startedAt)) {
+    auto again = co_await mReader.ReadSnapshotHead(CallPurpose::Recovery);
+    if (!again)
+      co_return again.error();
+    if (again->mRevision != snapshot->mRevision)
+      co_return MakeFailure(FailureKind::Conflict, "a snapshot was written meanwhile");
+  }
+
+  JournalState state;
+  state.mSnapshotAt = snapshot->mHead.mAt;
+  state.mSnapshot = std::move(*bytes);
+  state.mEntries = std::move(tail->mEntries);
+  state.mHead = tail->mHead;
+  for (const UnreadableValue& it : tail->mUnreadable)
+    state.mCorrupt.push_back(it.mSequence);
+  mUnreadable = std::move(tail->mUnreadable);
+  mHead = state.mHead;
+  mConfirmedAt = startedAt;
+  co_return state;
+}
+
+template<Store S>
+Async<Result<JournalState>> Journal<S>::Replay()
+{
+  static constexpr int kMaxPasses = 8;
+  const Gate::Pass pass = co_await mGate->Enter();
+  Result<JournalState> state = MakeFailure(FailureKind::Conflict);
+  for (int n = 0; n < kMaxPasses; ++n) {
+    state = co_await ReadOnce();
+    if (state.has_value() || state.error().mKind != FailureKind::Conflict)
+      break;
+  }
+  if (!state)
+    co_return state;
+  mRefusal.reset();
+  Mark();
+  co_return state;
+}
+
+template<Store S>
+Async<Result<std::vector<JournalEntry>>> Journal<S>::ReadNew()
+{
+  const Gate::Pass pass = co_await mGate->Enter();
+  const TimePoint startedAt = mSettings.mNow();
+  auto tail = co_await mReader.ReadTail(mHead, CallPurpose::Journal);
+  if (!tail)
+    co_return tail.error();
+  if (MayBeTrimmed(mConfirmedAt) || !tail->mUnreadable.empty()) {
+    auto snapshot = co_await mReader.ReadSnapshotHead(CallPurpose::Journal);
+    if (!snapshot)
+      co_return snapshot.error();
+    if (snapshot->mHead.mAt > mHead)
+      co_return MakeFailure(FailureKind::Fenced, "a snapshot replaced what follows: replay");
+  }
+  if (!tail->mUnreadable.empty())
+    co_return MakeFailure(FailureKind::CorruptEntry,
+                          "journal " + mName + " at " +
+                            std::to_string(tail->mUnreadable.front().mSequence));
+  mHead = tail->mHead;
+  mConfirmedAt = startedAt;
+  co_return std::move(tail->mEntries);
+}
+
+template<Store S>
+Async<Result<FencedState>> Journal<S>::ReplayAndFence(std::string aFence)
+{
+  static constexpr int kMaxTries = 16;
+  FencedState fenced;
+  bool whole = false;
+  for (int n = 0; n < kMaxTries; ++n) {
+    if (!whole) {
+      auto state = co_await Replay();
+      if (!state)
+        co_return state.error();
+      fenced.mState = std::move(*state);
+      whole = true;
+    }
+    auto at = co_await AppendAt(fenced.mState.mHead + 1, aFence);
+    if (at.has_value()) {
+      fenced.mFence = *at;
+      co_return fenced;
+    }
+    if (at.error().mKind == FailureKind::Fenced) {
+      whole = false;
+      continue;
+    }
+    if (at.error().mKind != FailureKind::Conflict)
+      co_return at.error();
+    auto more = co_await ReadNew();
+    whole = more.has_value();
+    if (!more)
+      continue;
+    std::move(more->begin(), more->end(), std::back_inserter(fenced.mState.mEntries));
+    fenced.mState.mHead = mHead;
+  }
+  co_return MakeFailure(FailureKind::Conflict, "other writers kept appending");
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/journal/journal_snapshot.h
@@ -0,0 +1,133 @@
+// Snapshot half of Journal. Included by journal.h only.
+#pragma once
+
+namespace monsoon {
+
+template<Store S>
+Async<Result<void>> Journal<S>::WriteSnapshot(Sequence aSequence, std::string aBytes)
+{
+  static constexpr int kMaxTries = 5;
+  if (aSequence == 0 || aSequence > mHead)
+    co_return MakeFailure(FailureKind::BadInput, "a snapshot covers only what was read or written");
+  Mark();
+  SnapshotHead head;
+  head.mNonce.mWriter = mSettings.mWriter;
+  head.mNonce.mCount = ++mWrites;
+  head.mAt = aSequence;
+  head.mLength = aBytes.size();
+  head.mCrc = GetChecksum(aBytes);
+  auto parts = co_await WriteParts(head, aBytes);
+  if (!parts)
+    co_return parts.error();
+
+  // Each try reads first, so that an answer in doubt is settled before anything is written again.
+  const std::string bytes = EncodeSnapshot(head);
+  Result<std::uint64_t> written = MakeFailure(FailureKind::Conflict, "other writers were faster");
+  SnapshotHead superseded;
+  for (int n = 0; n < kMaxTries && !written.has_value(); ++n) {
+    auto standing = co_await mReader.ReadSnapshotHead(CallPurpose::Snapshot);
+    if (!standing)
+      co_return standing.error();
+    if (standing->mHead.mAt >= aSequence) {
+      const bool ours = standing->mHead.mNonce == head.mNonce;
+      written = standing->mRevision;
+      if (!ours)
+        superseded = head;  // another snapshot covers more: only our parts are left to delete
+      break;
+    }
+    superseded = standing->mHead;
+    written = co_await ReplaceHead(*standing, bytes);
+  }
+  if (!written)
+    co_return written.error();
+  co_await DeleteParts(superseded);
+  co_await DeleteOld(aSequence);
+  co_return Result<void>();
+}
+
+template<Store S>
+Async<Result<std::uint64_t>> Journal<S>::ReplaceHead(const StoredSnapshot& aOld, std::string aBytes)
+{
+  const std::string key = MakeSnapshotKey(mName);
+  if (aOld.mRevision == 0)
+    co_return co_await mStore.Create(key, std::move(aBytes), CallPurpose::Snapshot);
+  co_return co_await mStore.CompareAndSwap(
+    key, std::move(aBytes), aOld.mRevision, CallPurpose::Snapshot);
+}
+
+// Small snapshots stand in the head record. The parts of a large one are written before the head,
+// under keys that only this attempt uses.
+template<Store S>
+Async<Result<void>> Journal<S>::WriteParts(SnapshotHead& aHead, const std::string& aBytes)
+{
+  const std::size_t partBytes = mSettings.mMaxValueBytes;
+  if (aBytes.size() <= partBytes) {
+    aHead.mBytes = aBytes;
+    co_return Result<void>();
+  }
+  for (std::size_t at = 0; at < aBytes.size(); at += partBytes) {
+    const std::string key = MakePartKey(mName, aHead, aHead.mParts);
+    auto written = co_await mStore.Create(key, aBytes.substr(at, partBytes), CallPurpose::Snapshot);
+    if (!written && !IsWithoutEffect(written.error().mKind)) {
+      auto found = co_await mStore.Get(key, CallPurpose::Snapshot);
+      if (found.has_value() && found->has_value())
+        written = (*found)->mRevision;  // nobody else writes this key
+    }
+    if (!written) {
+      co_await DeleteParts(aHead);
+      co_return written.error();
+    }
+    ++aHead.mParts;
+  }
+  co_return Result<void>();
+}
+
+template<Store S>
+Async<void> Journal<S>::DeleteParts(SnapshotHead aHead)
+{
+  for (std::uint32_t n = 0; n < aHead.mParts; ++n)
+    co_await mStore.Delete(MakePartKey(mName, aHead, n), 0, CallPurpose::Snapshot);
+}
+
+// Remembers that everything up to the head stands now; it may be deleted mKeepFor later.
+template<Store S>
+void Journal<S>::Mark()
+{
+  if (mMarks.empty() || mMarks.back().second < mHead)
+    mMarks.emplace_back(mSettings.mNow(), mHead);
+}
+
+template<Store S>
+Sequence Journal<S>::GetDeletable(Sequence aUpTo)
+{
+  const TimePoint oldest = mSettings.mNow() - mSettings.mKeepFor;
+  while (mMarks.size() > 1 && mMarks[1].first <= oldest)
+    mMarks.pop_front();
+  if (mMarks.empty() || mMarks.front().first > oldest)
+    return 0;
+  return std::min(aUpTo, mMarks.front().second);
+}
+
+// Oldest first, so that what is left has no gap. What fails is left for the next snapshot.
+template<Store S>
+Async<void> Journal<S>::DeleteOld(Sequence aUpTo)
+{
+  const Sequence last = GetDeletable(aUpTo);
+  for (std::size_t n = 0; last > 0 && n < mSettings.mMaxDeletes;) {
+    const std::size_t limit = std::min(mSettings.mPageValues, mSettings.mMaxDeletes - n);
+    auto page = co_await mStore.List(MakeValuePrefix(mName), "", limit, CallPurpose::Snapshot);
+    if (!page || page->empty())
+      co_return;
+    for (const StoreValue& it : *page) {
+      const Sequence sequence = ParseValueKey(it.mKey);
+      if (sequence > last)
+        co_return;
+      auto deleted = co_await mStore.Delete(it.mKey, it.mRevision, CallPurpose::Snapshot);
+      if (!deleted)
+        co_return;
+      ++n;
+    }
+  }
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/journal/journal_value.cpp
@@ -0,0 +1,161 @@
+#include "journal/journal_value.h"
+
+#include <boost/crc.hpp>
+
+#include <charconv>
+#include <cstdio>
+
+#include "core/archive.h"
+
+namespace monsoon {
+
+template<class Archive>
+void serialize(Archive& aArchive, WriteNonce& aNonce)
+{
+  aArchive(aNonce.mWriter, aNonce.mCount);
+}
+
+namespace {
+
+constexpr std::size_t kSequenceDigits = 20;
+
+struct Envelope  // the outer form, the same for all versions
+{
+  std::uint16_t mMajor = kJournalMajor;
+  std::uint16_t mMinor = kJournalMinor;
+  std::uint32_t mCrc = 0;  // of mBody
+  std::string mBody{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mMajor, mMinor, mCrc, mBody);
+  }
+};
+
+std::string Seal(std::string aBody)
+{
+  Envelope envelope;
+  envelope.mCrc = GetChecksum(aBody);
+  envelope.mBody = std::move(aBody);
+  return EncodeBytes(envelope);
+}
+
+Failure MakeFault(ValueFault aFault, std::string aDetail, ValueFault* aOut)
+{
+  if (aOut)
+    *aOut = aFault;
+  return MakeFailure(FailureKind::CorruptEntry, std::move(aDetail));
+}
+
+// The version is looked at before the checksum: another major version may sum up differently.
+Result<std::string> Open(std::span<const char> aBytes, ValueFault* aFault)
+{
+  std::uint16_t major = 0;
+  if (!DecodeSome(aBytes, major))
+    return MakeFault(ValueFault::Corrupt, "no version", aFault);
+  if (major != kJournalMajor)
+    return MakeFault(ValueFault::UnknownVersion, "version " + std::to_string(major), aFault);
+  Envelope envelope;
+  if (!DecodeAll(aBytes, envelope))
+    return MakeFault(ValueFault::Corrupt, "broken form", aFault);
+  if (GetChecksum(envelope.mBody) != envelope.mCrc)
+    return MakeFault(ValueFault::Corrupt, "checksum differs", aFault);
+  return std::move(envelope.mBody);
+}
+
+}  // namespace
+
+std::string EncodeValue(const JournalValue& aValue)
+{
+  std::string body = EncodeBytes(aValue.mNonce, aValue.mEntries);
+  body += aValue.mExtra;
+  return Seal(std::move(body));
+}
+
+Result<JournalValue> DecodeValue(std::span<const char> aBytes, ValueFault* aFault)
+{
+  auto body = Open(aBytes, aFault);
+  if (!body)
+    return body.error();
+  JournalValue value;
+  auto rest = DecodeSome(*body, value.mNonce, value.mEntries);
+  if (!rest)
+    return MakeFault(ValueFault::Corrupt, "broken body", aFault);
+  value.mExtra.assign(rest->begin(), rest->end());
+  return value;
+}
+
+std::string EncodeSnapshot(const SnapshotHead& aHead)
+{
+  std::string body =
+    EncodeBytes(aHead.mNonce, aHead.mAt, aHead.mParts, aHead.mCrc, aHead.mLength, aHead.mBytes);
+  body += aHead.mExtra;
+  return Seal(std::move(body));
+}
+
+Result<SnapshotHead> DecodeSnapshot(std::span<const char> aBytes)
+{
+  auto body = Open(aBytes, nullptr);
+  if (!body)
+    return body.error();
+  SnapshotHead head;
+  auto rest =
+    DecodeSome(*body, head.mNonce, head.mAt, head.mParts, head.mCrc, head.mLength, head.mBytes);
+  if (!rest)
+    return MakeFailure(FailureKind::CorruptEntry, "broken snapshot");
+  head.mExtra.assign(rest->begin(), rest->end());
+  return head;
+}
+
+std::uint32_t GetChecksum(std::span<const char> aBytes)
+{
+  boost::crc_32_type crc;
+  crc.process_bytes(aBytes.data(), aBytes.size());
+  return crc.checksum();
+}
+
+std::string MakeValueKey(std::string_view aJournal, Sequence aSequence)
+{
+  const std::string digits = std::to_string(aSequence);
+  std::string key = "journal/" + std::string(aJournal) + "/";
+  key.append(kSequenceDigits - digits.size(), '0');
+  return key + digits;
+}
+
+// Sequences below 10^19 start with a zero; snapshots don't, and so stay out of every tail read.
+std::string MakeValuePrefix(std::string_view aJournal)
+{
+  return "journal/" + std::string(aJournal) + "/0";
+}
+
+std::string MakeSnapshotKey(std::string_view aJournal)
+{
+  return "journal/" + std::string(aJournal) + "/snapshot";
+}
+
+std::string MakePartKey(std::string_view aJournal, const SnapshotHead& aHead, std::uint32_t aPart)
+{
+  char name[80];
+  std::snprintf(name,
+                sizeof(name),
+                "/%020llu-%016llx-%llu/%05u",
+                static_cast<unsigned long long>(aHead.mAt),
+                static_cast<unsigned long long>(aHead.mNonce.mWriter),
+                static_cast<unsigned long long>(aHead.mNonce.mCount),
+                aPart);
+  return MakeSnapshotKey(aJournal) + name;
+}
+
+Sequence ParseValueKey(std::string_view aKey)
+{
+  const auto slash = aKey.rfind('/');
+  if (slash == std::string_view::npos || aKey.size() - slash - 1 != kSequenceDigits)
+    return 0;
+  Sequence sequence = 0;
+  const char* end = aKey.data() + aKey.size();
+  const auto [stop, ec] = std::from_chars(aKey.data() + slash + 1, end, sequence);
+  return ec == std::errc() && stop == end ? sequence : 0;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/journal/journal_writing.h
@@ -0,0 +1,216 @@
+// Appending half of Journal. Included by journal.h only.
+#pragma once
+
+namespace monsoon {
+
+// Store answers that prove that a write had no effect.
+[[nodiscard]] inline bool IsWithoutEffect(FailureKind aKind) noexcept
+{
+  switch (aKind) {
+    case FailureKind::AlreadyExists:
+    case FailureKind::Conflict:
+    case FailureKind::StoreUnavailable:
+    case FailureKind::BudgetExhausted:
+    case FailureKind::RateLimited:
+    case FailureKind::TooLarge:
+    case FailureKind::BadInput:
+      return true;
+    default:
+      return false;
+  }
+}
+
+template<Store S>
+Failure Journal<S>::MakeRefusal() const
+{
+  return MakeFailure(*mRefusal, "journal " + mName + " refuses appends until it is replayed");
+}
+
+template<Store S>
+Async<Result<Sequence>> Journal<S>::Append(std::string aBytes)
+{
+  if (mRefusal)
+    co_return MakeRefusal();
+  const std::size_t size = aBytes.size() + kEntryOverheadBytes;
+  if (size > mSettings.mMaxValueBytes)
+    co_return MakeFailure(FailureKind::TooLarge, "entry above the value's limit");
+  if (mPendingBytes + size > mSettings.mMaxPendingBytes)
+    co_return MakeFailure(FailureKind::BudgetExhausted, "too much waits for the store");
+
+  auto executor = co_await asio::this_coro::executor;
+  auto waiter = std::make_shared<Waiter>(executor, std::move(aBytes));
+  mPending.push_back(waiter);
+  mPendingBytes += size;
+  if (!std::exchange(mWriting, true))
+    asio::co_spawn(executor, WritePending(), asio::detached);
+  while (!waiter->mResult)
+    [[maybe_unused]] auto [ec] = co_await waiter->mTimer.async_wait(kNoThrow);
+  co_return *waiter->mResult;
+}
+
+template<Store S>
+typename Journal<S>::Batch Journal<S>::TakeBatch()
+{
+  Batch batch;
+  std::size_t bytes = 0;
+  while (!mPending.empty()) {
+    const std::size_t size = mPending.front()->mBytes.size() + kEntryOverheadBytes;
+    if (bytes + size > mSettings.mMaxValueBytes)
+      break;
+    bytes += size;
+    batch.push_back(std::move(mPending.front()));
+    mPending.pop_front();
+  }
+  mPendingBytes -= bytes;
+  return batch;
+}
+
+template<Store S>
+void Journal<S>::Finish(const Batch& aBatch, const Result<Sequence>& aResult)
+{
+  for (const auto& waiter : aBatch) {
+    waiter->mResult = aResult;
+    waiter->mTimer.cancel();
+  }
+}
+
+// Group commit without linger: each write takes all that came while the last one was under way.
+template<Store S>
+Async<void> Journal<S>::WritePending()
+{
+  while (!mPending.empty()) {
+    const Gate::Pass pass = co_await mGate->Enter();
+    const Batch batch = TakeBatch();
+    std::vector<std::string> entries;
+    for (const auto& waiter : batch)
+      entries.push_back(std::move(waiter->mBytes));
+    auto result = co_await WriteNext(std::move(entries));
+    if (!result && result.error().mKind == FailureKind::AlreadyExists) {
+      mRefusal = FailureKind::Fenced;
+      result = MakeFailure(FailureKind::Fenced, "another writer has appended");
+    }
+    Finish(batch, result);
+    while (mRefusal && !mPending.empty())
+      Finish(TakeBatch(), MakeRefusal());
+  }
+  mWriting = false;
+}
+
+template<Store S>
+Async<Result<Sequence>> Journal<S>::AppendAt(Sequence aSequence, std::string aBytes)
+{
+  if (aBytes.size() + kEntryOverheadBytes > mSettings.mMaxValueBytes)
+    co_return MakeFailure(FailureKind::TooLarge, "entry above the value's limit");
+  const Gate::Pass pass = co_await mGate->Enter();
+  if (aSequence <= mHead)
+    co_return MakeFailure(FailureKind::Conflict, "the sequence is taken");
+  if (aSequence != mHead + 1)
+    co_return MakeFailure(FailureKind::BadInput, "only the sequence after the head can be written");
+  std::vector<std::string> entries;
+  entries.push_back(std::move(aBytes));
+  auto result = co_await WriteNext(std::move(entries));
+  if (!result && result.error().mKind == FailureKind::AlreadyExists)
+    co_return MakeFailure(FailureKind::Conflict, "the sequence is taken");
+  co_return result;
+}
+
+// The caller holds the gate. AlreadyExists: another writer's value stands there.
+template<Store S>
+Async<Result<Sequence>> Journal<S>::WriteNext(std::vector<std::string> aEntries)
+{
+  if (mRefusal)
+    co_return MakeRefusal();
+  const Sequence sequence = mHead + 1;
+  const TimePoint startedAt = mSettings.mNow();
+  auto written = co_await WriteValue(sequence, std::move(aEntries));
+  if (!written) {
+    const FailureKind kind = written.error().mKind;
+    if (kind == FailureKind::WriteUnknown || kind == FailureKind::Fenced)
+      mRefusal = kind;
+    co_return written.error();
+  }
+  mHead = sequence;
+  mConfirmedAt = startedAt;
+  co_return sequence;
+}
+
+// An answer that leaves the write in doubt is settled by reading the key and comparing the nonce.
+// Only when the key is empty is the same value, with the same nonce, sent again: whichever of the
+// two arrives first, the value stands once.
+template<Store S>
+Async<Result<void>> Journal<S>::WriteValue(Sequence aSequence, std::vector<std::string> aEntries)
+{
+  JournalValue value;
+  value.mNonce.mWriter = mSettings.mWriter;
+  value.mNonce.mCount = ++mWrites;
+  value.mEntries = std::move(aEntries);
+  const std::string bytes = EncodeValue(value);
+  const std::string key = MakeValueKey(mName, aSequence);
+  const TimePoint deadline = mSettings.mNow() + mSettings.mResolveFor;
+  Duration pause = mSettings.mFirstPause;
+  bool inDoubt = false;
+  while (true) {
+    auto written = co_await mStore.Create(key, bytes, CallPurpose::Journal);
+    if (written.has_value())
+      break;
+    if (!inDoubt && IsWithoutEffect(written.error().mKind))
+      co_return written.error();
+    inDoubt = true;
+    auto standing = co_await IsStanding(aSequence, value.mNonce, deadline);
+    if (!standing)
+      co_return standing.error();
+    if (*standing)
+      break;
+    if (mSettings.mNow() >= deadline)
+      co_return MakeFailure(FailureKind::WriteUnknown, "the store did not settle the append");
+    co_await Sleep(pause);
+    pause = NextPause(pause);
+  }
+  co_return co_await CheckNotTrimmed(aSequence, deadline);
+}
+
+// Whether the value with this nonce stands. AlreadyExists: another value does. WriteUnknown: the
+// store did not say until the deadline.
+template<Store S>
+Async<Result<bool>> Journal<S>::IsStanding(Sequence aSequence,
+                                           WriteNonce aNonce,
+                                           TimePoint aDeadline)
+{
+  Duration pause = mSettings.mFirstPause;
+  while (true) {
+    auto found = co_await mReader.ReadValue(aSequence, CallPurpose::Journal);
+    if (found.has_value() && !*found)
+      co_return false;
+    if (found.has_value()) {
+      auto value = DecodeValue((*found)->mValue);
+      if (value.has_value() && value->mNonce == aNonce)
+        co_return true;
+      co_return MakeFailure(FailureKind::AlreadyExists, "another writer's value stands");
+    }
+    if (mSettings.mNow() >= aDeadline)
+      co_return MakeFailure(FailureKind::WriteUnknown, "the append could not be read back");
+    co_await Sleep(pause);
+    pause = NextPause(pause);
+  }
+}
+
+// Fenced: the sequence was free only because a snapshot had replaced what stood there.
+template<Store S>
+Async<Result<void>> Journal<S>::CheckNotTrimmed(Sequence aSequence, TimePoint aDeadline)
+{
+  Duration pause = mSettings.mFirstPause;
+  while (MayBeTrimmed(mConfirmedAt)) {
+    auto snapshot = co_await mReader.ReadSnapshotHead(CallPurpose::Journal);
+    if (snapshot.has_value() && snapshot->mHead.mAt >= aSequence)
+      co_return MakeFailure(FailureKind::Fenced, "the journal went on without this writer");
+    if (snapshot.has_value())
+      break;
+    if (mSettings.mNow() >= aDeadline)
+      co_return MakeFailure(FailureKind::WriteUnknown, "the snapshot could not be read");
+    co_await Sleep(pause);
+    pause = NextPause(pause);
+  }
+  co_return Result<void>();
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/tests/unit/test_journal.cpp
@@ -0,0 +1,298 @@
+// The journal against a store in memory: order, fencing, doubtful writes, snapshots.
+#include <catch2/catch.hpp>
+
+#include <set>
+
+#include "journal/journal.h"
+#include "memory_store.h"
+
+using namespace monsoon;
+using namespace monsoon::test;
+
+namespace {
+
+using TestJournal = Journal<MemoryStore>;
+static_assert(Store<MemoryStore>);
+static_assert(JournalLike<TestJournal>);
+
+JournalSettings MakeSettings(MemoryData& aData, std::uint64_t aWriter)
+{
+  JournalSettings settings;
+  settings.mNow = [&aData] { return aData.mNow; };
+  settings.mFirstPause = Duration::zero();
+  settings.mLongestPause = Duration::zero();
+  settings.mWriter = aWriter;
+  return settings;
+}
+
+// Runs a coroutine to its end; what it throws fails the test. No co_await may stand inside a Catch2
+// macro: g++ 12 runs it more than once.
+template<class F>
+void Run(F aBody)
+{
+  asio::io_context context;
+  std::exception_ptr thrown;
+  asio::co_spawn(context, aBody(), [&thrown](std::exception_ptr e) { thrown = e; });
+  context.run();
+  if (thrown)
+    std::rethrow_exception(thrown);
+}
+
+std::vector<std::string> GetBytes(const std::vector<JournalEntry>& aEntries)
+{
+  std::vector<std::string> bytes;
+  for (const JournalEntry& it : aEntries)
+    bytes.push_back(it.mBytes);
+  return bytes;
+}
+
+}  // namespace
+
+TEST_CASE("a replay returns what was appended, in order", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
+    for (int n = 1; n <= 100; ++n) {
+      auto at = co_await writer.Append("entry " + std::to_string(n));
+      REQUIRE(at.has_value());
+      CHECK(*at == Sequence(n));
+    }
+    TestJournal reader(store, "jobs-0", MakeSettings(data, 2));
+    auto state = co_await reader.Replay();
+    REQUIRE(state.has_value());
+    CHECK(state->mHead == 100);
+    REQUIRE(state->mEntries.size() == 100);
+    CHECK(state->mEntries[41].mBytes == "entry 42");
+    CHECK(state->mCorrupt.empty());
+    auto step1 = co_await writer.Append("late");
+    REQUIRE(step1.has_value());
+    auto more = co_await reader.ReadNew();
+    REQUIRE(more.has_value());
+    CHECK(GetBytes(*more) == std::vector<std::string>{ "late" });
+  });
+}
+
+TEST_CASE("group commit writes many entries in few values", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  static constexpr int kEntries = 1000;
+  int done = 0;
+  Run([&]() -> Async<void> {
+    TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
+    auto executor = co_await asio::this_coro::executor;
+    for (int n = 0; n < kEntries; ++n) {
+      auto append = [&writer, &done]() -> Async<void> {
+        auto at = co_await writer.Append("x");
+        done += at.has_value() ? 1 : 0;
+      };
+      asio::co_spawn(executor, append, asio::detached);
+    }
+    while (done < kEntries)
+      co_await Sleep(milliseconds(1));
+    TestJournal reader(store, "jobs-0", MakeSettings(data, 2));
+    auto state = co_await reader.Replay();
+    REQUIRE(state.has_value());
+    CHECK(state->mEntries.size() == kEntries);
+  });
+  CHECK(data.mCreates <= 3);
+}
+
+TEST_CASE("a batch is bounded by the value's size", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  int done = 0;
+  Run([&]() -> Async<void> {
+    JournalSettings settings = MakeSettings(data, 1);
+    settings.mMaxValueBytes = 1000;
+    TestJournal writer(store, "jobs-0", settings);
+    auto executor = co_await asio::this_coro::executor;
+    for (int n = 0; n < 20; ++n) {
+      auto append = [&writer, &done]() -> Async<void> {
+        auto at = co_await writer.Append(std::string(300, 'x'));
+        done += at.has_value() ? 1 : 0;
+      };
+      asio::co_spawn(executor, append, asio::detached);
+    }
+    while (done < 20)
+      co_await Sleep(milliseconds(1));
+    auto large = co_await writer.Append(std::string(1000, 'x'));
+    REQUIRE(large.has_error());
+    CHECK(large.error().mKind == FailureKind::TooLarge);
+  });
+  for (const auto& [key, value] : data.mValues)
+    CHECK(value.mValue.size() < 1000 + kValueHeadroomBytes);
+}
+
+TEST_CASE("a writer that froze is fenced by another's fence entry", "[journal]")
+{
+  MemoryData data;
+  MemoryStore oldStore(data, 1);
+  MemoryStore newStore(data, 2);
+  Run([&]() -> Async<void> {
+    TestJournal older(oldStore, "jobs-0", MakeSettings(data, 1));
+    TestJournal newer(newStore, "jobs-0", MakeSettings(data, 2));
+    auto step2 = co_await older.ReplayAndFence("fence 1");
+    REQUIRE(step2.has_value());
+    auto step3 = co_await older.Append("a");
+    REQUIRE(step3.has_value());
+    // The append leaves the old writer, but the store sees it after the new owner's fence.
+    std::optional<Result<FencedState>> fenced;
+    oldStore.mBeforeCreate = [&]() -> Async<void> {
+      fenced = co_await newer.ReplayAndFence("fence 2");
+    };
+    auto late = co_await older.Append("late");
+    oldStore.mBeforeCreate = nullptr;
+    REQUIRE(fenced->has_value());
+    CHECK((*fenced)->mState.mEntries.back().mBytes == "a");
+    REQUIRE(late.has_error());
+    CHECK(late.error().mKind == FailureKind::Fenced);
+    CHECK(older.IsRefusing());
+    auto again = co_await older.Append("again");
+    REQUIRE(again.has_error());
+    CHECK(again.error().mKind == FailureKind::Fenced);
+    auto state = co_await newer.Replay();
+    CHECK(GetBytes(state->mEntries) == std::vector<std::string>{ "fence 1", "a", "fence 2" });
+  });
+}
+
+TEST_CASE("a writer that slept through a snapshot is fenced although its key is free", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal older(store, "jobs-0", MakeSettings(data, 1));
+    auto step4 = co_await older.Append("a");
+    REQUIRE(step4.has_value());
+    TestJournal newer(store, "jobs-0", MakeSettings(data, 2));
+    auto step5 = co_await newer.ReplayAndFence("fence");
+    REQUIRE(step5.has_value());
+    auto step6 = co_await newer.WriteSnapshot(2, "a fence");
+    REQUIRE(step6.has_value());
+    CHECK(data.mValues.contains(MakeValueKey("jobs-0", 2)));  // too young to be deleted
+    data.mNow += seconds(121);
+    auto step7 = co_await newer.Append("b");
+    REQUIRE(step7.has_value());
+    auto step8 = co_await newer.WriteSnapshot(3, "a fence b");
+    REQUIRE(step8.has_value());
+    CHECK_FALSE(data.mValues.contains(MakeValueKey("jobs-0", 2)));
+    auto late = co_await older.Append("late");
+    REQUIRE(late.has_error());
+    CHECK(late.error().mKind == FailureKind::Fenced);
+    TestJournal reader(store, "jobs-0", MakeSettings(data, 3));
+    auto state = co_await reader.Replay();
+    REQUIRE(state.has_value());
+    CHECK(state->mSnapshot == "a fence b");
+    CHECK(state->mHead == 3);
+    CHECK(state->mEntries.empty());
+  });
+}
+
+TEST_CASE("two writers of AppendAt never share a sequence", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal first(store, "config", MakeSettings(data, 1));
+    TestJournal second(store, "config", MakeSettings(data, 2));
+    auto step9 = co_await first.AppendAt(1, "one");
+    REQUIRE(step9.has_value());
+    auto lost = co_await second.AppendAt(1, "two");
+    REQUIRE(lost.has_error());
+    CHECK(lost.error().mKind == FailureKind::Conflict);
+    auto seen = co_await second.ReadNew();
+    REQUIRE(seen.has_value());
+    CHECK(GetBytes(*seen) == std::vector<std::string>{ "one" });
+    auto step10 = co_await second.AppendAt(2, "two");
+    CHECK(step10.has_value());
+    auto gap = co_await second.AppendAt(9, "gap");
+    REQUIRE(gap.has_error());
+    CHECK(gap.error().mKind == FailureKind::BadInput);
+  });
+}
+
+TEST_CASE("an append in doubt is settled by reading, never written twice", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
+    store.mFaults.mLoseAfterEffect = 1;
+    auto at = co_await writer.Append("a");
+    REQUIRE(at.has_value());
+    CHECK(*at == 1);
+    CHECK(data.mCreates == 1);  // read back instead of sent again
+    store.mFaults.mLoseAfterEffect = 0;
+    store.mFaults.mLoseBeforeEffect = 1;
+    auto lost = co_await writer.Append("b");
+    REQUIRE(lost.has_error());
+    CHECK(lost.error().mKind == FailureKind::WriteUnknown);
+    store.mFaults.mLoseBeforeEffect = 0;
+    auto step11 = co_await writer.Append("c");
+    CHECK(step11.error().mKind == FailureKind::WriteUnknown);
+    auto step12 = co_await writer.Replay();
+    REQUIRE(step12.has_value());
+    auto step13 = co_await writer.Append("c");
+    CHECK(step13.has_value());
+  });
+}
+
+TEST_CASE("corrupt, unknown and missing values are reported by sequence", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
+    for (int n = 1; n <= 5; ++n) {
+      auto step14 = co_await writer.Append(std::to_string(n));
+      REQUIRE(step14.has_value());
+    }
+    TestJournal follower(store, "jobs-0", MakeSettings(data, 3));
+    data.mValues[MakeValueKey("jobs-0", 2)].mValue.back() ^= 1;
+    data.mValues[MakeValueKey("jobs-0", 3)].mValue[1] = 9;  // major version
+    data.mValues.erase(MakeValueKey("jobs-0", 4));
+    auto more = co_await follower.ReadNew();
+    REQUIRE(more.has_error());
+    CHECK(more.error().mKind == FailureKind::CorruptEntry);
+    CHECK(follower.GetHead() == 0);
+    auto state = co_await writer.Replay();
+    REQUIRE(state.has_value());
+    CHECK(state->mCorrupt == std::vector<Sequence>{ 2, 3, 4 });
+    CHECK(GetBytes(state->mEntries) == std::vector<std::string>{ "1", "5" });
+    const auto& faults = writer.ListUnreadable();
+    REQUIRE(faults.size() == 3);
+    CHECK(faults[0].mFault == ValueFault::Corrupt);
+    CHECK(faults[1].mFault == ValueFault::UnknownVersion);
+    CHECK(faults[2].mFault == ValueFault::Missing);
+  });
+}
+
+TEST_CASE("a large snapshot is split and put together again", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
+    auto step15 = co_await writer.Append("a");
+    REQUIRE(step15.has_value());
+    const std::string large(2'500'000, 's');
+    auto step16 = co_await writer.WriteSnapshot(1, large);
+    REQUIRE(step16.has_value());
+    auto step17 = co_await writer.Append("b");
+    REQUIRE(step17.has_value());
+    TestJournal reader(store, "jobs-0", MakeSettings(data, 2));
+    auto state = co_await reader.Replay();
+    REQUIRE(state.has_value());
+    CHECK(state->mSnapshotAt == 1);
+    CHECK(state->mSnapshot == large);
+    CHECK(GetBytes(state->mEntries) == std::vector<std::string>{ "b" });
+    for (const auto& [key, value] : data.mValues)
+      CHECK(value.mValue.size() <= kMaxStoreValueBytes);
+    auto step18 = co_await writer.WriteSnapshot(2, "small");
+    REQUIRE(step18.has_value());
+    CHECK(data.mValues.size() == 3);  // two young values and the head; the parts are gone
+  });
+}
