--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -120,6 +120,10 @@
     const bool keepAlive = request.keep_alive();
     const unsigned version = request.version();
     HttpResponse response = co_await mHandler(std::move(request), peerAddress);
+    if (response.result() == kNoAnswer) {
+      --mInFlight;
+      break;
+    }
     response.version(version);
     response.keep_alive(keepAlive && !mStopping);
     response.prepare_payload();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -27,6 +27,9 @@
   Duration mIdleTimeout = seconds(60);        // between requests of one connection
 };
 
+// A handler that returns this status closes the connection without an answer.
+inline constexpr http::status kNoAnswer = http::status::unknown;
+
 // Called for each whole request; its answer goes back on the same connection.
 using HttpHandler =
   std::function<Async<HttpResponse>(HttpRequest aRequest, std::string aPeerAddress)>;
--- a/src/platform/http_store.cpp
+++ b/src/platform/http_store.cpp
@@ -1,6 +1,7 @@
 #include "platform/http_store.h"
 
 #include <boost/json.hpp>
+#include <cereal/external/base64.hpp>
 
 #include "core/json.h"
 
@@ -10,6 +11,26 @@
 
 namespace {
 
+constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;  // a page of the largest values, base64
+
+// Values are any bytes, which JSON strings are not: they travel as base64.
+StoreValue ParseValue(const json::value& aValue)
+{
+  StoreValue value;
+  value.mKey = GetString(aValue, "key");
+  value.mValue = cereal::base64::decode(GetString(aValue, "value"));
+  value.mRevision = GetUnsigned(aValue, "revision");
+  return value;
+}
+
+std::vector<StoreValue> ParseValues(const json::value& aAnswer, std::string_view aMember)
+{
+  std::vector<StoreValue> values;
+  for (const auto& it : GetArray(aAnswer, aMember))
+    values.push_back(ParseValue(it));
+  return values;
+}
+
 // What a failed call means depends on whether it could have written.
 Failure MakeCallFailure(const Failure& aFailure, bool aWrite)
 {
@@ -38,6 +59,25 @@
 
 }  // namespace
 
+std::string_view GetName(CallPurpose aPurpose) noexcept
+{
+  switch (aPurpose) {
+    case CallPurpose::Journal:
+      return "journal";
+    case CallPurpose::Snapshot:
+      return "snapshot";
+    case CallPurpose::Session:
+      return "session";
+    case CallPurpose::Watch:
+      return "watch";
+    case CallPurpose::Recovery:
+      return "recovery";
+    case CallPurpose::Vms:
+      return "vms";
+  }
+  return "none";
+}
+
 HttpStore::HttpStore(HttpClient& aClient, PlatformSettings aSettings)
   : mClient(aClient)
   , mSettings(std::move(aSettings))
@@ -53,7 +93,9 @@
   ++mCalls[static_cast<std::size_t>(aPurpose)];
   HttpRequest request(aVerb, aTarget, 11);
   request.body() = std::move(aBody);
-  auto response = co_await mClient.Call(mSettings.mAddress, std::move(request), aDeadline);
+  request.set("Purpose", GetName(aPurpose));
+  auto response =
+    co_await mClient.Call(mSettings.mAddress, std::move(request), aDeadline, kMaxAnswerBytes);
   const bool write = aVerb == http::verb::put || aVerb == http::verb::delete_;
   if (!response)
     co_return MakeCallFailure(response.error(), write);
@@ -78,7 +120,8 @@
   auto value = ParseJson(response->body());
   if (!value)
     co_return value.error();
-  StoreValue found{ aKey, GetString(*value, "value"), GetUnsigned(*value, "revision") };
+  StoreValue found = ParseValue(*value);
+  found.mKey = aKey;
   co_return std::optional<StoreValue>(std::move(found));
 }
 
@@ -97,10 +140,7 @@
   auto value = ParseJson(response->body());
   if (!value)
     co_return value.error();
-  std::vector<StoreValue> values;
-  for (const auto& it : GetArray(*value, "values"))
-    values.push_back({ GetString(it, "key"), GetString(it, "value"), GetUnsigned(it, "revision") });
-  co_return values;
+  co_return ParseValues(*value, "values");
 }
 
 Async<Result<std::uint64_t>> HttpStore::Create(std::string aKey,
@@ -175,9 +215,7 @@
   WatchBatch batch;
   batch.mRevision = GetUnsigned(*value, "revision");
   batch.mLost = GetBool(*value, "lost");
-  for (const auto& it : GetArray(*value, "changes"))
-    batch.mChanges.push_back(
-      { GetString(it, "key"), GetString(it, "value"), GetUnsigned(it, "revision") });
+  batch.mChanges = ParseValues(*value, "changes");
   co_return batch;
 }
 
--- a/src/platform/http_store.h
+++ b/src/platform/http_store.h
@@ -15,6 +15,9 @@
   Duration mCallTimeout = seconds(2);  // each call but Watch
 };
 
+// As counted in metrics and sent to the platform, e.g. "journal".
+[[nodiscard]] std::string_view GetName(CallPurpose aPurpose) noexcept;
+
 class HttpStore
 {
 public:
