--- /dev/null
+++ b/src/controllers/journal_follower.h
@@ -0,0 +1,335 @@
+// Keeps a copy of a journal's state up to date: a few processes watch the store, the others hear of
+// the head in heartbeats and fetch what is new from a peer. One thread.
+//
+// Index
+//   JournalSink        what applies entries
+//   Slices             how entries travel in a JournalSlice
+//   JournalFollower
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+
+#include "core/concepts.h"
+#include "journal/journal_types.h"
+
+namespace monsoon {
+
+// JournalSink
+template<class T>
+concept JournalSink = requires(T& aSink, Sequence aSequence, const std::string& aBytes)
+{
+  aSink.ApplyEntry(aSequence, aBytes);     // ignored unless above GetApplied
+  aSink.ApplySnapshot(aSequence, aBytes);  // ignored unless above GetApplied
+  aSink.SkipTo(aSequence);                 // past values that could not be decoded
+  {
+    aSink.EncodeState()
+    } -> std::same_as<std::string>;  // as a snapshot
+  {
+    aSink.GetApplied()
+    } -> std::same_as<Sequence>;
+};
+
+// Slices
+[[nodiscard]] std::string EncodeSliceEntry(const JournalEntry& aEntry);
+[[nodiscard]] Result<JournalEntry> DecodeSliceEntry(const std::string& aBytes);
+
+struct FollowerSettings
+{
+  Duration mWatchWait = seconds(2);          // longest wait of one watch
+  Duration mPoll = milliseconds(50);         // between two looks at what the heartbeats said
+  Duration mRetryAfter = milliseconds(300);  // after a failure
+  Duration mAlone = seconds(3);              // without any confirmation by then, the store is asked
+  Duration mTransit = milliseconds(200);     // longest usual way of a heartbeat, added to its age
+  Duration mFetchDeadline = seconds(1);
+  std::size_t mKeep = 256;           // entries kept for peers
+  std::size_t mSnapshotEvery = 512;  // entries
+};
+
+template<JournalLike Journal, Store StoreType, PeerCaller Peers, JournalSink Sink>
+class JournalFollower
+{
+public:
+  JournalFollower(StoreType& aStore,
+                  Journal& aJournal,
+                  Peers& aPeers,
+                  Sink& aSink,
+                  std::string aName,
+                  FollowerSettings aSettings)
+    : mStore(aStore)
+    , mJournal(aJournal)
+    , mPeers(aPeers)
+    , mSink(aSink)
+    , mName(std::move(aName))
+    , mSettings(aSettings)
+  {
+  }
+
+  // aWatches: whether this process is one of the few, asked before each wait.
+  Async<void> Run(std::function<bool()> aWatches);
+  void Stop() { mStopped = true; }
+
+  // Appends after what is applied here, and applies it. Conflict: new entries were applied, decide
+  // again. WriteUnknown: Refresh before deciding again.
+  Async<Result<Sequence>> Append(std::string aBytes);
+  Async<Result<void>> Refresh();  // from the store
+
+  void OnHead(const ProcessName& aFrom, const JournalHead& aHead, TimePoint aNow);
+  [[nodiscard]] JournalHead GetHead(TimePoint aNow) const;
+  [[nodiscard]] JournalSlice OnFetch(const JournalFetch& aFetch) const;
+
+  [[nodiscard]] bool IsLoaded() const noexcept { return mLoaded; }  // from the store or a peer
+  [[nodiscard]] TimePoint GetConfirmedAt() const noexcept { return mConfirmedAt; }
+
+private:
+  Async<void> Replay();
+  Async<void> Watch();
+  Async<void> Follow();
+  Async<bool> Fetch();
+  Async<void> Snapshot();
+  void Take(const std::vector<JournalEntry>& aEntries);
+  void Confirm(TimePoint aAt) { mConfirmedAt = std::max(mConfirmedAt, aAt); }
+
+  StoreType& mStore;
+  Journal& mJournal;
+  Peers& mPeers;
+  Sink& mSink;
+  std::string mName;
+  FollowerSettings mSettings;
+  std::deque<JournalEntry> mTail{};
+  std::map<ProcessName, Sequence> mHeads{};  // that peers have told
+  bool mStopped = false;
+  bool mReplayed = false;  // the journal object has read the store
+  bool mLoaded = false;
+  std::uint64_t mWatchRevision = 0;
+  Sequence mSnapshotAt = 0;
+  TimePoint mConfirmedAt{};
+  TimePoint mAskedAt{};
+};
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+void JournalFollower<J, S, P, K>::Take(const std::vector<JournalEntry>& aEntries)
+{
+  for (const JournalEntry& entry : aEntries) {
+    if (entry.mSequence <= mSink.GetApplied())
+      continue;
+    mSink.ApplyEntry(entry.mSequence, entry.mBytes);
+    mTail.push_back(entry);
+    if (mTail.size() > mSettings.mKeep)
+      mTail.pop_front();
+  }
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<void> JournalFollower<J, S, P, K>::Replay()
+{
+  const TimePoint sent = BootClock::now();
+  const auto state = co_await mJournal.Replay();
+  if (!state)
+    co_return;
+  if (state->mSnapshotAt > mSink.GetApplied()) {
+    mTail.clear();  // it must have no holes
+    mSink.ApplySnapshot(state->mSnapshotAt, state->mSnapshot);
+  }
+  mSnapshotAt = state->mSnapshotAt;
+  Take(state->mEntries);
+  mSink.SkipTo(state->mHead);
+  mReplayed = true;
+  mLoaded = true;
+  Confirm(sent);
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<Result<void>> JournalFollower<J, S, P, K>::Refresh()
+{
+  if (!mReplayed) {
+    co_await Replay();
+    if (!mReplayed)
+      co_return MakeFailure(FailureKind::StoreUnavailable, "journal not read yet");
+    co_return Result<void>();
+  }
+  const TimePoint sent = BootClock::now();
+  const auto entries = co_await mJournal.ReadNew();
+  if (!entries) {
+    const FailureKind kind = entries.error().mKind;
+    mReplayed = kind == FailureKind::StoreUnavailable || kind == FailureKind::Timeout ||
+                kind == FailureKind::BudgetExhausted;
+    co_return entries.error();
+  }
+  Take(*entries);
+  mSink.SkipTo(mJournal.GetHead());
+  Confirm(sent);
+  co_return Result<void>();
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<Result<Sequence>> JournalFollower<J, S, P, K>::Append(std::string aBytes)
+{
+  // What peers told may be ahead of what the journal object has read.
+  if (!mReplayed || mJournal.GetHead() != mSink.GetApplied()) {
+    const Sequence before = mSink.GetApplied();
+    const auto read = co_await Refresh();
+    if (!read)
+      co_return read.error();
+    if (mSink.GetApplied() != before)
+      co_return MakeFailure(FailureKind::Conflict, "new entries were read");
+  }
+  const Sequence next = mSink.GetApplied() + 1;
+  const TimePoint sent = BootClock::now();
+  const auto appended = co_await mJournal.AppendAt(next, aBytes);
+  if (appended) {
+    JournalEntry own;
+    own.mSequence = *appended;
+    own.mBytes = std::move(aBytes);
+    Take({ own });
+    Confirm(sent);
+    co_return *appended;
+  }
+  if (appended.error().mKind == FailureKind::Conflict)
+    co_await Refresh();
+  co_return appended.error();
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<void> JournalFollower<J, S, P, K>::Watch()
+{
+  const auto batch =
+    co_await mStore.Watch("journal/" + mName + "/", mWatchRevision, mSettings.mWatchWait);
+  if (!batch) {
+    co_await Sleep(mSettings.mRetryAfter);
+    co_return;
+  }
+  mWatchRevision = batch->mRevision;
+  if (batch->mChanges.empty() && !batch->mLost) {
+    Confirm(BootClock::now());
+    co_return;
+  }
+  const auto read = co_await Refresh();
+  if (!read)
+    co_await Sleep(mSettings.mRetryAfter);
+  else
+    co_await Snapshot();
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<void> JournalFollower<J, S, P, K>::Snapshot()
+{
+  const Sequence applied = mSink.GetApplied();
+  if (applied < mSnapshotAt + mSettings.mSnapshotEvery)
+    co_return;
+  const auto written = co_await mJournal.WriteSnapshot(applied, mSink.EncodeState());
+  if (written)
+    mSnapshotAt = applied;
+}
+
+// From the peer that told the highest head.
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<bool> JournalFollower<J, S, P, K>::Fetch()
+{
+  ProcessName from;
+  Sequence best = mSink.GetApplied();
+  for (const auto& [name, head] : mHeads)
+    if (head > best) {
+      from = name;
+      best = head;
+    }
+  if (from.empty())
+    co_return false;
+  JournalFetch fetch;
+  fetch.mJournal = mName;
+  fetch.mAfter = mSink.GetApplied();
+  const auto reply = co_await mPeers.Call(from, fetch, mSettings.mFetchDeadline);
+  mHeads.erase(from);  // the next heartbeat tells again
+  const auto* slice = reply ? std::get_if<JournalSlice>(&*reply) : nullptr;
+  if (slice == nullptr)
+    co_return false;
+  if (slice->mSnapshotAt > 0) {
+    mTail.clear();  // it must have no holes
+    mSink.ApplySnapshot(slice->mSnapshotAt, slice->mSnapshot);
+  }
+  std::vector<JournalEntry> entries;
+  for (const std::string& bytes : slice->mEntries) {
+    auto entry = DecodeSliceEntry(bytes);
+    if (!entry)
+      co_return false;
+    entries.push_back(std::move(*entry));
+  }
+  Take(entries);
+  mSink.SkipTo(slice->mHead);
+  mLoaded = true;
+  co_return true;
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<void> JournalFollower<J, S, P, K>::Follow()
+{
+  const bool fetched = co_await Fetch();
+  if (fetched)
+    co_return;
+  const TimePoint now = BootClock::now();
+  if (now - std::max(mConfirmedAt, mAskedAt) > mSettings.mAlone) {
+    mAskedAt = now;
+    co_await Refresh();
+  }
+  co_await Sleep(mSettings.mPoll);
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+Async<void> JournalFollower<J, S, P, K>::Run(std::function<bool()> aWatches)
+{
+  while (!mStopped) {
+    if (!mReplayed) {
+      co_await Replay();
+      if (mReplayed)
+        continue;
+      co_await Fetch();  // the store is out: a peer's copy will do for reading
+      co_await Sleep(mSettings.mRetryAfter);
+    } else if (aWatches()) {
+      co_await Watch();
+    } else {
+      co_await Follow();
+    }
+  }
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+void JournalFollower<J, S, P, K>::OnHead(const ProcessName& aFrom,
+                                         const JournalHead& aHead,
+                                         TimePoint aNow)
+{
+  if (aHead.mHead > mSink.GetApplied())
+    mHeads[aFrom] = aHead.mHead;
+  else if (aHead.mHead == mSink.GetApplied() && mLoaded)
+    Confirm(aNow - aHead.mAge - mSettings.mTransit);
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+JournalHead JournalFollower<J, S, P, K>::GetHead(TimePoint aNow) const
+{
+  JournalHead head;
+  head.mJournal = mName;
+  head.mHead = mSink.GetApplied();
+  head.mAge = aNow - mConfirmedAt;
+  return head;
+}
+
+template<JournalLike J, Store S, PeerCaller P, JournalSink K>
+JournalSlice JournalFollower<J, S, P, K>::OnFetch(const JournalFetch& aFetch) const
+{
+  JournalSlice slice;
+  slice.mJournal = mName;
+  slice.mHead = mSink.GetApplied();
+  const bool reaches = !mTail.empty() && mTail.front().mSequence <= aFetch.mAfter + 1;
+  if (!reaches && slice.mHead > aFetch.mAfter) {
+    slice.mSnapshotAt = slice.mHead;
+    slice.mSnapshot = mSink.EncodeState();
+    return slice;
+  }
+  for (const JournalEntry& entry : mTail)
+    if (entry.mSequence > aFetch.mAfter)
+      slice.mEntries.push_back(EncodeSliceEntry(entry));
+  return slice;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/membership.cpp
@@ -0,0 +1,313 @@
+#include "controllers/membership.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "controllers/rendezvous.h"
+
+namespace monsoon {
+
+namespace {
+
+constexpr std::uint32_t kTellTimes = 8;  // heartbeats that spread a change before the rotation does
+
+bool IsPresent(MemberState aState) noexcept
+{
+  return aState == MemberState::Alive || aState == MemberState::Leaving;
+}
+
+}  // namespace
+
+MembershipTable::MembershipTable(ProcessName aSelf,
+                                 ZoneName aZone,
+                                 std::vector<MemberAddress> aPeers,
+                                 MembershipSettings aSettings,
+                                 TimePoint aNow)
+  : mSelf(std::move(aSelf))
+  , mZone(std::move(aZone))
+  , mSettings(aSettings)
+  , mLastTick(aNow)
+{
+  for (MemberAddress& peer : aPeers) {
+    Member& member = mMembers[peer.mName];
+    member.mZone = std::move(peer.mZone);
+    member.mLast.mName = peer.mName;
+    member.mSince = aNow;
+  }
+}
+
+void MembershipTable::SetOwnFacts(OwnFacts aFacts)
+{
+  mOwn = std::move(aFacts);
+}
+
+bool MembershipTable::IsAwake(TimePoint aNow) const noexcept
+{
+  return aNow - mLastTick <= mSettings.mFreezeBound;
+}
+
+std::uint64_t MembershipTable::GetIncarnation() const noexcept
+{
+  return mIncarnation;
+}
+
+bool MembershipTable::Handle(const Heartbeat& aHeartbeat, TimePoint aNow)
+{
+  // What the kernel queued while the process stood still would make the dead look alive.
+  if (!IsAwake(aNow) || aNow < mIgnoreUntil)
+    return false;
+  auto it = mMembers.find(aHeartbeat.mFrom);
+  if (it == mMembers.end())
+    return false;
+  for (const MemberGossip& news : aHeartbeat.mMembers) {
+    if (news.mName == mSelf) {
+      HearOfSelf(news);
+      continue;
+    }
+    auto other = mMembers.find(news.mName);
+    if (other != mMembers.end() && other != it)
+      Learn(other->second, news, aNow);
+  }
+  Member& member = it->second;
+  const auto version = std::tie(member.mLast.mIncarnation, member.mLast.mCount);
+  if (std::tie(aHeartbeat.mIncarnation, aHeartbeat.mCount) <= version)
+    return false;
+  member.mHeard = aNow;
+  member.mDirect = true;
+  MemberGossip news;
+  news.mName = aHeartbeat.mFrom;
+  news.mIncarnation = aHeartbeat.mIncarnation;
+  news.mCount = aHeartbeat.mCount;
+  news.mState = aHeartbeat.mLeaving ? MemberState::Leaving : MemberState::Alive;
+  news.mSession = aHeartbeat.mSession;
+  news.mReady = aHeartbeat.mReady;
+  news.mStoreReachable = aHeartbeat.mStoreReachable;
+  news.mFreeSlots = aHeartbeat.mFreeSlots;
+  Learn(member, news, aNow);
+  return true;
+}
+
+// Another process believes something newer, or worse, of this one: outbid it.
+void MembershipTable::HearOfSelf(const MemberGossip& aNews)
+{
+  const bool newer = aNews.mIncarnation > mIncarnation ||
+                     (aNews.mIncarnation == mIncarnation && aNews.mCount > mCount);
+  const bool doubted = aNews.mIncarnation == mIncarnation &&
+                       (aNews.mState == MemberState::Suspect || aNews.mState == MemberState::Dead);
+  if (newer || doubted)
+    mIncarnation = aNews.mIncarnation + 1;
+}
+
+void MembershipTable::Learn(Member& aMember, const MemberGossip& aNews, TimePoint aNow)
+{
+  MemberGossip& last = aMember.mLast;
+  if (aNews.mIncarnation < last.mIncarnation)
+    return;
+  if (aNews.mState == MemberState::Suspect || aNews.mState == MemberState::Dead) {
+    // Hearsay of a suspicion counts unless something newer was heard here.
+    if (aNews.mIncarnation == last.mIncarnation && aNews.mCount < last.mCount)
+      return;
+    if (aNews.mIncarnation > last.mIncarnation)
+      return;
+    Advance(aMember, MemberEvent::Silent, aNow);
+    if (aNews.mState == MemberState::Dead)
+      Advance(aMember, MemberEvent::Expired, aNow);
+    return;
+  }
+  const bool reborn = aNews.mIncarnation > last.mIncarnation;
+  if (!reborn && aNews.mCount <= last.mCount)
+    return;
+  last = aNews;
+  aMember.mProgress = aNow;
+  Advance(aMember, reborn ? MemberEvent::Reborn : MemberEvent::Heard, aNow);
+  if (aNews.mState == MemberState::Leaving)
+    Advance(aMember, MemberEvent::Departed, aNow);
+}
+
+void MembershipTable::Advance(Member& aMember, MemberEvent aEvent, TimePoint aNow)
+{
+  const MemberState before = aMember.mMachine.GetState();
+  aMember.mMachine.Process(aEvent);
+  if (aMember.mMachine.GetState() == before)
+    return;
+  aMember.mSince = aNow;
+  aMember.mTold = kTellTimes;
+  if (before == MemberState::Alive)
+    aMember.mDirect = false;
+}
+
+// News of a process that isn't heard directly comes round once per rotation of the gossip.
+Duration MembershipTable::GetSilenceBound(const Member& aMember) const
+{
+  if (aMember.mDirect && aMember.mZone == mZone)
+    return mSettings.mSuspectAfter;
+  const auto rotation = 1 + mMembers.size() / std::max(1U, mSettings.mGossip);
+  return mSettings.mSuspectAfter +
+         2 * static_cast<std::int64_t>(rotation) * mSettings.mCrossZoneEvery * mSettings.mInterval;
+}
+
+void MembershipTable::Suspect(TimePoint aNow)
+{
+  for (auto& [name, member] : mMembers) {
+    const MemberState state = member.mMachine.GetState();
+    if (IsPresent(state) && aNow - member.mProgress > GetSilenceBound(member))
+      Advance(member, MemberEvent::Silent, aNow);
+    else if (state == MemberState::Suspect && aNow - member.mSince > mSettings.mSuspicion)
+      Advance(member, MemberEvent::Expired, aNow);
+  }
+}
+
+TickResult MembershipTable::Tick(TimePoint aNow)
+{
+  TickResult result;
+  result.mFroze = !IsAwake(aNow);
+  mLastTick = aNow;
+  if (result.mFroze) {
+    // The others were not silent, this process was deaf. It refutes what they concluded meanwhile.
+    ++mIncarnation;
+    mIgnoreUntil = aNow + mSettings.mSettle;
+    for (auto& [name, member] : mMembers)
+      member.mProgress = std::max(member.mProgress, aNow);
+  }
+  Suspect(aNow);
+  ++mCount;
+  ++mRound;
+  for (const ProcessName& name : ChooseReceivers())
+    result.mSends.push_back({ name, MakeHeartbeat(name) });
+  return result;
+}
+
+std::vector<ProcessName> MembershipTable::ListSpeakers(const ZoneName& aZone) const
+{
+  std::vector<ProcessName> present;
+  std::vector<ProcessName> all;
+  for (const auto& [name, member] : mMembers) {
+    if (member.mZone != aZone)
+      continue;
+    all.push_back(name);
+    if (IsPresent(member.mMachine.GetState()))
+      present.push_back(name);
+  }
+  if (aZone == mZone)
+    present.push_back(mSelf);
+  auto ranked = RankCandidates("speaker/" + aZone, present.empty() ? all : present);
+  if (ranked.size() > mSettings.mSpeakers)
+    ranked.resize(mSettings.mSpeakers);
+  return ranked;
+}
+
+std::vector<ProcessName> MembershipTable::ChooseReceivers()
+{
+  // In a large zone a process is heard by those that follow it in the ring of names.
+  std::vector<ProcessName> zone;
+  for (auto it = mMembers.upper_bound(mSelf); it != mMembers.end(); ++it)
+    if (it->second.mZone == mZone)
+      zone.push_back(it->first);
+  for (auto it = mMembers.begin(); it != mMembers.upper_bound(mSelf); ++it)
+    if (it->second.mZone == mZone)
+      zone.push_back(it->first);
+  if (zone.size() > mSettings.mFanout)
+    zone.resize(mSettings.mFanout);
+
+  const auto own = ListSpeakers(mZone);
+  const bool speaks = std::find(own.begin(), own.end(), mSelf) != own.end();
+  if (!speaks || mRound % mSettings.mCrossZoneEvery != 0)
+    return zone;
+  std::vector<ZoneName> zones;
+  for (const auto& [name, member] : mMembers)
+    if (member.mZone != mZone)
+      zones.push_back(member.mZone);
+  std::sort(zones.begin(), zones.end());
+  zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
+  std::vector<ProcessName> far;
+  for (const ZoneName& name : zones)
+    for (ProcessName& speaker : ListSpeakers(name))
+      far.push_back(std::move(speaker));
+  const std::size_t n = std::min<std::size_t>(far.size(), mSettings.mFanout);
+  for (std::size_t i = 0; i < n; ++i)
+    zone.push_back(far[mCrossCursor++ % far.size()]);
+  return zone;
+}
+
+Heartbeat MembershipTable::MakeHeartbeat(const ProcessName& aTo)
+{
+  Heartbeat heartbeat;
+  heartbeat.mFrom = mSelf;
+  heartbeat.mZone = mZone;
+  heartbeat.mIncarnation = mIncarnation;
+  heartbeat.mCount = mCount;
+  heartbeat.mSession = mOwn.mSession;
+  heartbeat.mLeaving = mOwn.mLeaving;
+  heartbeat.mReady = mOwn.mReady;
+  heartbeat.mStoreReachable = mOwn.mStoreReachable;
+  heartbeat.mFreeSlots = mOwn.mFreeSlots;
+  heartbeat.mHeads = mOwn.mHeads;
+  const auto tell = [&](const Member& aMember) {
+    MemberGossip news = aMember.mLast;
+    news.mState = aMember.mMachine.GetState();
+    heartbeat.mMembers.push_back(std::move(news));
+  };
+  // The receiver's own entry goes along always: it refutes what is wrong at once.
+  tell(mMembers.at(aTo));
+  for (auto& [name, member] : mMembers) {
+    if (heartbeat.mMembers.size() >= mSettings.mGossip)
+      return heartbeat;
+    if (member.mTold == 0 || name == aTo)
+      continue;
+    --member.mTold;
+    tell(member);
+  }
+  for (std::size_t i = 0; i < mMembers.size(); ++i) {
+    if (heartbeat.mMembers.size() >= mSettings.mGossip)
+      return heartbeat;
+    auto it =
+      std::next(mMembers.begin(), static_cast<std::ptrdiff_t>(mGossipCursor++ % mMembers.size()));
+    if (it->first != aTo && it->second.mTold == 0 && it->second.mLast.mIncarnation > 0)
+      tell(it->second);
+  }
+  return heartbeat;
+}
+
+std::vector<MemberFacts> MembershipTable::ListFacts() const
+{
+  std::vector<MemberFacts> facts;
+  facts.reserve(mMembers.size());
+  for (const auto& [name, member] : mMembers)
+    facts.push_back({ name,
+                      member.mZone,
+                      member.mMachine.GetState(),
+                      member.mLast.mSession,
+                      member.mLast.mReady,
+                      member.mLast.mStoreReachable,
+                      member.mLast.mFreeSlots,
+                      member.mSince });
+  return facts;
+}
+
+std::vector<MemberView> MembershipTable::ListMembers() const
+{
+  std::vector<MemberView> views;
+  views.reserve(mMembers.size());
+  for (const MemberFacts& it : ListFacts())
+    views.push_back({ it.mName,
+                      it.mZone,
+                      IsPresent(it.mState),
+                      it.mState == MemberState::Leaving,
+                      it.mFreeSlots });
+  return views;
+}
+
+bool MembershipTable::IsStoreOutForAll() const
+{
+  bool any = false;
+  for (const auto& [name, member] : mMembers) {
+    if (member.mMachine.GetState() == MemberState::Dead)
+      continue;
+    any = true;
+    if (member.mLast.mStoreReachable)
+      return false;
+  }
+  return any;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/membership_driver.cpp
@@ -0,0 +1,93 @@
+#include "controllers/membership_driver.h"
+
+namespace monsoon {
+
+Membership::Membership(ProcessName aSelf,
+                       ZoneName aZone,
+                       std::vector<MemberAddress> aPeers,
+                       MembershipSettings aSettings,
+                       Send aSend)
+  : mSettings(aSettings)
+  , mSend(std::move(aSend))
+  , mTable(std::move(aSelf), std::move(aZone), std::move(aPeers), aSettings, BootClock::now())
+  , mLastTick(BootClock::now().time_since_epoch().count())
+{
+}
+
+void Membership::SetOwnFacts(std::function<OwnFacts()> aFacts)
+{
+  mOwnFacts = std::move(aFacts);
+}
+
+void Membership::SetObserver(Observer aObserver)
+{
+  mObserver = std::move(aObserver);
+}
+
+void Membership::SetFreezeHandler(std::function<void()> aHandler)
+{
+  mOnFreeze = std::move(aHandler);
+}
+
+Async<void> Membership::Run()
+{
+  while (!mStopped) {
+    const OwnFacts facts = mOwnFacts ? mOwnFacts() : OwnFacts{};
+    TickResult result;
+    {
+      std::lock_guard lock(mLock);
+      const TimePoint now = BootClock::now();
+      mTable.SetOwnFacts(facts);
+      result = mTable.Tick(now);
+      mLastTick = now.time_since_epoch().count();
+    }
+    if (result.mFroze && mOnFreeze)
+      mOnFreeze();
+    for (const HeartbeatSend& send : result.mSends)
+      mSend(send.mTo, send.mHeartbeat);
+    co_await Sleep(mSettings.mInterval);
+  }
+}
+
+void Membership::Stop()
+{
+  mStopped = true;
+}
+
+void Membership::OnHeartbeat(const Heartbeat& aHeartbeat)
+{
+  const TimePoint now = BootClock::now();
+  bool taken = false;
+  {
+    std::lock_guard lock(mLock);
+    taken = mTable.Handle(aHeartbeat, now);
+  }
+  if (taken && mObserver)
+    mObserver(aHeartbeat, now);
+}
+
+std::vector<MemberView> Membership::ListMembers() const
+{
+  std::lock_guard lock(mLock);
+  return mTable.ListMembers();
+}
+
+std::vector<MemberFacts> Membership::ListFacts() const
+{
+  std::lock_guard lock(mLock);
+  return mTable.ListFacts();
+}
+
+bool Membership::IsStoreOutForAll() const
+{
+  std::lock_guard lock(mLock);
+  return mTable.IsStoreOutForAll();
+}
+
+bool Membership::IsAwake(TimePoint aNow) const noexcept
+{
+  const TimePoint last{ Duration(mLastTick.load()) };
+  return aNow - last <= mSettings.mFreezeBound;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/ownership.cpp
@@ -0,0 +1,86 @@
+#include "controllers/ownership.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace monsoon {
+
+namespace {
+
+constexpr std::string_view kWorkerPrefix = "worker/";
+constexpr std::string_view kShardPrefix = "shard/";
+
+}  // namespace
+
+ZoneName ChooseShardZone(std::span<const ZoneName> aZones, ShardIndex aShard)
+{
+  return aZones.empty() ? ZoneName{} : aZones[aShard % aZones.size()];
+}
+
+std::string MakeOwnershipJournal(const ZoneName& aZone)
+{
+  return "ownership/" + aZone;
+}
+
+OwnershipNews MakeNews(const ResourceKey& aResource, bool aGained)
+{
+  OwnershipNews news;
+  news.mGained = aGained;
+  news.mIsShard = aResource.starts_with(kShardPrefix);
+  if (!news.mIsShard) {
+    news.mWorker = aResource.substr(kWorkerPrefix.size());
+    return news;
+  }
+  const std::string_view digits = std::string_view(aResource).substr(kShardPrefix.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), news.mShard);
+  return news;
+}
+
+std::vector<Eligible> ListEligible(std::span<const MemberFacts> aFacts)
+{
+  std::vector<Eligible> eligible;
+  for (const MemberFacts& it : aFacts)
+    if (it.mState == MemberState::Alive && it.mReady && it.mStoreReachable)
+      eligible.push_back({ it.mName, it.mZone, it.mSession, it.mSince });
+  return eligible;
+}
+
+bool IsTakeoverDue(std::span<const MemberFacts> aFacts,
+                   const ProcessName& aOwner,
+                   std::uint64_t aIncarnation,
+                   bool aStoreReachable)
+{
+  const auto it = std::find_if(aFacts.begin(), aFacts.end(), [&](const MemberFacts& aMember) {
+    return aMember.mName == aOwner;
+  });
+  if (it == aFacts.end())
+    return true;  // no longer in the settings
+  if (it->mState == MemberState::Suspect || it->mState == MemberState::Dead)
+    return true;
+  // Its next start cleans up after itself; a process whose store is gone can't.
+  if (it->mSession > aIncarnation)
+    return false;
+  return aStoreReachable && !it->mStoreReachable;
+}
+
+void OwnershipSink::ApplyEntry(Sequence aSequence, const std::string& aBytes)
+{
+  const auto changes = mTable.Apply(aSequence, aBytes);
+  if (!changes || !mOnChange)
+    return;  // the table counts what it could not decode
+  for (const OwnershipChange& change : *changes)
+    mOnChange(change);
+}
+
+void OwnershipSink::ApplySnapshot(Sequence aSequence, const std::string& aBytes)
+{
+  auto changes = mTable.LoadSnapshot(aSequence, aBytes);
+  if (!changes || !mOnChange)
+    return;
+  for (OwnershipChange& change : *changes) {
+    change.mQuietFor = mSnapshotQuiet;
+    mOnChange(change);
+  }
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/ownership.h
@@ -0,0 +1,194 @@
+// Keeps one zone's share of the fleet owned: follows the zone journals, claims what is free, ends
+// the sessions of the dead, hands over for balance and before a stop. Satisfies OwnershipView.
+//
+// Index
+//   OwnershipSettings, OwnershipNews
+//   OwnershipController    one thread, but for the views
+#pragma once
+
+#include <functional>
+#include <set>
+#include <span>
+
+#include "controllers/journal_follower.h"
+#include "controllers/ownership_index.h"
+#include "controllers/ownership_plan.h"
+#include "controllers/rendezvous.h"
+#include "controllers/takeover.h"
+
+namespace monsoon {
+
+struct OwnershipSettings
+{
+  std::vector<ZoneName> mZones{};  // of all processes of the settings; the same on each
+  std::uint32_t mShards = 8;       // job shards; the same on each process, for the cell's life
+  std::uint32_t mWatchers = 2;     // processes per zone journal that watch the store
+  Duration mTick = milliseconds(200);
+  Duration mTakeoverRank = seconds(1);  // the next in rank joins a takeover after so long
+  PlanSettings mPlan{};
+  SessionSettings mSession{};
+  FollowerSettings mFollower{ .mWatchWait = seconds(10) };
+};
+
+struct OwnershipNews  // something that this process gained or lost
+{
+  bool mGained = false;
+  bool mIsShard = false;
+  WorkerName mWorker{};
+  ShardIndex mShard = 0;
+  Epoch mEpoch = 0;
+  TimePoint mQuietUntil{};  // gained: the predecessor's starts may still arrive until then
+};
+
+// The zone whose journal has a job shard.
+[[nodiscard]] ZoneName ChooseShardZone(std::span<const ZoneName> aZones, ShardIndex aShard);
+[[nodiscard]] OwnershipNews MakeNews(const ResourceKey& aResource, bool aGained);
+// Members that could own, without the process itself.
+[[nodiscard]] std::vector<Eligible> ListEligible(std::span<const MemberFacts> aFacts);
+// Whether its session should be watched: silent, or cut off from a store that answers here.
+[[nodiscard]] bool IsTakeoverDue(std::span<const MemberFacts> aFacts,
+                                 const ProcessName& aOwner,
+                                 std::uint64_t aIncarnation,
+                                 bool aStoreReachable);
+[[nodiscard]] std::string MakeOwnershipJournal(const ZoneName& aZone);
+
+struct OwnershipSink  // applies a zone journal, and says what changed
+{
+  OwnershipTable mTable{};
+  std::function<void(const OwnershipChange&)> mOnChange{};
+  Duration mSnapshotQuiet{};  // a snapshot doesn't tell when its entries were appended
+
+  void ApplyEntry(Sequence aSequence, const std::string& aBytes);
+  void ApplySnapshot(Sequence aSequence, const std::string& aBytes);
+  void SkipTo(Sequence aSequence) { mTable.SkipTo(aSequence); }
+  [[nodiscard]] std::string EncodeState() const { return mTable.EncodeSnapshot(); }
+  [[nodiscard]] Sequence GetApplied() const { return mTable.GetApplied(); }
+};
+
+// SessionType: MayAct, GetIncarnation, IsStoreReachable, GetGiver. MembersType: ListFacts, IsAwake.
+template<JournalLike Journal,
+         Store StoreType,
+         PeerCaller Peers,
+         class SessionType,
+         class MembersType>
+class OwnershipController
+{
+public:
+  using MakeJournal = std::function<std::unique_ptr<Journal>(std::string aName)>;
+  using Observer = std::function<void(const OwnershipNews&)>;
+
+  OwnershipController(StoreType& aStore,
+                      Peers& aPeers,
+                      SessionType& aSession,
+                      MembersType& aMembers,
+                      ProcessName aSelf,
+                      ZoneName aZone,
+                      OwnershipSettings aSettings,
+                      MakeJournal aMakeJournal)
+    : mStore(aStore)
+    , mPeers(aPeers)
+    , mSession(aSession)
+    , mMembers(aMembers)
+    , mSelf(aSelf)
+    , mZone(std::move(aZone))
+    , mSettings(std::move(aSettings))
+    , mMakeJournal(std::move(aMakeJournal))
+    , mIndex(std::move(aSelf))
+  {
+  }
+
+  // Called on the controller's thread: before this process may act on what it gained, after it no
+  // longer may on what it lost.
+  void SetObserver(Observer aObserver) { mObserver = std::move(aObserver); }
+  void SetWorkers(std::span<const WorkerSpec> aWorkers);  // any thread; from the VM list
+  Async<void> Run();                                      // until Stop
+  void Stop();
+  // Planned stop: claims nothing any more and hands over all it has. Repeats until the entries
+  // stand or aDeadline passes.
+  Async<Result<void>> HandOverAll(Duration aDeadline);
+
+  void OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow);
+  void AddHeads(std::vector<JournalHead>& aHeads, TimePoint aNow) const;
+  [[nodiscard]] Result<JournalSlice> OnFetch(const JournalFetch& aFetch) const;
+
+  // OwnershipView: any thread
+  [[nodiscard]] std::optional<OwnerOf> FindWorkerOwner(std::string_view aWorker) const
+  {
+    return mIndex.Find(MakeWorkerKey(aWorker));
+  }
+  [[nodiscard]] std::optional<OwnerOf> FindShardOwner(ShardIndex aShard) const
+  {
+    return mIndex.Find(MakeShardKey(aShard));
+  }
+  [[nodiscard]] std::optional<Epoch> MayActOnWorker(std::string_view aWorker, TimePoint aNow) const
+  {
+    return MayAct(MakeWorkerKey(aWorker), aNow);
+  }
+  [[nodiscard]] std::optional<Epoch> MayActOnShard(ShardIndex aShard, TimePoint aNow) const
+  {
+    return MayAct(MakeShardKey(aShard), aNow);
+  }
+  [[nodiscard]] std::vector<WorkerName> ListOwnedWorkers() const;
+  [[nodiscard]] std::vector<ProcessName> ListOwners() const { return mIndex.ListOwners("worker/"); }
+
+private:
+  using Follower = JournalFollower<Journal, StoreType, Peers, OwnershipSink>;
+  struct Zone
+  {
+    ZoneName mName{};
+    std::unique_ptr<Journal> mJournal{};
+    OwnershipSink mSink{};
+    std::unique_ptr<Follower> mFollower{};
+    std::vector<ResourceKey> mResources{};
+    std::map<ResourceKey, TimePoint> mFreeSince{};
+    std::vector<OwnershipEntry> mUnresolved{};  // hand-overs whose append may yet take effect
+    TimePoint mBalancedAt{};
+    bool mBusy = false;  // an append is under way
+  };
+  struct Ended
+  {
+    std::uint64_t mIncarnation = 0;
+    TimePoint mSilentSince{};
+  };
+
+  [[nodiscard]] std::optional<Epoch> MayAct(const ResourceKey& aResource, TimePoint aNow) const;
+  void OnChange(const OwnershipChange& aChange);
+  void Tell(const ResourceKey& aResource, bool aGained, Epoch aEpoch, Duration aQuietFor);
+  void FollowSession();
+  void SortWorkers();
+  void OpenZone(const ZoneName& aName);
+  [[nodiscard]] bool Watches(const Zone& aZone) const;
+  [[nodiscard]] PlanContext MakeContext(const Zone& aZone) const;
+  [[nodiscard]] std::vector<OwnershipEntry> Plan(Zone& aZone, bool aStopping);
+  Async<void> Work(Zone& aZone);
+  Async<bool> Commit(Zone& aZone, std::vector<OwnershipEntry> aEntries);
+  void Resolve(Zone& aZone);
+  void LookForVictims();
+  Async<void> TakeOver(ProcessName aVictim, std::uint64_t aLatest);
+
+  StoreType& mStore;
+  Peers& mPeers;
+  SessionType& mSession;
+  MembersType& mMembers;
+  ProcessName mSelf;
+  ZoneName mZone;
+  OwnershipSettings mSettings;
+  MakeJournal mMakeJournal;
+  Observer mObserver{};
+  OwnershipIndex mIndex;
+  std::map<ZoneName, std::unique_ptr<Zone>> mZones{};
+  std::vector<Eligible> mEligible{};
+  std::map<ProcessName, Ended> mEnded{};
+  std::map<ProcessName, TimePoint> mVictims{};  // due since
+  std::set<ProcessName> mTakeovers{};           // coroutines under way
+  std::uint64_t mIncarnation = 0;
+  std::optional<asio::any_io_executor> mExecutor{};
+  std::atomic<bool> mStopped = false;
+  bool mStopping = false;
+  std::mutex mWorkersLock{};
+  std::map<ResourceKey, ZoneName> mWorkers{};
+};
+
+}  // namespace monsoon
+
+#include "controllers/ownership_inl.h"
--- /dev/null
+++ b/src/controllers/ownership_inl.h
@@ -0,0 +1,366 @@
+// Bodies of OwnershipController; included by ownership.h only.
+#pragma once
+
+namespace monsoon {
+
+#define MONSOON_OWNERSHIP                                                                          \
+  template<JournalLike J, Store S, PeerCaller P, class SessionType, class MembersType>
+#define MONSOON_CONTROLLER OwnershipController<J, S, P, SessionType, MembersType>
+
+MONSOON_OWNERSHIP
+std::optional<Epoch> MONSOON_CONTROLLER::MayAct(const ResourceKey& aResource, TimePoint aNow) const
+{
+  // The incarnation is read first: if the session ends in between, the deadline has fallen already.
+  const std::uint64_t incarnation = mSession.GetIncarnation();
+  if (!mSession.MayAct(aNow) || !mMembers.IsAwake(aNow))
+    return std::nullopt;
+  return mIndex.FindOwn(aResource, incarnation);
+}
+
+MONSOON_OWNERSHIP
+std::vector<WorkerName> MONSOON_CONTROLLER::ListOwnedWorkers() const
+{
+  std::vector<WorkerName> workers;
+  for (const ResourceKey& key : mIndex.ListOwn()) {
+    OwnershipNews news = MakeNews(key, true);
+    if (!news.mIsShard)
+      workers.push_back(std::move(news.mWorker));
+  }
+  return workers;
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::Tell(const ResourceKey& aResource,
+                              bool aGained,
+                              Epoch aEpoch,
+                              Duration aQuietFor)
+{
+  if (!mObserver)
+    return;
+  OwnershipNews news = MakeNews(aResource, aGained);
+  news.mEpoch = aEpoch;
+  news.mQuietUntil = BootClock::now() + aQuietFor;
+  mObserver(news);
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::OnChange(const OwnershipChange& aChange)
+{
+  const std::uint64_t session = mSession.GetIncarnation();
+  const bool had =
+    aChange.mBefore.mProcess == mSelf && aChange.mBefore.mIncarnation == mIncarnation;
+  if (had) {
+    mIndex.Process(aChange.mResource, OwnerEvent::Lost);
+    Tell(aChange.mResource, false, aChange.mBefore.mEpoch, {});
+  }
+  const OwnerRecord& after = aChange.mAfter;
+  if (session != 0 && after.mProcess == mSelf && after.mIncarnation == session)
+    Tell(aChange.mResource, true, after.mEpoch, aChange.mQuietFor);
+  mIndex.Apply(aChange, session);
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::FollowSession()
+{
+  const std::uint64_t session = mSession.GetIncarnation();
+  if (session == mIncarnation)
+    return;
+  for (const ResourceKey& key : mIndex.ChangeSession(session))
+    Tell(key, false, 0, {});
+  mIncarnation = session;
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::SetWorkers(std::span<const WorkerSpec> aWorkers)
+{
+  std::map<ResourceKey, ZoneName> workers;
+  for (const WorkerSpec& worker : aWorkers)
+    workers.emplace(MakeWorkerKey(worker.mName), worker.mZone);
+  std::lock_guard lock(mWorkersLock);
+  mWorkers = std::move(workers);
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::SortWorkers()
+{
+  std::map<ResourceKey, ZoneName> workers;
+  {
+    std::lock_guard lock(mWorkersLock);
+    workers = mWorkers;
+  }
+  for (ShardIndex i = 0; i < mSettings.mShards; ++i)
+    workers.emplace(MakeShardKey(i), ChooseShardZone(mSettings.mZones, i));
+  for (auto& [name, zone] : mZones)
+    zone->mResources.clear();
+  for (const auto& [key, name] : workers) {
+    OpenZone(name);
+    mZones.at(name)->mResources.push_back(key);
+  }
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::OpenZone(const ZoneName& aName)
+{
+  if (mZones.contains(aName))
+    return;
+  auto zone = std::make_unique<Zone>();
+  zone->mName = aName;
+  zone->mJournal = mMakeJournal(MakeOwnershipJournal(aName));
+  zone->mSink.mSnapshotQuiet = mSettings.mPlan.mStartDeadline;
+  zone->mSink.mOnChange = [this](const OwnershipChange& aChange) { OnChange(aChange); };
+  zone->mFollower = std::make_unique<Follower>(
+    mStore, *zone->mJournal, mPeers, zone->mSink, MakeOwnershipJournal(aName), mSettings.mFollower);
+  mZones.emplace(aName, std::move(zone));
+}
+
+MONSOON_OWNERSHIP
+bool MONSOON_CONTROLLER::Watches(const Zone& aZone) const
+{
+  const PlanContext context = MakeContext(aZone);
+  std::vector<ProcessName> names;
+  for (const Eligible& it : RankOwners(context, "watch/" + aZone.mName))
+    names.push_back(it.mName);
+  const auto n = std::min<std::size_t>(names.size(), mSettings.mWatchers);
+  return names.empty() || std::find(names.begin(), names.begin() + n, mSelf) != names.begin() + n;
+}
+
+MONSOON_OWNERSHIP
+PlanContext MONSOON_CONTROLLER::MakeContext(const Zone& aZone) const
+{
+  PlanContext context;
+  context.mSelf = mSelf;
+  context.mIncarnation = mIncarnation;
+  context.mZone = aZone.mName;
+  context.mEligible = mEligible;
+  context.mSettings = mSettings.mPlan;
+  context.mNow = BootClock::now();
+  return context;
+}
+
+// What is to be done first in a zone: one journal value at a time.
+MONSOON_OWNERSHIP
+std::vector<OwnershipEntry> MONSOON_CONTROLLER::Plan(Zone& aZone, bool aStopping)
+{
+  const PlanContext context = MakeContext(aZone);
+  const OwnershipTable& table = aZone.mSink.mTable;
+  if (aStopping)
+    return PlanStop(context, table);
+  // Its own predecessors waited out, whoever wrote the present session record.
+  auto entries = PlanTakeover(context, table, mSelf, mIncarnation - 1, context.mNow);
+  for (const auto& [victim, ended] : mEnded)
+    if (entries.empty())
+      entries = PlanTakeover(context, table, victim, ended.mIncarnation, ended.mSilentSince);
+  if (entries.empty())
+    entries = PlanClaims(context, table, aZone.mResources, aZone.mFreeSince);
+  const bool due = context.mNow - aZone.mBalancedAt >= mSettings.mPlan.mRebalanceEvery;
+  if (!entries.empty() || !due)
+    return entries;
+  aZone.mBalancedAt = context.mNow;
+  return PlanRebalance(context, table);
+}
+
+// True: the entries stand. Before a hand-over is sent the process stops acting on the resource, and
+// acts again only when the entry surely will not stand.
+MONSOON_OWNERSHIP
+Async<bool> MONSOON_CONTROLLER::Commit(Zone& aZone, std::vector<OwnershipEntry> aEntries)
+{
+  for (const OwnershipEntry& entry : aEntries)
+    if (const auto* handover = std::get_if<Handover>(&entry))
+      mIndex.Process(handover->mResource, OwnerEvent::HandoverBegun);
+    else if (const auto* release = std::get_if<Release>(&entry))
+      mIndex.Process(release->mResource, OwnerEvent::HandoverBegun);
+  aZone.mUnresolved = std::move(aEntries);
+  const Sequence before = aZone.mSink.GetApplied();
+  const auto appended = co_await aZone.mFollower->Append(Encode(aZone.mUnresolved));
+  const bool taken = aZone.mSink.GetApplied() > before;
+  const bool refused = !appended && (appended.error().mKind == FailureKind::StoreUnavailable ||
+                                     appended.error().mKind == FailureKind::BudgetExhausted);
+  if (appended || taken || refused)
+    Resolve(aZone);
+  co_return appended.has_value();
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::Resolve(Zone& aZone)
+{
+  for (const OwnershipEntry& entry : aZone.mUnresolved) {
+    const auto* handover = std::get_if<Handover>(&entry);
+    const auto* release = std::get_if<Release>(&entry);
+    if (handover == nullptr && release == nullptr)
+      continue;
+    const ResourceKey& key = handover != nullptr ? handover->mResource : release->mResource;
+    const auto owner = aZone.mSink.mTable.Find(key);
+    if (owner && owner->mProcess == mSelf && owner->mIncarnation == mIncarnation)
+      mIndex.Process(key, OwnerEvent::HandoverRefused);
+  }
+  aZone.mUnresolved.clear();
+}
+
+MONSOON_OWNERSHIP
+Async<void> MONSOON_CONTROLLER::Work(Zone& aZone)
+{
+  // An append whose answer was lost is repeated at its place until something stands there.
+  std::vector<OwnershipEntry> entries = aZone.mUnresolved;
+  if (entries.empty())
+    entries = Plan(aZone, false);
+  if (!entries.empty())
+    co_await Commit(aZone, std::move(entries));
+  aZone.mBusy = false;
+}
+
+MONSOON_OWNERSHIP
+Async<void> MONSOON_CONTROLLER::Run()
+{
+  const auto executor = co_await asio::this_coro::executor;
+  mExecutor = executor;
+  std::set<ZoneName> running;
+  while (!mStopped) {
+    FollowSession();
+    const auto facts = mMembers.ListFacts();
+    mEligible = ListEligible(facts);
+    const TimePoint now = BootClock::now();
+    const bool able = mIncarnation != 0 && mSession.MayAct(now) && mMembers.IsAwake(now);
+    if (able && !mStopping)
+      mEligible.push_back({ mSelf, mZone, mIncarnation, now });
+    SortWorkers();
+    for (auto& [name, zone] : mZones) {
+      Zone* it = zone.get();
+      if (running.insert(name).second)
+        asio::co_spawn(
+          executor, it->mFollower->Run([this, it] { return Watches(*it); }), asio::detached);
+      if (!able || mStopping || it->mBusy || !it->mFollower->IsLoaded())
+        continue;
+      it->mBusy = true;
+      asio::co_spawn(executor, Work(*it), asio::detached);
+    }
+    if (able && !mStopping)
+      LookForVictims();
+    co_await Sleep(mSettings.mTick);
+  }
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::Stop()
+{
+  mStopped = true;
+  for (auto& [name, zone] : mZones)
+    zone->mFollower->Stop();
+}
+
+MONSOON_OWNERSHIP
+Async<Result<void>> MONSOON_CONTROLLER::HandOverAll(Duration aDeadline)
+{
+  mStopping = true;
+  const TimePoint deadline = BootClock::now() + aDeadline;
+  std::erase_if(mEligible, [this](const Eligible& aMember) { return aMember.mName == mSelf; });
+  while (BootClock::now() < deadline) {
+    bool done = true;
+    for (auto& [name, zone] : mZones) {
+      if (zone->mBusy) {
+        done = false;
+        continue;
+      }
+      zone->mBusy = true;
+      auto entries = zone->mUnresolved;
+      if (entries.empty())
+        entries = Plan(*zone, true);
+      if (!entries.empty()) {
+        co_await Commit(*zone, std::move(entries));
+        done = false;
+      }
+      zone->mBusy = false;
+    }
+    if (done)
+      co_return Result<void>();
+    co_await Sleep(milliseconds(20));
+  }
+  co_return MakeFailure(FailureKind::Timeout, "not all ownership was handed over");
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::LookForVictims()
+{
+  std::map<ProcessName, std::uint64_t> owners;
+  for (const auto& [name, zone] : mZones)
+    for (const auto& [key, owner] : zone->mSink.mTable.GetAll())
+      if (!owner.mProcess.empty() &&
+          !zone->mSink.mTable.IsEnded(owner.mProcess, owner.mIncarnation))
+        owners[owner.mProcess] = std::max(owners[owner.mProcess], owner.mIncarnation);
+  const auto facts = mMembers.ListFacts();
+  const TimePoint now = BootClock::now();
+  std::vector<ProcessName> takers;
+  for (const Eligible& it : mEligible)
+    takers.push_back(it.mName);
+  for (const auto& [owner, incarnation] : owners) {
+    auto ended = mEnded.find(owner);
+    const bool known = ended != mEnded.end() && ended->second.mIncarnation >= incarnation;
+    if (owner == mSelf || known ||
+        !IsTakeoverDue(facts, owner, incarnation, mSession.IsStoreReachable())) {
+      mVictims.erase(owner);
+      continue;
+    }
+    const TimePoint since = mVictims.try_emplace(owner, now).first->second;
+    const auto ranked = RankCandidates("takeover/" + owner, takers);
+    const auto rank = std::find(ranked.begin(), ranked.end(), mSelf) - ranked.begin();
+    if (now - since >= rank * mSettings.mTakeoverRank && mTakeovers.insert(owner).second)
+      asio::co_spawn(*mExecutor, TakeOver(owner, incarnation), asio::detached);
+  }
+}
+
+MONSOON_OWNERSHIP
+Async<void> MONSOON_CONTROLLER::TakeOver(ProcessName aVictim, std::uint64_t aLatest)
+{
+  Takeover takeover(mSelf, aVictim, aLatest, mSettings.mSession);
+  PromiseGiver& giver = mSession.GetGiver();
+  const std::string key = MakeSessionKey(aVictim);
+  while (!mStopped) {
+    if (!mVictims.contains(aVictim) && !takeover.IsUnderWay())
+      break;  // it came back
+    const TakeoverAction action = takeover.Next(giver, BootClock::now());
+    if (action.mStep == TakeoverStep::Done || action.mStep == TakeoverStep::Lost)
+      break;
+    if (action.mStep == TakeoverStep::Read) {
+      const auto read = co_await mStore.Get(key, CallPurpose::Session);
+      takeover.OnRead(read, giver, BootClock::now());
+    } else if (action.mStep == TakeoverStep::Swap) {
+      const auto written =
+        co_await mStore.CompareAndSwap(key, action.mValue, action.mRevision, CallPurpose::Session);
+      takeover.OnWritten(written, giver, BootClock::now());
+    } else {
+      co_await Sleep(milliseconds(20));
+    }
+  }
+  if (takeover.GetEnded() != 0)
+    mEnded[aVictim] = { takeover.GetEnded(), takeover.GetSilentSince() };
+  mTakeovers.erase(aVictim);
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow)
+{
+  for (const JournalHead& head : aHeartbeat.mHeads)
+    for (auto& [name, zone] : mZones)
+      if (head.mJournal == MakeOwnershipJournal(name))
+        zone->mFollower->OnHead(aHeartbeat.mFrom, head, aNow);
+}
+
+MONSOON_OWNERSHIP
+void MONSOON_CONTROLLER::AddHeads(std::vector<JournalHead>& aHeads, TimePoint aNow) const
+{
+  for (const auto& [name, zone] : mZones)
+    aHeads.push_back(zone->mFollower->GetHead(aNow));
+}
+
+MONSOON_OWNERSHIP
+Result<JournalSlice> MONSOON_CONTROLLER::OnFetch(const JournalFetch& aFetch) const
+{
+  for (const auto& [name, zone] : mZones)
+    if (aFetch.mJournal == MakeOwnershipJournal(name))
+      return zone->mFollower->OnFetch(aFetch);
+  return MakeFailure(FailureKind::NotFound, aFetch.mJournal);
+}
+
+#undef MONSOON_OWNERSHIP
+#undef MONSOON_CONTROLLER
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/ownership_plan.cpp
@@ -0,0 +1,146 @@
+#include "controllers/ownership_plan.h"
+
+#include <algorithm>
+
+#include "controllers/rendezvous.h"
+
+namespace monsoon {
+
+namespace {
+
+bool IsOwn(const PlanContext& aContext, const OwnerRecord& aOwner)
+{
+  return aOwner.mProcess == aContext.mSelf && aOwner.mIncarnation == aContext.mIncarnation;
+}
+
+Handover MakeHandover(const PlanContext& aContext, const ResourceKey& aKey, const Eligible& aTo)
+{
+  Handover handover;
+  handover.mResource = aKey;
+  handover.mFrom = aContext.mSelf;
+  handover.mFromIncarnation = aContext.mIncarnation;
+  handover.mTo = aTo.mName;
+  handover.mToIncarnation = aTo.mSession;
+  handover.mQuietFor = aContext.mSettings.mStartDeadline;
+  return handover;
+}
+
+}  // namespace
+
+std::vector<Eligible> RankOwners(const PlanContext& aContext, const ResourceKey& aResource)
+{
+  std::vector<Eligible> near;
+  for (const Eligible& it : aContext.mEligible)
+    if (it.mZone == aContext.mZone)
+      near.push_back(it);
+  if (near.empty())
+    near.assign(aContext.mEligible.begin(), aContext.mEligible.end());
+  std::sort(near.begin(), near.end(), [&](const Eligible& aLeft, const Eligible& aRight) {
+    const auto left = HashPair(aResource, aLeft.mName);
+    const auto right = HashPair(aResource, aRight.mName);
+    return std::tie(left, aLeft.mName) > std::tie(right, aRight.mName);
+  });
+  return near;
+}
+
+std::vector<OwnershipEntry> PlanClaims(const PlanContext& aContext,
+                                       const OwnershipTable& aTable,
+                                       std::span<const ResourceKey> aResources,
+                                       std::map<ResourceKey, TimePoint>& aFreeSince)
+{
+  std::vector<OwnershipEntry> entries;
+  for (const ResourceKey& key : aResources) {
+    if (!aTable.IsFree(key)) {
+      aFreeSince.erase(key);
+      continue;
+    }
+    const TimePoint since = aFreeSince.try_emplace(key, aContext.mNow).first->second;
+    const auto ranked = RankOwners(aContext, key);
+    const auto it = std::find_if(ranked.begin(), ranked.end(), [&](const Eligible& aOther) {
+      return aOther.mName == aContext.mSelf;
+    });
+    // A zone whose own processes leave a resource free is helped out last, not never.
+    const auto rank = it - ranked.begin();
+    if (aContext.mNow - since < rank * aContext.mSettings.mClaimGrace)
+      continue;
+    const auto owner = aTable.Find(key);
+    Claim claim;
+    claim.mResource = key;
+    claim.mProcess = aContext.mSelf;
+    claim.mIncarnation = aContext.mIncarnation;
+    claim.mReplaces = owner ? owner->mEpoch : 0;
+    claim.mQuietFor = owner ? aContext.mSettings.mStartDeadline : Duration{};
+    entries.emplace_back(std::move(claim));
+  }
+  return entries;
+}
+
+std::vector<OwnershipEntry> PlanTakeover(const PlanContext& aContext,
+                                         const OwnershipTable& aTable,
+                                         const ProcessName& aVictim,
+                                         std::uint64_t aEnded,
+                                         TimePoint aSilentSince)
+{
+  std::vector<OwnershipEntry> entries;
+  const TimePoint quietUntil = aSilentSince + aContext.mSettings.mStartDeadline;
+  for (const auto& [key, owner] : aTable.GetAll()) {
+    if (owner.mProcess != aVictim || owner.mIncarnation > aEnded)
+      continue;
+    if (aTable.IsEnded(aVictim, owner.mIncarnation))
+      continue;
+    if (entries.empty())
+      entries.emplace_back(ProcessEnded{ aVictim, aEnded });
+    for (const Eligible& it : RankOwners(aContext, key)) {
+      if (it.mSession == 0 || (it.mName == aVictim && it.mSession <= aEnded))
+        continue;
+      Claim claim;
+      claim.mResource = key;
+      claim.mProcess = it.mName;
+      claim.mIncarnation = it.mSession;
+      claim.mReplaces = owner.mEpoch;
+      claim.mQuietFor = std::max<Duration>(quietUntil - aContext.mNow, Duration{});
+      entries.emplace_back(std::move(claim));
+      break;
+    }
+  }
+  return entries;
+}
+
+std::vector<OwnershipEntry> PlanRebalance(const PlanContext& aContext, const OwnershipTable& aTable)
+{
+  std::vector<OwnershipEntry> entries;
+  for (const auto& [key, owner] : aTable.GetAll()) {
+    if (entries.size() >= aContext.mSettings.mMovesAtOnce)
+      break;
+    if (!IsOwn(aContext, owner))
+      continue;
+    const auto ranked = RankOwners(aContext, key);
+    if (ranked.empty() || ranked.front().mName == aContext.mSelf)
+      continue;
+    const Eligible& best = ranked.front();
+    if (best.mSession == 0 || aContext.mNow - best.mSince < aContext.mSettings.mSettleTime)
+      continue;
+    entries.emplace_back(MakeHandover(aContext, key, best));
+  }
+  return entries;
+}
+
+std::vector<OwnershipEntry> PlanStop(const PlanContext& aContext, const OwnershipTable& aTable)
+{
+  std::vector<OwnershipEntry> entries;
+  for (const auto& [key, owner] : aTable.GetAll()) {
+    if (!IsOwn(aContext, owner))
+      continue;
+    const auto ranked = RankOwners(aContext, key);
+    const auto it = std::find_if(ranked.begin(), ranked.end(), [&](const Eligible& aOther) {
+      return aOther.mName != aContext.mSelf && aOther.mSession != 0;
+    });
+    if (it == ranked.end())
+      entries.emplace_back(Release{ key, aContext.mSelf, aContext.mIncarnation });
+    else
+      entries.emplace_back(MakeHandover(aContext, key, *it));
+  }
+  return entries;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/promises.cpp
@@ -0,0 +1,94 @@
+#include "controllers/promises.h"
+
+#include <algorithm>
+
+namespace monsoon {
+
+PromiseGiver::PromiseGiver(SessionSettings aSettings, TimePoint aStartedAt)
+  : mSettings(aSettings)
+  , mStartedAt(aStartedAt)
+{
+}
+
+OutagePromise PromiseGiver::Answer(const OutagePromiseRequest& aRequest,
+                                   bool aStoreOut,
+                                   TimePoint aNow)
+{
+  Peer& peer = mPeers[aRequest.mFrom];
+  OutagePromise reply;
+  if (aRequest.mFor <= Duration::zero()) {
+    reply.mPromised = peer.mAnnounced == aRequest.mIncarnation;
+    peer.mAnnounced = aRequest.mIncarnation;
+    peer.mLowest = std::max(peer.mLowest, aRequest.mIncarnation);
+    return reply;
+  }
+  if (!mSettings.mExtendByPromises || !aStoreOut || peer.mTakeover)
+    return reply;
+  if (aRequest.mIncarnation < peer.mLowest)
+    return reply;
+  const Duration length = std::min(aRequest.mFor, mSettings.mLease);
+  if (length < aRequest.mFor)
+    return reply;  // longer than a fresh process of this name would wait
+  peer.mLowest = aRequest.mIncarnation;
+  peer.mPromisedUntil = std::max(peer.mPromisedUntil, aNow + length);
+  reply.mPromised = true;
+  return reply;
+}
+
+bool PromiseGiver::BeginTakeover(const ProcessName& aVictim, TimePoint aNow)
+{
+  if (mSettings.mExtendByPromises && aNow < mStartedAt + mSettings.mLease + mSettings.mDrift)
+    return false;
+  Peer& peer = mPeers[aVictim];
+  if (aNow < peer.mPromisedUntil)
+    return false;
+  peer.mTakeover = true;
+  return true;
+}
+
+void PromiseGiver::FinishTakeover(const ProcessName& aVictim, std::uint64_t aEnded)
+{
+  Peer& peer = mPeers[aVictim];
+  peer.mTakeover = false;
+  if (aEnded != 0)
+    peer.mLowest = std::max(peer.mLowest, aEnded + 1);
+}
+
+PromiseAsker::PromiseAsker(std::vector<ProcessName> aPeers, SessionSettings aSettings)
+  : mPeers(std::move(aPeers))
+  , mSettings(aSettings)
+{
+}
+
+std::uint64_t PromiseAsker::BeginRound(std::uint64_t aIncarnation, TimePoint aNow)
+{
+  mIncarnation = aIncarnation;
+  mBegan = aNow;
+  mPromised.clear();
+  return ++mRound;
+}
+
+std::optional<TimePoint> PromiseAsker::OnAnswer(std::uint64_t aRound,
+                                                const ProcessName& aPeer,
+                                                bool aPromised)
+{
+  if (aRound != mRound || !aPromised)
+    return std::nullopt;
+  mPromised.insert(aPeer);
+  for (const ProcessName& peer : mPeers)
+    if (!mPromised.contains(peer))
+      return std::nullopt;
+  return mBegan + mSettings.mLease - mSettings.mDrift;
+}
+
+std::span<const ProcessName> PromiseAsker::ListPeers() const noexcept
+{
+  return mPeers;
+}
+
+std::uint64_t PromiseAsker::GetRoundIncarnation() const noexcept
+{
+  return mIncarnation;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/session.cpp
@@ -0,0 +1,277 @@
+#include "controllers/session.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <sstream>
+
+#include "core/serialize.h"
+
+namespace monsoon {
+
+namespace {
+
+constexpr Duration kPokeInterval = milliseconds(500);
+
+template<class Archive>
+void serialize(Archive& aArchive, SessionRecord& aRecord)
+{
+  aArchive(aRecord.mIncarnation, aRecord.mNonce, aRecord.mEnded, aRecord.mEndedBy);
+}
+
+}  // namespace
+
+std::string MakeSessionKey(std::string_view aProcess)
+{
+  return "session/" + std::string(aProcess);
+}
+
+std::string Encode(const SessionRecord& aRecord)
+{
+  std::ostringstream out;
+  SessionRecord record = aRecord;
+  cereal::PortableBinaryOutputArchive archive(out);
+  serialize(archive, record);
+  return std::move(out).str();
+}
+
+Result<SessionRecord> DecodeSession(const std::string& aBytes)
+{
+  try {
+    std::istringstream in(aBytes);
+    cereal::PortableBinaryInputArchive archive(in);
+    SessionRecord record;
+    serialize(archive, record);
+    return record;
+  } catch (const std::exception& e) {
+    return MakeFailure(FailureKind::CorruptEntry, e.what());
+  }
+}
+
+SessionState::SessionState(ProcessName aName, SessionSettings aSettings, std::uint64_t aNonce)
+  : mName(std::move(aName))
+  , mSettings(aSettings)
+  , mNonce(aNonce)
+{
+}
+
+bool SessionState::MayAct(TimePoint aNow) const noexcept
+{
+  return aNow.time_since_epoch().count() < mDeadline.load();
+}
+
+std::uint64_t SessionState::GetIncarnation() const noexcept
+{
+  return mIncarnation.load();
+}
+
+TimePoint SessionState::GetDeadline() const noexcept
+{
+  return TimePoint(Duration(mDeadline.load()));
+}
+
+bool SessionState::IsStoreReachable(TimePoint aNow) const noexcept
+{
+  return !mFailed && !(mCallSince && aNow - *mCallSince > mSettings.mSlowAfter);
+}
+
+bool SessionState::IsEnded() const noexcept
+{
+  return mPhase == Phase::Gone;
+}
+
+SessionAction SessionState::Wait(TimePoint aUntil, TimePoint aNow) const
+{
+  SessionAction action;
+  action.mDelay = std::max<Duration>(aUntil - aNow, milliseconds(1));
+  return action;
+}
+
+SessionAction SessionState::Next(TimePoint aNow)
+{
+  if (mPhase == Phase::Gone)
+    return Wait(aNow + mSettings.mRenewEvery, aNow);
+  if (aNow < mNextAt)
+    return Wait(mNextAt, aNow);
+  if (mMustRead) {
+    mCallSince = aNow;
+    SessionAction action;
+    action.mStep = SessionStep::Read;
+    return action;
+  }
+  switch (mPhase) {
+    case Phase::Absent:
+      return Write(SessionStep::Create, 1, aNow);
+    case Phase::Ended:
+      return Write(SessionStep::Swap, mSeen + 1, aNow);
+    case Phase::Held:
+      return Write(SessionStep::Swap, mIncarnation, aNow);
+    default:
+      return Succeed(aNow);
+  }
+}
+
+// A predecessor under this name may still act until its lease has surely lapsed. It may also be
+// going on by promises; from the first announcement on, one peer refuses it, and that peer must be
+// found to have known all the while.
+SessionAction SessionState::Succeed(TimePoint aNow)
+{
+  SessionAction action;
+  action.mStep = SessionStep::Announce;
+  action.mIncarnation = mSeen + 1;
+  if (mSettings.mExtendByPromises && mAnnounced == 0) {
+    mStillSince = aNow;
+    mNextAt = aNow + mSettings.mRetryAfter;
+    return action;
+  }
+  const TimePoint free = mStillSince + mSettings.mLease + mSettings.mDrift;
+  if (aNow < free)
+    return Wait(free, aNow);
+  if (mSettings.mExtendByPromises && mAnnounced == 1) {
+    mNextAt = aNow + mSettings.mRetryAfter;
+    return action;
+  }
+  return Write(SessionStep::Swap, mSeen + 1, aNow);
+}
+
+void SessionState::OnAnnounced(bool aHeard)
+{
+  if (mAnnounced == 0)
+    mAnnounced = 1;
+  else
+    mAnnounced = aHeard ? 2 : 0;
+  mNextAt = {};
+}
+
+SessionAction SessionState::Write(SessionStep aStep, std::uint64_t aIncarnation, TimePoint aNow)
+{
+  const bool ends = mEndRequested && mPhase == Phase::Held;
+  mAttempts.push_back({ ++mNonce, aIncarnation, ends, aNow });
+  mCallSince = aNow;
+  SessionRecord record;
+  record.mIncarnation = aIncarnation;
+  record.mNonce = mNonce;
+  record.mEnded = ends;
+  record.mEndedBy = ends ? mName : ProcessName{};
+  SessionAction action;
+  action.mStep = aStep;
+  action.mValue = Encode(record);
+  action.mRevision = mRevision;
+  action.mIncarnation = aIncarnation;
+  if (ends)
+    mDeadline = 0;
+  return action;
+}
+
+void SessionState::NoteContact(bool aAnswered, TimePoint aNow)
+{
+  mCallSince.reset();
+  mFailed = !aAnswered;
+  if (mFailed)
+    mNextAt = aNow + mSettings.mRetryAfter;
+}
+
+void SessionState::OnWritten(const Result<std::uint64_t>& aWritten, TimePoint aNow)
+{
+  if (aWritten) {
+    NoteContact(true, aNow);
+    Confirm(mAttempts.back(), *aWritten);
+    return;
+  }
+  const FailureKind kind = aWritten.error().mKind;
+  const bool lost = kind == FailureKind::Conflict || kind == FailureKind::AlreadyExists;
+  NoteContact(lost, aNow);
+  if (kind == FailureKind::StoreUnavailable || kind == FailureKind::BudgetExhausted) {
+    mAttempts.pop_back();  // nothing took effect
+    return;
+  }
+  mMustRead = true;
+}
+
+void SessionState::OnRead(const Result<std::optional<StoreValue>>& aRead, TimePoint aNow)
+{
+  NoteContact(aRead.has_value(), aNow);
+  if (!aRead)
+    return;
+  mMustRead = false;
+  if (!*aRead) {
+    Lose();
+    mPhase = Phase::Absent;
+    mRevision = 0;
+    return;
+  }
+  const StoreValue& value = **aRead;
+  const auto record = DecodeSession(value.mValue);
+  if (!record) {
+    Lose();
+    mPhase = Phase::Ended;  // an unreadable record names no holder; replace it
+    mRevision = value.mRevision;
+    return;
+  }
+  for (const Attempt& attempt : mAttempts) {
+    if (attempt.mNonce != record->mNonce || attempt.mEnds != record->mEnded)
+      continue;
+    const Attempt landed = attempt;
+    Confirm(landed, value.mRevision);
+    return;
+  }
+  if (value.mRevision == mRevision && mPhase != Phase::Unread)
+    return;  // nothing of ours has landed; the same compare-and-swap may be tried again
+  Lose();
+  mRevision = value.mRevision;
+  mSeen = record->mIncarnation;
+  mPhase = record->mEnded ? Phase::Ended : Phase::Predecessor;
+  mStillSince = aNow;
+  mAnnounced = 0;
+}
+
+void SessionState::Confirm(const Attempt& aAttempt, std::uint64_t aRevision)
+{
+  mRevision = aRevision;
+  mSeen = aAttempt.mIncarnation;
+  if (aAttempt.mEnds) {
+    Lose();
+    mPhase = Phase::Gone;
+    return;
+  }
+  const TimePoint until = aAttempt.mSentAt + mSettings.mLease - mSettings.mDrift;
+  if (mIncarnation == aAttempt.mIncarnation)
+    mDeadline = std::max(mDeadline.load(), until.time_since_epoch().count());
+  else
+    mDeadline = until.time_since_epoch().count();
+  mIncarnation = aAttempt.mIncarnation;
+  mPhase = Phase::Held;
+  mNextAt = mEndRequested ? TimePoint{} : aAttempt.mSentAt + mSettings.mRenewEvery;
+  mAttempts.clear();
+}
+
+// The deadline falls first: a reader that still sees the incarnation must not act on it.
+void SessionState::Lose()
+{
+  mDeadline = 0;
+  mIncarnation = 0;
+  mAttempts.clear();
+  mPhase = Phase::Unread;
+}
+
+void SessionState::Poke(TimePoint aNow)
+{
+  if (mPhase != Phase::Held || aNow - mPokedAt < kPokeInterval)
+    return;
+  mPokedAt = aNow;
+  mNextAt = std::min(mNextAt, aNow);
+}
+
+void SessionState::RequestEnd()
+{
+  mEndRequested = true;
+  mNextAt = {};
+}
+
+bool SessionState::Extend(std::uint64_t aIncarnation, TimePoint aUntil, TimePoint aNow)
+{
+  if (mPhase != Phase::Held || aIncarnation != mIncarnation || !MayAct(aNow))
+    return false;
+  mDeadline = std::max(mDeadline.load(), aUntil.time_since_epoch().count());
+  return true;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/session_driver.h
@@ -0,0 +1,175 @@
+// Runs a SessionState against the store, and the outage promises against the peers. Everything but
+// MayAct and GetIncarnation belongs to one thread.
+#pragma once
+
+#include <set>
+
+#include "controllers/promises.h"
+#include "controllers/session.h"
+
+namespace monsoon {
+
+template<Store StoreType, PeerCaller Peers>
+class Session
+{
+public:
+  // aPeers: every other process of the settings. aNonce: random per start.
+  Session(StoreType& aStore,
+          Peers& aPeerCalls,
+          ProcessName aSelf,
+          std::vector<ProcessName> aPeers,
+          SessionSettings aSettings,
+          std::uint64_t aNonce)
+    : mStore(aStore)
+    , mPeers(aPeerCalls)
+    , mSelf(aSelf)
+    , mSettings(aSettings)
+    , mState(std::move(aSelf), aSettings, aNonce)
+    , mGiver(aSettings, BootClock::now())
+    , mAsker(std::move(aPeers), aSettings)
+  {
+  }
+
+  Async<void> Run();          // renews until Stop or until a requested end stands
+  Async<void> RunPromises();  // asks the peers while the store is out
+  void Stop() { mStopped = true; }
+  void RequestEnd() { mState.RequestEnd(); }  // planned stop, after everything was handed over
+
+  // Answer to a peer's OutagePromiseRequest.
+  OutagePromise OnPromiseRequest(const OutagePromiseRequest& aRequest)
+  {
+    const TimePoint now = BootClock::now();
+    if (mState.IsStoreReachable(now))
+      mState.Poke(now);
+    return mGiver.Answer(aRequest, !mState.IsStoreReachable(now), now);
+  }
+
+  // Any thread
+  [[nodiscard]] bool MayAct(TimePoint aNow) const noexcept { return mState.MayAct(aNow); }
+  [[nodiscard]] std::uint64_t GetIncarnation() const noexcept { return mState.GetIncarnation(); }
+
+  [[nodiscard]] bool IsStoreReachable() const noexcept
+  {
+    return mState.IsStoreReachable(BootClock::now());
+  }
+  [[nodiscard]] bool IsEnded() const noexcept { return mState.IsEnded(); }
+  [[nodiscard]] PromiseGiver& GetGiver() noexcept { return mGiver; }
+
+private:
+  Async<void> Do(SessionAction aAction);
+  Async<void> Announce(std::uint64_t aIncarnation);
+  Async<void> Ask(std::uint64_t aRound, ProcessName aPeer, OutagePromiseRequest aRequest);
+  [[nodiscard]] bool WantsPromises(TimePoint aNow) const;
+
+  static constexpr Duration kLongestSleep = milliseconds(50);
+  static constexpr Duration kAskEvery = milliseconds(200);
+  static constexpr Duration kAskDeadline = milliseconds(500);
+
+  StoreType& mStore;
+  Peers& mPeers;
+  ProcessName mSelf;
+  SessionSettings mSettings;
+  SessionState mState;
+  PromiseGiver mGiver;
+  PromiseAsker mAsker;
+  std::set<ProcessName> mAnnouncedTo{};
+  std::atomic<bool> mStopped = false;
+};
+
+template<Store StoreType, PeerCaller Peers>
+Async<void> Session<StoreType, Peers>::Run()
+{
+  while (!mStopped && !mState.IsEnded()) {
+    const SessionAction action = mState.Next(BootClock::now());
+    if (action.mStep == SessionStep::Wait)
+      co_await Sleep(std::min(action.mDelay, kLongestSleep));  // short: a poke or an end may come
+    else
+      co_await Do(action);
+  }
+}
+
+template<Store StoreType, PeerCaller Peers>
+Async<void> Session<StoreType, Peers>::Do(SessionAction aAction)
+{
+  const std::string key = MakeSessionKey(mSelf);
+  if (aAction.mStep == SessionStep::Read) {
+    const auto read = co_await mStore.Get(key, CallPurpose::Session);
+    mState.OnRead(read, BootClock::now());
+  } else if (aAction.mStep == SessionStep::Create) {
+    const auto written = co_await mStore.Create(key, aAction.mValue, CallPurpose::Session);
+    mState.OnWritten(written, BootClock::now());
+  } else if (aAction.mStep == SessionStep::Swap) {
+    const auto written =
+      co_await mStore.CompareAndSwap(key, aAction.mValue, aAction.mRevision, CallPurpose::Session);
+    mState.OnWritten(written, BootClock::now());
+  } else {
+    co_await Announce(aAction.mIncarnation);
+  }
+}
+
+// The first announcement counts once any peer has taken it; the second only when one of those says
+// that it knew.
+template<Store StoreType, PeerCaller Peers>
+Async<void> Session<StoreType, Peers>::Announce(std::uint64_t aIncarnation)
+{
+  OutagePromiseRequest request;
+  request.mFrom = mSelf;
+  request.mIncarnation = aIncarnation;
+  std::set<ProcessName> heard;
+  bool knew = false;
+  for (const ProcessName& peer : mAsker.ListPeers()) {
+    const auto reply = co_await mPeers.Call(peer, request, kAskDeadline);
+    if (!reply)
+      continue;
+    heard.insert(peer);
+    const auto* promise = std::get_if<OutagePromise>(&*reply);
+    knew = knew || (promise != nullptr && promise->mPromised && mAnnouncedTo.contains(peer));
+  }
+  mAnnouncedTo = heard;
+  // Without peers nobody has promised anything to a predecessor either.
+  if (!heard.empty() || mAsker.ListPeers().empty())
+    mState.OnAnnounced(knew || mAsker.ListPeers().empty());
+}
+
+template<Store StoreType, PeerCaller Peers>
+bool Session<StoreType, Peers>::WantsPromises(TimePoint aNow) const
+{
+  if (!mSettings.mExtendByPromises || mAsker.ListPeers().empty() || mState.GetIncarnation() == 0)
+    return false;
+  if (mState.IsStoreReachable(aNow) || !mState.MayAct(aNow))
+    return false;
+  return mState.GetDeadline() - aNow < mSettings.mLease - mSettings.mRenewEvery;
+}
+
+template<Store StoreType, PeerCaller Peers>
+Async<void> Session<StoreType, Peers>::RunPromises()
+{
+  while (!mStopped) {
+    const TimePoint now = BootClock::now();
+    if (WantsPromises(now)) {
+      OutagePromiseRequest request;
+      request.mFrom = mSelf;
+      request.mIncarnation = mState.GetIncarnation();
+      request.mFor = mSettings.mLease;
+      const std::uint64_t round = mAsker.BeginRound(request.mIncarnation, now);
+      const auto executor = co_await asio::this_coro::executor;
+      for (const ProcessName& peer : mAsker.ListPeers())
+        asio::co_spawn(executor, Ask(round, peer, request), asio::detached);
+    }
+    co_await Sleep(kAskEvery);
+  }
+}
+
+template<Store StoreType, PeerCaller Peers>
+Async<void> Session<StoreType, Peers>::Ask(std::uint64_t aRound,
+                                           ProcessName aPeer,
+                                           OutagePromiseRequest aRequest)
+{
+  const auto reply = co_await mPeers.Call(aPeer, aRequest, kAskDeadline);
+  const auto* promise = reply ? std::get_if<OutagePromise>(&*reply) : nullptr;
+  const auto until = mAsker.OnAnswer(aRound, aPeer, promise != nullptr && promise->mPromised);
+  if (until)
+    mState.Extend(aRequest.mIncarnation, *until, BootClock::now());
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/takeover.cpp
@@ -0,0 +1,107 @@
+#include "controllers/takeover.h"
+
+namespace monsoon {
+
+Takeover::Takeover(ProcessName aSelf,
+                   ProcessName aVictim,
+                   std::uint64_t aLatest,
+                   SessionSettings aSettings)
+  : mSelf(std::move(aSelf))
+  , mVictim(std::move(aVictim))
+  , mLatest(aLatest)
+  , mSettings(aSettings)
+{
+}
+
+TakeoverAction Takeover::Next(PromiseGiver& aGiver, TimePoint aNow)
+{
+  TakeoverAction action;
+  if (mEnded != 0) {
+    action.mStep = TakeoverStep::Done;
+    return action;
+  }
+  if (mLost) {
+    action.mStep = TakeoverStep::Lost;
+    return action;
+  }
+  if (aNow < mNextAt)
+    return action;
+  if (mMustRead) {
+    action.mStep = TakeoverStep::Read;
+    return action;
+  }
+  if (aNow < mStillSince + mSettings.mLease + mSettings.mDrift)
+    return action;
+  if (!mUnderWay && !aGiver.BeginTakeover(mVictim, aNow))
+    return action;
+  mUnderWay = true;
+  SessionRecord record = mRecord;
+  record.mEnded = true;
+  record.mNonce = 0;  // the victim must not take this for a renewal of its own
+  record.mEndedBy = mSelf;
+  action.mStep = TakeoverStep::Swap;
+  action.mValue = Encode(record);
+  action.mRevision = mSeen->mRevision;
+  return action;
+}
+
+void Takeover::Finish(std::uint64_t aEnded, TimePoint aSilentSince, PromiseGiver& aGiver)
+{
+  mEnded = aEnded;
+  mLost = aEnded == 0;
+  mSilentSince = aSilentSince;
+  mUnderWay = false;
+  aGiver.FinishTakeover(mVictim, aEnded);
+}
+
+void Takeover::OnRead(const Result<std::optional<StoreValue>>& aRead,
+                      PromiseGiver& aGiver,
+                      TimePoint aNow)
+{
+  if (!aRead) {
+    mNextAt = aNow + mSettings.mRetryAfter;
+    return;
+  }
+  mMustRead = false;
+  if (!*aRead) {
+    // Keys of sessions are never deleted while something is owned under them; whoever removed this
+    // one took the holder's means of renewal along, but not yet its lease.
+    mSeen.reset();
+    mMustRead = true;
+    mNextAt = aNow + mSettings.mRenewEvery;
+    return;
+  }
+  const auto record = DecodeSession((*aRead)->mValue);
+  if (!record) {
+    mMustRead = true;
+    mNextAt = aNow + mSettings.mRenewEvery;
+    return;
+  }
+  // A record ended or overwritten says that the lease had lapsed by then, for each writer waits.
+  if (record->mEnded && record->mIncarnation >= mLatest)
+    return Finish(record->mIncarnation, aNow, aGiver);
+  if (record->mIncarnation > mLatest)
+    return Finish(record->mIncarnation - 1, aNow, aGiver);
+  if (mSeen && mSeen->mRevision == (*aRead)->mRevision)
+    return;
+  if (mSeen)
+    return Finish(0, aNow, aGiver);
+  mSeen = **aRead;
+  mRecord = *record;
+  mStillSince = aNow;
+}
+
+void Takeover::OnWritten(const Result<std::uint64_t>& aWritten,
+                         PromiseGiver& aGiver,
+                         TimePoint aNow)
+{
+  if (aWritten) {
+    Finish(mRecord.mIncarnation, mStillSince + mSettings.mLease, aGiver);
+    return;
+  }
+  // A lost answer leaves the takeover under way until the key is seen to have moved on.
+  mMustRead = true;
+  mNextAt = aWritten.error().mKind == FailureKind::Conflict ? aNow : aNow + mSettings.mRetryAfter;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/controllers/takeover.h
@@ -0,0 +1,59 @@
+// Ends the session of a process that no longer renews it. Pure state: time is passed in.
+#pragma once
+
+#include "controllers/promises.h"
+
+namespace monsoon {
+
+enum class TakeoverStep : std::uint8_t
+{
+  Wait,
+  Read,  // then OnRead
+  Swap,  // then OnWritten
+  Done,  // the incarnations up to GetEnded have surely ended
+  Lost,  // the victim renews: start anew if it is still suspected
+};
+
+struct TakeoverAction
+{
+  TakeoverStep mStep = TakeoverStep::Wait;
+  std::string mValue{};
+  std::uint64_t mRevision = 0;
+};
+
+class Takeover
+{
+public:
+  // aLatest: newest incarnation of the victim that owns something.
+  Takeover(ProcessName aSelf,
+           ProcessName aVictim,
+           std::uint64_t aLatest,
+           SessionSettings aSettings);
+
+  [[nodiscard]] TakeoverAction Next(PromiseGiver& aGiver, TimePoint aNow);
+  void OnRead(const Result<std::optional<StoreValue>>& aRead, PromiseGiver& aGiver, TimePoint aNow);
+  void OnWritten(const Result<std::uint64_t>& aWritten, PromiseGiver& aGiver, TimePoint aNow);
+
+  [[nodiscard]] std::uint64_t GetEnded() const noexcept { return mEnded; }
+  [[nodiscard]] TimePoint GetSilentSince() const noexcept { return mSilentSince; }
+  [[nodiscard]] bool IsUnderWay() const noexcept { return mUnderWay; }  // must not be dropped
+
+private:
+  void Finish(std::uint64_t aEnded, TimePoint aSilentSince, PromiseGiver& aGiver);
+
+  ProcessName mSelf;
+  ProcessName mVictim;
+  std::uint64_t mLatest;
+  SessionSettings mSettings;
+  std::optional<StoreValue> mSeen{};
+  SessionRecord mRecord{};
+  TimePoint mStillSince{};
+  TimePoint mNextAt{};
+  bool mMustRead = true;
+  bool mUnderWay = false;  // a swap may have taken effect, or may yet
+  bool mLost = false;
+  std::uint64_t mEnded = 0;
+  TimePoint mSilentSince{};
+};
+
+}  // namespace monsoon
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -14,17 +14,19 @@
 template<class A>
 void serialize(A& aArchive, MemberGossip& aM)
 {
-  aArchive(aM.mName, aM.mIncarnation, aM.mState);
+  aArchive(aM.mName, aM.mIncarnation, aM.mCount, aM.mState, aM.mSession, aM.mReady);
+  aArchive(aM.mStoreReachable, aM.mFreeSlots);
 }
 template<class A>
 void serialize(A& aArchive, JournalHead& aM)
 {
-  aArchive(aM.mJournal, aM.mHead);
+  aArchive(aM.mJournal, aM.mHead, aM.mAge);
 }
 template<class A>
 void serialize(A& aArchive, Heartbeat& aM)
 {
-  aArchive(aM.mVersion, aM.mFrom, aM.mZone, aM.mIncarnation, aM.mCount, aM.mLeaving, aM.mReady);
+  aArchive(aM.mVersion, aM.mFrom, aM.mZone, aM.mIncarnation, aM.mCount, aM.mSession);
+  aArchive(aM.mLeaving, aM.mReady);
   aArchive(aM.mStoreReachable, aM.mFreeSlots, aM.mMembers, aM.mHeads);
 }
 template<class A>
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -40,13 +40,19 @@
 {
   ProcessName mName{};
   std::uint64_t mIncarnation = 0;  // grows with every start, and when a suspicion is refuted
+  std::uint64_t mCount = 0;        // latest heartbeat known of that incarnation
   MemberState mState = MemberState::Alive;
+  std::uint64_t mSession = 0;  // incarnation of its session lease; 0: none
+  bool mReady = true;
+  bool mStoreReachable = true;
+  std::uint32_t mFreeSlots = 0;
 };
 
 struct JournalHead  // how far a process has applied a journal
 {
   std::string mJournal{};
   Sequence mHead = 0;
+  Duration mAge{};  // since the store confirmed that this is the head
 };
 
 struct Heartbeat
@@ -55,7 +61,8 @@
   ProcessName mFrom{};
   ZoneName mZone{};
   std::uint64_t mIncarnation = 0;
-  std::uint64_t mCount = 0;              // grows by one with each heartbeat of an incarnation
+  std::uint64_t mCount = 0;              // grows by one with each round of heartbeats
+  std::uint64_t mSession = 0;            // incarnation of the sender's session lease; 0: none
   bool mLeaving = false;                 // planned stop announced
   bool mReady = true;                    // takes new work
   bool mStoreReachable = true;           // the sender's view of the platform's store
--- /dev/null
+++ b/tests/unit/control_mocks.h
@@ -0,0 +1,200 @@
+// A store, journals over it and peers in memory, for tests of the control layer.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+#include "core/concepts.h"
+#include "journal/journal_types.h"
+
+namespace monsoon::mocks {
+
+// The store's data, with faults drawn by the test. Synchronous: pure layers are driven against it.
+struct MemoryStore
+{
+  std::map<std::string, StoreValue> mValues{};
+  std::uint64_t mRevision = 0;
+  std::uint64_t mCalls = 0;
+  bool mDown = false;
+  std::function<bool()> mLoseAnswer{};  // of a write that took effect
+
+  Result<std::optional<StoreValue>> Get(const std::string& aKey)
+  {
+    ++mCalls;
+    if (mDown)
+      return MakeFailure(FailureKind::StoreUnavailable);
+    auto it = mValues.find(aKey);
+    if (it == mValues.end())
+      return std::optional<StoreValue>{};
+    return std::optional<StoreValue>(it->second);
+  }
+
+  Result<std::uint64_t> Create(const std::string& aKey, const std::string& aValue)
+  {
+    ++mCalls;
+    if (mDown)
+      return MakeFailure(FailureKind::StoreUnavailable);
+    if (mValues.contains(aKey))
+      return MakeFailure(FailureKind::AlreadyExists);
+    return Put(aKey, aValue);
+  }
+
+  Result<std::uint64_t> Swap(const std::string& aKey,
+                             const std::string& aValue,
+                             std::uint64_t aRevision)
+  {
+    ++mCalls;
+    if (mDown)
+      return MakeFailure(FailureKind::StoreUnavailable);
+    auto it = mValues.find(aKey);
+    if (it == mValues.end() || it->second.mRevision != aRevision)
+      return MakeFailure(FailureKind::Conflict);
+    return Put(aKey, aValue);
+  }
+
+private:
+  Result<std::uint64_t> Put(const std::string& aKey, const std::string& aValue)
+  {
+    mValues[aKey] = { aKey, aValue, ++mRevision };
+    if (mLoseAnswer && mLoseAnswer())
+      return MakeFailure(FailureKind::WriteUnknown);
+    return mRevision;
+  }
+};
+
+// Satisfies Store.
+struct AsyncStore
+{
+  MemoryStore& mMemory;
+
+  Async<Result<std::optional<StoreValue>>> Get(std::string aKey, CallPurpose)
+  {
+    co_return mMemory.Get(aKey);
+  }
+  Async<Result<std::vector<StoreValue>>> List(std::string aPrefix,
+                                              std::string aAfter,
+                                              std::size_t aLimit,
+                                              CallPurpose)
+  {
+    ++mMemory.mCalls;
+    if (mMemory.mDown)
+      co_return MakeFailure(FailureKind::StoreUnavailable);
+    std::vector<StoreValue> values;
+    for (const auto& [key, value] : mMemory.mValues)
+      if (key.starts_with(aPrefix) && key > aAfter && values.size() < aLimit)
+        values.push_back(value);
+    co_return values;
+  }
+  Async<Result<std::uint64_t>> Create(std::string aKey, std::string aValue, CallPurpose)
+  {
+    co_return mMemory.Create(aKey, aValue);
+  }
+  Async<Result<std::uint64_t>> CompareAndSwap(std::string aKey,
+                                              std::string aValue,
+                                              std::uint64_t aRevision,
+                                              CallPurpose)
+  {
+    co_return mMemory.Swap(aKey, aValue, aRevision);
+  }
+  Async<Result<void>> Delete(std::string aKey, std::uint64_t, CallPurpose)
+  {
+    mMemory.mValues.erase(aKey);
+    co_return Result<void>();
+  }
+  Async<Result<WatchBatch>> Watch(std::string aPrefix, std::uint64_t aAfter, Duration aWait)
+  {
+    ++mMemory.mCalls;
+    const TimePoint until = BootClock::now() + aWait;
+    while (true) {
+      if (mMemory.mDown)
+        co_return MakeFailure(FailureKind::StoreUnavailable);
+      WatchBatch batch;
+      batch.mRevision = mMemory.mRevision;
+      for (const auto& [key, value] : mMemory.mValues)
+        if (key.starts_with(aPrefix) && value.mRevision > aAfter)
+          batch.mChanges.push_back(value);
+      if (!batch.mChanges.empty() || BootClock::now() >= until)
+        co_return batch;
+      co_await Sleep(milliseconds(2));
+    }
+  }
+};
+
+// Satisfies JournalLike: one entry per sequence. A lost answer is resolved by reading, or else
+// stays WriteUnknown.
+struct MemoryJournal
+{
+  MemoryStore& mMemory;
+  std::string mName;
+  Sequence mHead = 0;
+
+  std::string Key(Sequence aSequence) const
+  {
+    std::string digits = std::to_string(aSequence);
+    return "journal/" + mName + "/" + std::string(12 - digits.size(), '0') + digits;
+  }
+
+  Async<Result<JournalState>> Replay()
+  {
+    mHead = 0;
+    auto entries = co_await ReadNew();
+    if (!entries)
+      co_return entries.error();
+    JournalState state;
+    state.mEntries = std::move(*entries);
+    state.mHead = mHead;
+    co_return state;
+  }
+
+  Async<Result<std::vector<JournalEntry>>> ReadNew()
+  {
+    ++mMemory.mCalls;
+    if (mMemory.mDown)
+      co_return MakeFailure(FailureKind::StoreUnavailable);
+    std::vector<JournalEntry> entries;
+    for (auto it = mMemory.mValues.find(Key(mHead + 1)); it != mMemory.mValues.end();
+         it = mMemory.mValues.find(Key(mHead + 1)))
+      entries.push_back({ ++mHead, it->second.mValue });
+    co_return entries;
+  }
+
+  Async<Result<Sequence>> Append(std::string aBytes)
+  {
+    co_return co_await AppendAt(mHead + 1, std::move(aBytes));
+  }
+
+  Async<Result<Sequence>> AppendAt(Sequence aSequence, std::string aBytes)
+  {
+    const auto created = mMemory.Create(Key(aSequence), aBytes);
+    if (created) {
+      mHead = std::max(mHead, aSequence);
+      co_return aSequence;
+    }
+    if (created.error().mKind == FailureKind::AlreadyExists)
+      co_return MakeFailure(FailureKind::Conflict);
+    co_return created.error();
+  }
+
+  Async<Result<void>> WriteSnapshot(Sequence, std::string) { co_return Result<void>(); }
+  Sequence GetHead() { return mHead; }
+};
+
+// Satisfies PeerCaller: calls go straight to the other's handler.
+struct MemoryPeers
+{
+  using Handler = std::function<Result<PeerReply>(ProcessName, PeerRequest)>;
+  std::map<ProcessName, Handler>& mHandlers;
+  ProcessName mSelf;
+
+  Async<Result<PeerReply>> Call(ProcessName aTo, PeerRequest aRequest, Duration)
+  {
+    auto it = mHandlers.find(aTo);
+    if (it == mHandlers.end())
+      co_return MakeFailure(FailureKind::PeerUnreachable);
+    co_return it->second(mSelf, std::move(aRequest));
+  }
+};
+
+}  // namespace monsoon::mocks
