--- a/src/controllers/journal_follower.h
+++ b/src/controllers/journal_follower.h
@@ -35,6 +35,8 @@
 [[nodiscard]] std::string EncodeSliceEntry(const JournalEntry& aEntry);
 [[nodiscard]] Result<JournalEntry> DecodeSliceEntry(const std::string& aBytes);
 
+inline constexpr Duration kOldestAge = std::chrono::hours(24);  // of a head that a heartbeat tells
+
 struct FollowerSettings
 {
   Duration mWatchWait = seconds(2);          // longest wait of one watch
@@ -300,8 +302,10 @@
 {
   if (aHead.mHead > mSink.GetApplied())
     mHeads[aFrom] = aHead.mHead;
-  else if (aHead.mHead == mSink.GetApplied() && mLoaded)
-    Confirm(aNow - aHead.mAge - mSettings.mTransit);
+  if (aHead.mHead != mSink.GetApplied())
+    return;
+  mLoaded = true;  // also of an empty journal, while the store is out
+  Confirm(aNow - aHead.mAge - mSettings.mTransit);
 }
 
 template<JournalLike J, Store S, PeerCaller P, JournalSink K>
@@ -310,7 +314,7 @@
   JournalHead head;
   head.mJournal = mName;
   head.mHead = mSink.GetApplied();
-  head.mAge = aNow - mConfirmedAt;
+  head.mAge = std::min<Duration>(aNow - mConfirmedAt, kOldestAge);
   return head;
 }
 
--- a/src/controllers/membership.cpp
+++ b/src/controllers/membership.cpp
@@ -299,15 +299,10 @@
 
 bool MembershipTable::IsStoreOutForAll() const
 {
-  bool any = false;
-  for (const auto& [name, member] : mMembers) {
-    if (member.mMachine.GetState() == MemberState::Dead)
-      continue;
-    any = true;
-    if (member.mLast.mStoreReachable)
+  for (const auto& [name, member] : mMembers)
+    if (!IsPresent(member.mMachine.GetState()) || member.mLast.mStoreReachable)
       return false;
-  }
-  return any;
+  return !mMembers.empty();
 }
 
 }  // namespace monsoon
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -90,7 +90,7 @@
   [[nodiscard]] bool IsAwake(TimePoint aNow) const noexcept;
   [[nodiscard]] std::vector<MemberFacts> ListFacts() const;  // without the process itself
   [[nodiscard]] std::vector<MemberView> ListMembers() const;
-  [[nodiscard]] bool IsStoreOutForAll() const;  // every other process that isn't dead says so
+  [[nodiscard]] bool IsStoreOutForAll() const;  // every other process is heard of and says so
   [[nodiscard]] std::uint64_t GetIncarnation() const noexcept;
 
 private:
--- a/src/controllers/ownership_inl.h
+++ b/src/controllers/ownership_inl.h
@@ -116,12 +116,7 @@
 MONSOON_OWNERSHIP
 bool MONSOON_CONTROLLER::Watches(const Zone& aZone) const
 {
-  const PlanContext context = MakeContext(aZone);
-  std::vector<ProcessName> names;
-  for (const Eligible& it : RankOwners(context, "watch/" + aZone.mName))
-    names.push_back(it.mName);
-  const auto n = std::min<std::size_t>(names.size(), mSettings.mWatchers);
-  return names.empty() || std::find(names.begin(), names.begin() + n, mSelf) != names.begin() + n;
+  return IsWatcher(mEligible, aZone.mName, mSelf, "watch/" + aZone.mName, mSettings.mWatchers);
 }
 
 MONSOON_OWNERSHIP
@@ -348,7 +343,8 @@
 void MONSOON_CONTROLLER::AddHeads(std::vector<JournalHead>& aHeads, TimePoint aNow) const
 {
   for (const auto& [name, zone] : mZones)
-    aHeads.push_back(zone->mFollower->GetHead(aNow));
+    if (zone->mFollower->IsLoaded())
+      aHeads.push_back(zone->mFollower->GetHead(aNow));
 }
 
 MONSOON_OWNERSHIP
--- a/src/controllers/ownership_plan.cpp
+++ b/src/controllers/ownership_plan.cpp
@@ -43,6 +43,21 @@
   return near;
 }
 
+bool IsWatcher(std::span<const Eligible> aEligible,
+               const ZoneName& aZone,
+               const ProcessName& aSelf,
+               const std::string& aKey,
+               std::size_t aCount)
+{
+  PlanContext context;
+  context.mZone = aZone;
+  context.mEligible = aEligible;
+  std::vector<ProcessName> names;
+  for (const Eligible& it : RankOwners(context, aKey))
+    names.push_back(it.mName);
+  return names.empty() || IsChosen(aKey, names, aSelf, aCount);
+}
+
 std::vector<OwnershipEntry> PlanClaims(const PlanContext& aContext,
                                        const OwnershipTable& aTable,
                                        std::span<const ResourceKey> aResources,
--- a/src/controllers/ownership_plan.h
+++ b/src/controllers/ownership_plan.h
@@ -43,6 +43,14 @@
 [[nodiscard]] std::vector<Eligible> RankOwners(const PlanContext& aContext,
                                                const ResourceKey& aResource);
 
+// Whether aSelf is one of the few of a zone (of all, when it has no own) that watch a journal in
+// the store. Everybody watches where nobody is eligible.
+[[nodiscard]] bool IsWatcher(std::span<const Eligible> aEligible,
+                             const ZoneName& aZone,
+                             const ProcessName& aSelf,
+                             const std::string& aKey,
+                             std::size_t aCount);
+
 // Claims of free resources. aFreeSince is kept between calls.
 [[nodiscard]] std::vector<OwnershipEntry> PlanClaims(const PlanContext& aContext,
                                                      const OwnershipTable& aTable,
