--- a/src/controllers/capacity_book.cpp
+++ b/src/controllers/capacity_book.cpp
@@ -116,6 +116,11 @@
     return MakeFailure(FailureKind::NotFound, aWorker);
   if (!worker->mKnown || worker->mExcluded || worker->mSpec.mLeaving)
     return MakeFailure(FailureKind::CapacityFull, aWorker + " takes no new work");
+  const bool running = worker->mFoundRequests.contains(aRequest);
+  if (running || std::any_of(worker->mLoans.begin(), worker->mLoans.end(), [&](const auto& aLoan) {
+        return aLoan.second.mRequest == aRequest;
+      }))
+    return MakeFailure(FailureKind::Conflict, aRequest + " may still run on " + aWorker);
   const Resources need = MakeSlotNeed(worker->mSpec);
   if (!Fits(need, FindFree(*worker)))
     return MakeFailure(FailureKind::CapacityFull, aWorker + " has no free slot");
--- a/src/controllers/capacity_book.h
+++ b/src/controllers/capacity_book.h
@@ -48,6 +48,8 @@
   void SetQuietUntil(const WorkerName& aWorker, TimePoint aQuietUntil);
 
   // Slots
+  // CapacityFull: none free. Conflict: this request may still run on that worker under another
+  // grant; one worker's report could not tell the two apart.
   Result<Grant> TakeSlot(const WorkerName& aWorker,
                          const RequestId& aRequest,
                          Duration aHold,
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -147,7 +147,7 @@
 template<class A>
 void serialize(A& aArchive, KeyRecord& aM)
 {
-  aArchive(aM.mKey, aM.mRequest, aM.mEntry);
+  aArchive(aM.mKey, aM.mRequest, aM.mEntry, aM.mTimeout);
 }
 template<class A>
 void serialize(A& aArchive, KeyReply& aM)
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -88,11 +88,12 @@
 
 enum class GrantEnd : std::uint8_t
 {
-  Unused,
-  Answered,
-  Refused,
-  Broken,
-  Unknown
+  Unused,    // nothing was sent
+  Answered,  // a whole answer came
+  Refused,   // explicitly, or no byte could be written: it did not run
+  Broken,    // bytes were written and the connection broke
+  Unknown,   // bytes were written and time ran out
+  Failed     // a whole answer came, and it was a server error
 };
 
 struct GrantReturn  // ends a grant; also tells the owner how the endpoint behaved
@@ -275,6 +276,7 @@
   std::string mKey{};
   RequestId mRequest{};
   ProcessName mEntry{};
+  Duration mTimeout{};  // until the caller's deadline; in flight no longer than this plus a lease
 };
 
 enum class KeyState : std::uint8_t
--- /dev/null
+++ b/src/policy/outlier.cpp
@@ -0,0 +1,140 @@
+#include "policy/outlier.h"
+
+#include <algorithm>
+
+namespace monsoon {
+
+namespace {
+
+constexpr Duration kProbeTime = seconds(30);  // a probe without outcome is given up
+
+bool IsFailure(GrantEnd aEnd)
+{
+  return aEnd == GrantEnd::Refused || aEnd == GrantEnd::Broken || aEnd == GrantEnd::Unknown ||
+         aEnd == GrantEnd::Failed;
+}
+
+}  // namespace
+
+OutlierTable::OutlierTable(OutlierSettings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void OutlierTable::SetWorkerCount(std::size_t aCount)
+{
+  mWorkerCount = aCount;
+}
+
+void OutlierTable::Record(const WorkerName& aWorker,
+                          const std::string& aCaller,
+                          GrantEnd aEnd,
+                          TimePoint aNow)
+{
+  Forget(aNow);
+  Worker& worker = mWorkers[aWorker];
+  worker.mProbeUntil = TimePoint::min();
+  if (aEnd == GrantEnd::Unused)
+    return;
+  if (!IsFailure(aEnd)) {
+    worker = Worker{};
+    mCallers[aCaller].mAnsweredBy[aWorker] = aNow;
+    return;
+  }
+  mCallers[aCaller].mFailedOn[aWorker] = aNow;
+  if (aNow - worker.mLastFailure > mSettings.mWindow)
+    worker.mFailures.clear();
+  worker.mLastFailure = aNow;
+  ++worker.mFailures[aCaller];
+  const bool probed = worker.mEjected;
+  if (probed || CountBlame(worker, aNow) >= mSettings.mFailures)
+    Eject(worker, aNow);
+}
+
+std::uint32_t OutlierTable::CountBlame(const Worker& aWorker, TimePoint aNow) const
+{
+  std::uint32_t n = 0;
+  for (const auto& [caller, failures] : aWorker.mFailures)
+    n += IsSuspect(caller, aNow) ? 0 : failures;
+  return n;
+}
+
+void OutlierTable::Eject(Worker& aWorker, TimePoint aNow)
+{
+  // With most of the fleet failing the fault lies elsewhere: the rest must not be swamped.
+  const auto most = static_cast<double>(mWorkerCount) * mSettings.mMaxEjectedShare;
+  if (!aWorker.mEjected && mWorkerCount > 0 && static_cast<double>(CountEjected() + 1) > most)
+    return;
+  const std::uint32_t doublings = std::min(aWorker.mEjections, 10U);
+  aWorker.mEjectedUntil =
+    aNow + std::min(mSettings.mMaxEjectFor, mSettings.mEjectFor * (1U << doublings));
+  aWorker.mEjected = true;
+  ++aWorker.mEjections;
+}
+
+std::size_t OutlierTable::CountEjected() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) { return aEntry.second.mEjected; }));
+}
+
+bool OutlierTable::IsSuspect(const std::string& aCaller, TimePoint aNow) const
+{
+  const auto it = mCallers.find(aCaller);
+  if (it == mCallers.end())
+    return false;
+  const auto countRecent = [&](const std::map<WorkerName, TimePoint>& aTimes) {
+    return std::count_if(aTimes.begin(), aTimes.end(), [&](const auto& aEntry) {
+      return aNow - aEntry.second <= mSettings.mWindow;
+    });
+  };
+  const auto failed = countRecent(it->second.mFailedOn);
+  return failed >= mSettings.mSuspectWorkers && failed >= countRecent(it->second.mAnsweredBy);
+}
+
+WorkerHealth OutlierTable::GetHealth(const WorkerName& aWorker, TimePoint aNow) const
+{
+  const auto it = mWorkers.find(aWorker);
+  if (it == mWorkers.end() || !it->second.mEjected)
+    return WorkerHealth::Good;
+  return aNow < it->second.mEjectedUntil ? WorkerHealth::Ejected : WorkerHealth::Probing;
+}
+
+bool OutlierTable::MayUse(const WorkerName& aWorker, TimePoint aNow) const
+{
+  switch (GetHealth(aWorker, aNow)) {
+    case WorkerHealth::Good:
+      return true;
+    case WorkerHealth::Ejected:
+      return false;
+    case WorkerHealth::Probing:
+      return mWorkers.at(aWorker).mProbeUntil <= aNow;
+  }
+  return true;
+}
+
+void OutlierTable::BeginProbe(const WorkerName& aWorker, TimePoint aNow)
+{
+  if (GetHealth(aWorker, aNow) == WorkerHealth::Probing)
+    mWorkers[aWorker].mProbeUntil = aNow + kProbeTime;
+}
+
+void OutlierTable::Forget(TimePoint aNow)
+{
+  if (aNow - mForgotAt < mSettings.mWindow)
+    return;
+  mForgotAt = aNow;
+  const auto isOld = [&](const auto& aEntry) { return aNow - aEntry.second > mSettings.mWindow; };
+  for (auto& [name, caller] : mCallers) {
+    std::erase_if(caller.mFailedOn, isOld);
+    std::erase_if(caller.mAnsweredBy, isOld);
+  }
+  std::erase_if(mCallers, [](const auto& aEntry) {
+    return aEntry.second.mFailedOn.empty() && aEntry.second.mAnsweredBy.empty();
+  });
+  std::erase_if(mWorkers, [&](const auto& aEntry) {
+    return !aEntry.second.mEjected && aNow - aEntry.second.mLastFailure > mSettings.mWindow;
+  });
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/policy/outlier.h
@@ -0,0 +1,73 @@
+// Ejects endpoints by outcome, and lets them back by half-open probes. Counts distinct pairs of
+// caller and worker, so that a caller whose work fails everywhere blames no worker. Pure.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "core/model.h"
+#include "peer/messages.h"
+
+namespace monsoon {
+
+struct OutlierSettings
+{
+  std::uint32_t mFailures = 5;        // in a row, by callers that are not suspect
+  std::uint32_t mSuspectWorkers = 3;  // distinct workers on which a caller failed
+  Duration mWindow = seconds(10);     // failures older than this are forgotten
+  Duration mEjectFor = seconds(2);    // doubles with each ejection in a row
+  Duration mMaxEjectFor = seconds(60);
+  double mMaxEjectedShare = 0.5;  // of the workers known here
+};
+
+enum class WorkerHealth : std::uint8_t
+{
+  Good,
+  Probing,  // half open: one request at a time
+  Ejected,
+};
+
+class OutlierTable
+{
+public:
+  explicit OutlierTable(OutlierSettings aSettings = {});
+
+  void Record(const WorkerName& aWorker, const std::string& aCaller, GrantEnd aEnd, TimePoint aNow);
+  [[nodiscard]] WorkerHealth GetHealth(const WorkerName& aWorker, TimePoint aNow) const;
+  // True when the worker may get a request now. A probing worker has one under way at most: call
+  // BeginProbe when it was given.
+  [[nodiscard]] bool MayUse(const WorkerName& aWorker, TimePoint aNow) const;
+  void BeginProbe(const WorkerName& aWorker, TimePoint aNow);
+  void SetWorkerCount(std::size_t aCount);  // bounds the ejected share
+  [[nodiscard]] bool IsSuspect(const std::string& aCaller, TimePoint aNow) const;
+
+private:
+  struct Worker
+  {
+    std::map<std::string, std::uint32_t> mFailures{};  // in a row, by caller
+    TimePoint mLastFailure{};
+    std::uint32_t mEjections = 0;  // in a row
+    TimePoint mEjectedUntil = TimePoint::min();
+    bool mEjected = false;  // until a probe succeeds
+    TimePoint mProbeUntil = TimePoint::min();
+  };
+  struct Caller
+  {
+    std::map<WorkerName, TimePoint> mFailedOn{};
+    std::map<WorkerName, TimePoint> mAnsweredBy{};
+  };
+
+  [[nodiscard]] std::size_t CountEjected() const;
+  [[nodiscard]] std::uint32_t CountBlame(const Worker& aWorker, TimePoint aNow) const;
+  void Eject(Worker& aWorker, TimePoint aNow);
+  void Forget(TimePoint aNow);
+
+  OutlierSettings mSettings;
+  std::map<WorkerName, Worker> mWorkers{};
+  std::map<std::string, Caller> mCallers{};
+  std::size_t mWorkerCount = 0;
+  TimePoint mForgotAt{};
+};
+
+}  // namespace monsoon
--- a/tests/unit/test_capacity_book.cpp
+++ b/tests/unit/test_capacity_book.cpp
@@ -201,6 +201,15 @@
   CHECK(book.FindUnsound().empty());
 }
 
+TEST_CASE("a request that may still run on a worker gets no second slot there", "[capacity]")
+{
+  CapacityBook book = MakeBook(2);
+  const Grant grant = book.TakeSlot("w", "r", seconds(5), kStart).value();
+  CHECK(book.TakeSlot("w", "r", seconds(5), kStart).error().mKind == FailureKind::Conflict);
+  REQUIRE(book.ReturnSlot({ grant.mId, "w", 7, GrantEnd::Broken }, kStart).has_value());
+  CHECK(book.TakeSlot("w", "r", seconds(5), kStart).error().mKind == FailureKind::Conflict);
+}
+
 TEST_CASE("a shrinking worker is not given more, nor called unsound", "[capacity]")
 {
   CapacityBook book = MakeBook(2);
