--- /dev/null
+++ b/src/controllers/job_table_machine.cpp
@@ -0,0 +1,157 @@
+#include "controllers/job_table_machine.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+
+namespace monsoon {
+
+namespace {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+using msm::front::Row;
+
+template<TaskEvent>
+struct On
+{
+};
+
+template<TaskState>
+struct In : msm::front::state<>
+{
+};
+
+using Waiting = In<TaskState::Waiting>;
+using Assigned = In<TaskState::Assigned>;
+using Running = In<TaskState::Running>;
+using Succeeded = In<TaskState::Succeeded>;
+using Cancelled = In<TaskState::Cancelled>;
+using DeadLetter = In<TaskState::DeadLetter>;
+using Held = In<TaskState::Held>;
+using E = TaskEvent;
+
+struct LifeDef : msm::front::state_machine_def<LifeDef>
+{
+  using initial_state = Waiting;
+  using no_message_queue = int;
+  using no_exception_thrown = int;
+  // clang-format off
+  struct transition_table : mpl::vector<
+    Row<Waiting,  On<E::Assign>,   Assigned>,
+    Row<Waiting,  On<E::Hold>,     Held>,
+    Row<Waiting,  On<E::Cancel>,   Cancelled>,
+    Row<Held,     On<E::Release>,  Waiting>,
+    Row<Held,     On<E::Cancel>,   Cancelled>,
+    Row<Assigned, On<E::Confirm>,  Running>,
+    Row<Assigned, On<E::Requeue>,  Waiting>,
+    Row<Assigned, On<E::Succeed>,  Succeeded>,
+    Row<Assigned, On<E::Withdraw>, Cancelled>,
+    Row<Assigned, On<E::GiveUp>,   DeadLetter>,
+    Row<Running,  On<E::Confirm>,  Running>,
+    Row<Running,  On<E::Requeue>,  Waiting>,
+    Row<Running,  On<E::Succeed>,  Succeeded>,
+    Row<Running,  On<E::Withdraw>, Cancelled>,
+    Row<Running,  On<E::GiveUp>,   DeadLetter>
+  > {};
+  // clang-format on
+  bool mRefused = false;
+
+  template<class Fsm, class Event>
+  void no_transition(const Event&, Fsm& aMachine, int)
+  {
+    aMachine.mRefused = true;
+  }
+};
+
+using Life = msm::back::state_machine<LifeDef>;
+
+template<TaskState State>
+bool IsIn(Life& aLife)
+{
+  static const int kId = msm::back::get_state_id<typename Life::stt, In<State>>::type::value;
+  return aLife.current_state()[0] == kId;
+}
+
+TaskState ReadState(Life& aLife)
+{
+  if (IsIn<TaskState::Assigned>(aLife))
+    return TaskState::Assigned;
+  if (IsIn<TaskState::Running>(aLife))
+    return TaskState::Running;
+  if (IsIn<TaskState::Succeeded>(aLife))
+    return TaskState::Succeeded;
+  if (IsIn<TaskState::Cancelled>(aLife))
+    return TaskState::Cancelled;
+  if (IsIn<TaskState::DeadLetter>(aLife))
+    return TaskState::DeadLetter;
+  if (IsIn<TaskState::Held>(aLife))
+    return TaskState::Held;
+  return TaskState::Waiting;
+}
+
+template<TaskEvent Event>
+void Send(Life& aLife)
+{
+  aLife.process_event(On<Event>());
+}
+
+using Sender = void (*)(Life&);
+constexpr std::array<Sender, kTaskEvents> kSenders = {
+  Send<E::Assign>, Send<E::Confirm>, Send<E::Requeue>, Send<E::Succeed>, Send<E::Withdraw>,
+  Send<E::GiveUp>, Send<E::Hold>,    Send<E::Release>, Send<E::Cancel>
+};
+
+constexpr std::size_t kStates = static_cast<std::size_t>(TaskState::Held) + 1;
+using Table = std::array<std::array<std::optional<TaskState>, kTaskEvents>, kStates>;
+
+void Drive(Life& aLife, std::initializer_list<TaskEvent> aPath)
+{
+  aLife.start();
+  for (const TaskEvent event : aPath)
+    kSenders[static_cast<std::size_t>(event)](aLife);
+}
+
+void Fill(Table& aTable, std::initializer_list<TaskEvent> aPath)
+{
+  for (std::size_t i = 0; i < kTaskEvents; ++i) {
+    Life life;
+    Drive(life, aPath);
+    const auto from = static_cast<std::size_t>(ReadState(life));
+    kSenders[i](life);
+    if (!life.mRefused)
+      aTable[from][i] = ReadState(life);
+  }
+}
+
+// A machine per task would cost more memory than the task; its table is read out once instead.
+Table MakeTable()
+{
+  Table table{};
+  Fill(table, {});
+  Fill(table, { E::Assign });
+  Fill(table, { E::Assign, E::Confirm });
+  Fill(table, { E::Assign, E::Succeed });
+  Fill(table, { E::Assign, E::GiveUp });
+  Fill(table, { E::Hold });
+  Fill(table, { E::Cancel });
+  return table;
+}
+
+}  // namespace
+
+std::optional<TaskState> FindNextState(TaskState aState, TaskEvent aEvent) noexcept
+{
+  static const Table kTable = MakeTable();
+  return kTable[static_cast<std::size_t>(aState)][static_cast<std::size_t>(aEvent)];
+}
+
+bool IsFinal(TaskState aState) noexcept
+{
+  return aState == TaskState::Succeeded || aState == TaskState::Cancelled ||
+         aState == TaskState::DeadLetter;
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/policy/quarantine.cpp
@@ -0,0 +1,73 @@
+#include "policy/quarantine.h"
+
+#include <algorithm>
+
+namespace monsoon {
+
+namespace {
+
+constexpr std::uint32_t kDistinctFailures = 3;  // pairs that quarantine a worker
+constexpr Duration kFirstPause = seconds(10);
+constexpr std::uint32_t kMaxDoublings = 5;
+constexpr Duration kProbeWait = seconds(30);  // a probe that shows nothing by then is forgotten
+constexpr double kRateWeight = 0.2;           // of the newest outcome
+constexpr std::size_t kMaxJobs = 4096;        // remembered successes
+
+}  // namespace
+
+void Quarantine::Record(const WorkerName& aWorker, const JobId& aJob, bool aFailed, TimePoint aNow)
+{
+  Health& health = mWorkers[aWorker];
+  health.mFailureRate += kRateWeight * ((aFailed ? 1.0 : 0.0) - health.mFailureRate);
+  if (!aFailed) {
+    const double rate = health.mFailureRate;
+    health = Health{};
+    health.mFailureRate = rate;
+    if (mSucceededOn.size() >= kMaxJobs)
+      mSucceededOn.erase(mSucceededOn.begin());
+    mSucceededOn[aJob] = aWorker;
+    return;
+  }
+  health.mFailedJobs.insert(aJob);
+  auto it = mSucceededOn.find(aJob);
+  if (it != mSucceededOn.end() && it->second != aWorker)
+    ++health.mBlamedFailures;
+  const std::size_t pairs =
+    std::max<std::size_t>(health.mFailedJobs.size(), health.mBlamedFailures);
+  const bool probeFailed = health.mTrips > 0 && aNow >= health.mUntil;
+  if (pairs < kDistinctFailures && !probeFailed)
+    return;
+  health.mUntil = aNow + kFirstPause * (1 << std::min(health.mTrips, kMaxDoublings));
+  health.mProbeUntil = TimePoint{};
+  ++health.mTrips;
+  health.mFailedJobs.clear();
+  health.mBlamedFailures = 0;
+}
+
+bool Quarantine::IsExcluded(const WorkerName& aWorker, TimePoint aNow) const
+{
+  auto it = mWorkers.find(aWorker);
+  if (it == mWorkers.end() || it->second.mTrips == 0)
+    return false;
+  return aNow < it->second.mUntil || aNow < it->second.mProbeUntil;
+}
+
+void Quarantine::BeginStart(const WorkerName& aWorker, TimePoint aNow)
+{
+  auto it = mWorkers.find(aWorker);
+  if (it != mWorkers.end() && it->second.mTrips > 0)
+    it->second.mProbeUntil = aNow + kProbeWait;
+}
+
+void Quarantine::Forget(const WorkerName& aWorker)
+{
+  mWorkers.erase(aWorker);
+}
+
+double Quarantine::GetFailureRate(const WorkerName& aWorker) const
+{
+  auto it = mWorkers.find(aWorker);
+  return it == mWorkers.end() ? 0 : it->second.mFailureRate;
+}
+
+}  // namespace monsoon
