--- a/src/controllers/session.cpp
+++ b/src/controllers/session.cpp
@@ -97,6 +97,10 @@
     action.mStep = SessionStep::Read;
     return action;
   }
+  if (mEndRequested && mPhase != Phase::Held) {
+    mPhase = Phase::Gone;  // there is nothing to end
+    return Wait(aNow + mSettings.mRenewEvery, aNow);
+  }
   switch (mPhase) {
     case Phase::Absent:
       return Write(SessionStep::Create, 1, aNow);
--- a/src/controllers/session_driver.h
+++ b/src/controllers/session_driver.h
@@ -33,7 +33,8 @@
   Async<void> Run();          // renews until Stop or until a requested end stands
   Async<void> RunPromises();  // asks the peers while the store is out
   void Stop() { mStopped = true; }
-  void RequestEnd() { mState.RequestEnd(); }  // planned stop, after everything was handed over
+  // Planned stop, after everything was handed over: others need not wait out the lease.
+  Async<Result<void>> EndWithin(Duration aDeadline);
 
   // Answer to a peer's OutagePromiseRequest.
   OutagePromise OnPromiseRequest(const OutagePromiseRequest& aRequest)
@@ -88,6 +89,18 @@
   }
 }
 
+template<Store StoreType, PeerCaller Peers>
+Async<Result<void>> Session<StoreType, Peers>::EndWithin(Duration aDeadline)
+{
+  mState.RequestEnd();
+  const TimePoint deadline = BootClock::now() + aDeadline;
+  while (!mState.IsEnded() && BootClock::now() < deadline)
+    co_await Sleep(milliseconds(10));
+  if (!mState.IsEnded())
+    co_return MakeFailure(FailureKind::Timeout, "the session lapses by itself");
+  co_return Result<void>();
+}
+
 template<Store StoreType, PeerCaller Peers>
 Async<void> Session<StoreType, Peers>::Do(SessionAction aAction)
 {
