--- /dev/null
+++ b/src/controllers/job_table_plan.cpp
@@ -0,0 +1,349 @@
+// What a shard does next: placements, stops, questions.
+#include <algorithm>
+#include <cassert>
+
+#include "controllers/job_table.h"
+#include "controllers/job_table_machine.h"
+
+namespace monsoon {
+
+namespace {
+
+constexpr Duration kNoRoomDelay = milliseconds(200);
+constexpr Duration kLongestNoRoomDelay = seconds(2);
+constexpr Duration kStopRepeat = seconds(1);
+constexpr Duration kQueryRepeat = seconds(2);
+constexpr Duration kIdleQuery = seconds(30);  // running attempts, in case a report was lost
+constexpr std::size_t kMaxAvoid = 16;
+
+bool IsRunningSomewhere(const TaskRecord& aTask) noexcept
+{
+  return aTask.mState == TaskState::Assigned || aTask.mState == TaskState::Running;
+}
+
+bool IsReady(const TaskRecord& aTask, TimePoint aNow) noexcept
+{
+  return aTask.mState == TaskState::Waiting && !aTask.mPlacing && aTask.mNotBefore <= aNow;
+}
+
+Resources Multiply(const Resources& aNeed, std::size_t aCount)
+{
+  const auto n = static_cast<std::int64_t>(aCount);
+  return { aNeed.mMilliCores * n,
+           aNeed.mMemoryMiB * n,
+           aNeed.mAccelerators * n,
+           aNeed.mSlots * n,
+           aNeed.mConnections * n };
+}
+
+void AddAvoid(TaskShape& aShape, const TaskRecord& aTask)
+{
+  for (const WorkerName& it : aTask.mFailedOn)
+    if (aShape.mAvoid.size() < kMaxAvoid &&
+        std::ranges::find(aShape.mAvoid, it) == aShape.mAvoid.end())
+      aShape.mAvoid.push_back(it);
+}
+
+}  // namespace
+
+PlannedGroup JobTable::MakeGroup(const JobRecord& aJob) const
+{
+  PlannedGroup group;
+  const JobSpec& spec = aJob.mSpec;
+  group.mShape = { spec.mId, spec.mKind, spec.mTeam, spec.mPriority };
+  group.mShape.mNeed = mSizes.Correct(MakeSizeClass(spec), spec.mShape);
+  group.mShape.mAcceleratorType = spec.mAcceleratorType;
+  // Services and watches are of use only while some of them live: they are always spread.
+  const bool lasting = spec.mKind == JobKind::Service || spec.mKind == JobKind::Watch;
+  group.mShape.mSpreadZones = spec.mSpreadZones || lasting;
+  group.mShape.mSpreadRacks = spec.mSpreadRacks || lasting;
+  group.mDeclared = spec.mShape;
+  group.mExpectedRun = spec.mExpectedRun;
+  group.mAllOrNone = spec.mKind == JobKind::Gang;
+  return group;
+}
+
+std::optional<PlannedGroup> JobTable::PlanJob(JobRecord& aJob, const PlanContext& aContext)
+{
+  if (aJob.mNotBefore > aContext.mNow)
+    return std::nullopt;
+  PlannedGroup group = MakeGroup(aJob);
+  group.mWaited = aContext.mNow - aJob.mSince;
+  for (std::uint32_t i = 0; i < aJob.mTasks.size(); ++i) {
+    const TaskRecord& task = aJob.mTasks[i];
+    if (!IsReady(task, aContext.mNow)) {
+      // A gang starts when none of its tasks runs or backs off; its finished ones don't count.
+      const bool missing = task.mState == TaskState::Waiting || IsRunningSomewhere(task);
+      if (group.mAllOrNone && missing && aJob.mSpec.mRepeatable)
+        return std::nullopt;
+      continue;
+    }
+    if (!group.mAllOrNone && group.mTasks.size() >= aContext.mMaxTasks)
+      break;
+    group.mTasks.push_back(i);
+    AddAvoid(group.mShape, task);
+  }
+  if (group.mTasks.empty())
+    return std::nullopt;
+
+  const TeamName& team = aJob.mSpec.mTeam;
+  const std::size_t first = group.mAllOrNone ? group.mTasks.size() : 1;
+  const Resources need = Multiply(group.mShape.mNeed, first);
+  const QuotaVerdict verdict = mLedger.Judge(aContext.mQuotas, team, need);
+  if (verdict == QuotaVerdict::Refused) {
+    aJob.mReason = "team " + team + " has no quota left and may not borrow";
+    return std::nullopt;
+  }
+  group.mGuaranteed = verdict == QuotaVerdict::Guaranteed;
+  // A team that may not borrow gets no more of its tasks at once than its guarantee holds.
+  auto quota = aContext.mQuotas.find(team);
+  if (quota != aContext.mQuotas.end() && !quota->second.mMayBorrow && !group.mAllOrNone) {
+    std::size_t n = group.mTasks.size();
+    while (n > 1 && mLedger.Judge(aContext.mQuotas, team, Multiply(group.mShape.mNeed, n)) ==
+                      QuotaVerdict::Refused)
+      --n;
+    group.mTasks.resize(n);
+  }
+  return group;
+}
+
+// Replicas on leaving workers are moved one after the other: the new one runs first.
+std::optional<PlannedGroup> JobTable::PlanReplacements(JobRecord& aJob,
+                                                       const PlanContext& aContext) const
+{
+  if (aJob.mSpec.mKind != JobKind::Service || aJob.mCancelled || aContext.mLeaving.empty())
+    return std::nullopt;
+  PlannedGroup group = MakeGroup(aJob);
+  group.mReplaces = true;
+  for (std::uint32_t i = 0; i < aJob.mTasks.size(); ++i) {
+    const TaskRecord& task = aJob.mTasks[i];
+    if (task.mState != TaskState::Running || task.mPlacing || task.mRetiring.mAttempt != 0)
+      continue;
+    if (task.mNotBefore > aContext.mNow || !aContext.mLeaving.contains(task.mWorker))
+      continue;
+    group.mTasks.push_back(i);
+  }
+  if (group.mTasks.empty())
+    return std::nullopt;
+  for (const WorkerName& it : aContext.mLeaving)
+    group.mShape.mAvoid.push_back(it);
+  return group;
+}
+
+std::vector<PlannedGroup> JobTable::PlanNext(const PlanContext& aContext)
+{
+  struct Candidate
+  {
+    TimePoint mDue{};
+    Sequence mAt = 0;
+    JobRecord* mJob = nullptr;
+  };
+  std::vector<PlannedGroup> groups;
+  std::uint32_t n = 0;
+  const auto take = [&](PlannedGroup aGroup) {
+    JobRecord& job = *FindJob(aGroup.mShape.mJob);
+    for (const std::uint32_t index : aGroup.mTasks)
+      job.mTasks[index].mPlacing = true;
+    n += static_cast<std::uint32_t>(aGroup.mTasks.size());
+    groups.push_back(std::move(aGroup));
+  };
+
+  if (!aContext.mLeaving.empty())
+    for (const JobId& id : mActiveJobs)
+      if (auto group = PlanReplacements(*FindJob(id), aContext))
+        take(std::move(*group));
+
+  std::vector<Candidate> candidates;
+  for (const JobId& id : mWaitingJobs) {
+    JobRecord& job = *FindJob(id);
+    const bool borrows = mLedger.Judge(aContext.mQuotas, job.mSpec.mTeam, job.mSpec.mShape) !=
+                         QuotaVerdict::Guaranteed;
+    candidates.push_back({ ComputeDue(job.mSince, job.mSpec.mPriority, borrows), job.mAt, &job });
+  }
+  std::ranges::sort(candidates, [](const Candidate& aLeft, const Candidate& aRight) {
+    return std::pair(aLeft.mDue, aLeft.mAt) < std::pair(aRight.mDue, aRight.mAt);
+  });
+  FindBlocked(aContext.mNow);
+  for (const Candidate& it : candidates) {
+    if (n >= aContext.mMaxTasks)
+      break;
+    const JobSpec& spec = it.mJob->mSpec;
+    const bool accelerated = spec.mShape.mAccelerators > 0;
+    if (mBlocked && mBlockedId != spec.mId &&
+        !MayBackfill(*mBlocked, it.mDue, spec.mExpectedRun, accelerated, aContext.mNow))
+      continue;
+    if (auto group = PlanJob(*it.mJob, aContext))
+      take(std::move(*group));
+  }
+  return groups;
+}
+
+// The block ends with the wait of the job that caused it.
+void JobTable::FindBlocked(TimePoint aNow)
+{
+  if (!mBlocked)
+    return;
+  const JobRecord* job = Find(mBlockedId);
+  if (!job || job->mWaiting == 0 || job->mTries == 0 || job->mSince > aNow)
+    mBlocked.reset();
+}
+
+void JobTable::EndPlacing(const PlannedGroup& aGroup, bool aFoundRoom, TimePoint aNow)
+{
+  JobRecord* job = FindJob(aGroup.mShape.mJob);
+  if (!job)
+    return;
+  for (const std::uint32_t index : aGroup.mTasks) {
+    TaskRecord& task = job->mTasks[index];
+    if (aGroup.mReplaces && task.mPlacing)
+      task.mNotBefore = aNow + kLongestNoRoomDelay;
+    task.mPlacing = false;
+  }
+  if (aGroup.mReplaces)
+    return;
+  if (aFoundRoom) {
+    job->mTries = 0;
+    return;
+  }
+  ++job->mTries;
+  const Duration longest = std::min(kNoRoomDelay * job->mTries, kLongestNoRoomDelay);
+  job->mNotBefore =
+    aNow + (aGroup.mAllOrNone
+              ? ComputeGangDelay(job->mTries, mRandom)
+              : std::chrono::duration_cast<Duration>(longest * (0.5 + DrawJitter())));
+  const TimePoint due = ComputeDue(job->mSince, job->mSpec.mPriority, !aGroup.mGuaranteed);
+  if (mBlocked && mBlocked->mDue <= due)
+    return;
+  mBlocked = BlockedJob{ job->mSince, due, job->mSpec.mShape.mAccelerators > 0 };
+  mBlockedId = job->mSpec.mId;
+}
+
+void JobTable::NoteFleetChanged()
+{
+  for (const JobId& id : mWaitingJobs) {
+    JobRecord& job = *FindJob(id);
+    job.mNotBefore = TimePoint{};
+  }
+}
+
+std::vector<JobId> JobTable::ListHeld() const
+{
+  std::vector<JobId> held;
+  for (const JobId& id : mActiveJobs)
+    if (std::ranges::any_of(Find(id)->mTasks,
+                            [](const TaskRecord& aIt) { return aIt.mState == TaskState::Held; }))
+      held.push_back(id);
+  return held;
+}
+
+std::vector<PreemptionCandidate> JobTable::ListPreemptible(const PlanContext& aContext) const
+{
+  std::vector<PreemptionCandidate> candidates;
+  for (const JobId& id : mActiveJobs) {
+    const JobRecord& job = *Find(id);
+    // Only batch work loses nothing but time by a checkpoint.
+    if (job.mSpec.mKind != JobKind::Batch || !job.mSpec.mRepeatable || job.mCancelled)
+      continue;
+    const bool borrows = mLedger.IsBorrowing(aContext.mQuotas, job.mSpec.mTeam);
+    for (std::uint32_t i = 0; i < job.mTasks.size(); ++i) {
+      const TaskRecord& task = job.mTasks[i];
+      if (task.mState != TaskState::Running || task.mStopAgain > aContext.mNow)
+        continue;
+      candidates.push_back({ { id, i },
+                             task.mAttempt,
+                             task.mWorker,
+                             task.mNeed,
+                             job.mSpec.mPriority,
+                             borrows,
+                             aContext.mNow - task.mStarted });
+    }
+  }
+  return candidates;
+}
+
+std::vector<TaskStop> JobTable::ListStops(TimePoint aNow, std::size_t aLimit)
+{
+  std::vector<TaskStop> stops;
+  for (const JobId& id : mActiveJobs) {
+    JobRecord& job = *FindJob(id);
+    const bool lostMember =
+      job.mSpec.mKind == JobKind::Gang && job.mSpec.mRepeatable && job.mWaiting > 0;
+    for (std::uint32_t i = 0; i < job.mTasks.size(); ++i) {
+      TaskRecord& task = job.mTasks[i];
+      if (stops.size() >= aLimit)
+        return stops;
+      if (task.mStopAgain > aNow)
+        continue;
+      const bool stop = IsRunningSomewhere(task) && (job.mCancelled || lostMember);
+      const bool retire =
+        task.mRetiring.mAttempt != 0 && (job.mCancelled || task.mState != TaskState::Assigned);
+      if (!stop && !retire)
+        continue;
+      task.mStopAgain = aNow + kStopRepeat;
+      if (retire)
+        stops.push_back(
+          { task.mRetiring.mWorker, { id, i }, task.mRetiring.mAttempt, TaskStopMode::Stop });
+      if (stop)
+        stops.push_back({ task.mWorker, { id, i }, task.mAttempt, TaskStopMode::Stop });
+    }
+  }
+  return stops;
+}
+
+std::vector<TaskQuery> JobTable::ListQueries(TimePoint aNow)
+{
+  std::map<std::pair<WorkerName, Epoch>, TaskQuery> queries;
+  const auto ask =
+    [&](const WorkerName& aWorker, Epoch aEpoch, TaskKey aTask, std::uint32_t aAttempt) {
+      TaskQuery& query = queries[{ aWorker, aEpoch }];
+      query.mWorker = aWorker;
+      query.mEpoch = aEpoch;
+      query.mAttempts.emplace_back(std::move(aTask), aAttempt);
+    };
+  for (const JobId& id : mActiveJobs) {
+    JobRecord& job = *FindJob(id);
+    for (std::uint32_t i = 0; i < job.mTasks.size(); ++i) {
+      TaskRecord& task = job.mTasks[i];
+      const bool running = IsRunningSomewhere(task);
+      if ((!running && task.mRetiring.mAttempt == 0) || task.mQueryAgain > aNow)
+        continue;
+      task.mQueryAgain = aNow + (task.mState == TaskState::Running ? kIdleQuery : kQueryRepeat);
+      if (running)
+        ask(task.mWorker, task.mEpoch, { id, i }, task.mAttempt);
+      if (task.mRetiring.mAttempt != 0)
+        ask(task.mRetiring.mWorker, task.mRetiring.mEpoch, { id, i }, task.mRetiring.mAttempt);
+    }
+  }
+  std::vector<TaskQuery> list;
+  for (auto& [key, query] : queries)
+    list.push_back(std::move(query));
+  return list;
+}
+
+void JobTable::QueryAllNow()
+{
+  for (const JobId& id : mActiveJobs)
+    for (TaskRecord& task : FindJob(id)->mTasks)
+      task.mQueryAgain = TimePoint{};
+}
+
+bool JobTable::ConfirmRunning(const TaskKey& aTask, std::uint32_t aAttempt, TimePoint aNow)
+{
+  TaskRecord* task = FindTask(aTask);
+  if (!task)
+    return false;
+  if (task->mRetiring.mAttempt != 0 && task->mRetiring.mAttempt == aAttempt)
+    return true;
+  if (task->mAttempt != aAttempt)
+    return false;
+  const auto next = FindNextState(task->mState, TaskEvent::Confirm);
+  if (!next)
+    return false;
+  if (task->mState != TaskState::Running)
+    task->mStarted = aNow;
+  task->mState = *next;
+  task->mQueryAgain = aNow + kIdleQuery;
+  return true;
+}
+
+}  // namespace monsoon
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -107,7 +107,7 @@
 template<class A>
 void serialize(A& aArchive, TaskQuery& aM)
 {
-  aArchive(aM.mWorker, aM.mAttempts);
+  aArchive(aM.mWorker, aM.mEpoch, aM.mAttempts);
 }
 template<class A>
 void serialize(A& aArchive, JobSubmit& aM)
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -225,6 +225,7 @@
 struct TaskQuery  // a new shard owner asks what became of journaled attempts
 {
   WorkerName mWorker{};
+  Epoch mEpoch = 0;  // of the worker's ownership under which the attempts were assigned
   std::vector<std::pair<TaskKey, std::uint32_t>> mAttempts{};
 };
 
--- a/src/policy/sizing.h
+++ b/src/policy/sizing.h
@@ -31,7 +31,7 @@
 
 private:
   struct Usage;
-  std::map<std::string, std::unique_ptr<Usage>> mClasses{};
+  std::map<std::string, std::unique_ptr<Usage>> mClasses;
 };
 
 }  // namespace monsoon
