Read every settings section from one description of the keys

Cause: settings had four sections, no units, and took unknown keys silently. Ruled out: one hand-written reader per key; reader, unknown-key check and reference are made from one table. Conclusion: a new key is one line.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -34,6 +34,8 @@
     return kExitBadUse;
 
   BlockStopSignals();
+  ConfigureLog(settings->mLog);
+  Log(LogPart::Process, LogLevel::Info, "starting", { { "name", settings->mProcess.mName } });
   Node node(std::move(*settings));
   auto started = node.Start();
   if (!started) {
@@ -42,7 +44,10 @@
   }
   std::cout << "listening on port " << node.GetHttpPort() << std::endl;
   WaitForStopSignal();
+  Log(LogPart::Process, LogLevel::Info, "stopping: work in flight is finished first");
   node.Stop();
+  Log(LogPart::Process, LogLevel::Info, "stopped");
+  StopLog();
   return kExitDone;
 }
 
@@ -50,8 +55,17 @@
 {
   TCLAP::CmdLine line("Reads settings and prints every error.", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> config(
-    "c", "config", "TOML settings of one process", true, "", "FILE", line);
+    "c", "config", "TOML settings of one process", false, "", "FILE", line);
+  TCLAP::SwitchArg reference("r", "reference", "print every key as Markdown", line);
   line.parse(aArguments);
+  if (reference.getValue()) {
+    std::cout << FormatReference();
+    return kExitDone;
+  }
+  if (!config.isSet()) {
+    std::cerr << "check: --config FILE or --reference is needed\n";
+    return kExitBadUse;
+  }
   if (!LoadOrPrint(config.getValue()))
     return kExitBadUse;
   std::cout << config.getValue() << ": settings are good\n";
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -1,4 +1,5 @@
-// Settings of one process, read from TOML into plain aggregates.
+// Settings of one process, read from TOML into plain aggregates. docs/OPERATING.md has every key;
+// it is printed by `monsoonstage check --reference`.
 #pragma once
 
 #include <string>
@@ -7,6 +8,7 @@
 #include "core/errors.h"
 #include "core/model.h"
 #include "core/time.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
@@ -33,10 +35,52 @@
   std::uint16_t mPort = 0;
 };
 
-struct PlatformAddress
+struct PlatformAddress  // the platform's key-value service and VM list
 {
   std::string mHost = "127.0.0.1";
   std::uint16_t mPort = 7000;
+  Duration mCallTimeout = seconds(2);
+  Duration mVmListInterval = seconds(1);
+  std::uint32_t mWritesPerSecond = 50;  // of this process
+  std::uint32_t mReadsPerSecond = 200;  // of this process
+};
+
+struct LeaseSettings
+{
+  Duration mSession = seconds(10);  // lapses when not renewed; a taker waits this long plus mDrift
+  Duration mRenewEvery = seconds(3);
+  Duration mMargin = seconds(1);        // stop acting this long before the lapse
+  Duration mDrift = milliseconds(500);  // clocks of two VMs may differ in rate by this per lease
+  Duration mHeartbeat = milliseconds(250);
+  Duration mSuspectAfter = seconds(2);   // without a heartbeat
+  Duration mConfirmWithin = seconds(5);  // configuration head; else no new work
+};
+
+struct LimitSettings  // HTTP towards callers and operators
+{
+  std::size_t mBody = 1024 * 1024;
+  std::size_t mHeader = 16 * 1024;
+  std::uint32_t mConnections = 4096;
+  Duration mReadTimeout = seconds(10);
+  Duration mIdleTimeout = seconds(60);
+};
+
+struct RequestSettings
+{
+  Duration mTimeout = seconds(30);  // when the caller gives none
+  Duration mCrossZoneAfter = milliseconds(20);
+  std::uint32_t mRetryPercent = 10;  // retries per hundred requests
+  std::uint32_t mQueue = 10'000;     // waiting requests per process
+  std::string mRouting = "late_binding";
+};
+
+struct JobSettings
+{
+  std::uint32_t mShards = 16;  // same in every process of the cell
+  Duration mTaskLease = seconds(30);
+  Duration mHold = seconds(2);
+  Duration mReportInterval = milliseconds(500);
+  Duration mStartWithin = seconds(2);
 };
 
 struct Settings
@@ -45,6 +89,11 @@
   ListenSettings mListen{};
   PlatformAddress mPlatform{};
   std::vector<PeerSettings> mPeers{};
+  LeaseSettings mLease{};
+  LimitSettings mLimits{};
+  RequestSettings mRequests{};
+  JobSettings mJobs{};
+  LogSettings mLog{};
 };
 
 struct SettingsError  // one located mistake
@@ -67,5 +116,7 @@
 [[nodiscard]] SettingsResult LoadSettings(const std::string& aFileName);
 // file:line:column: key: what is wrong, what is allowed
 [[nodiscard]] std::string FormatError(const SettingsError& aError);
+// Every key with default, allowed values and meaning, as Markdown.
+[[nodiscard]] std::string FormatReference();
 
 }  // namespace monsoon
