Give colliding types names of their own

Cause: the settings sections, the store guard and the command backend had types named like those of the request filters, the retry policy and the configuration table: one-definition-rule violations once linked together.

Change: RequestsSection and LimitsSection, ReadRetryBudget, DeclarationChange.

--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -56,7 +56,7 @@
   Duration mConfirmWithin = seconds(5);  // configuration head; else no new work
 };
 
-struct LimitSettings  // HTTP towards callers and operators
+struct LimitsSection  // HTTP towards callers and operators
 {
   std::size_t mBody = 1024 * 1024;
   std::size_t mHeader = 16 * 1024;
@@ -65,7 +65,7 @@
   Duration mIdleTimeout = seconds(60);
 };
 
-struct RequestSettings
+struct RequestsSection
 {
   Duration mTimeout = seconds(30);  // when the caller gives none
   Duration mCrossZoneAfter = milliseconds(20);
@@ -90,8 +90,8 @@
   PlatformAddress mPlatform{};
   std::vector<PeerSettings> mPeers{};
   LeaseSettings mLease{};
-  LimitSettings mLimits{};
-  RequestSettings mRequests{};
+  LimitsSection mLimits{};
+  RequestsSection mRequests{};
   JobSettings mJobs{};
   LogSettings mLog{};
 };
--- a/src/command/backend.h
+++ b/src/command/backend.h
@@ -45,7 +45,7 @@
   JobId mId{};
 };
 
-using ConfigurationChange =
+using DeclarationChange =
   std::variant<PutTeam, PutDrained, PutSetting, PutDeclaredJob, DropDeclaredJob>;
 
 // Rows
@@ -85,7 +85,7 @@
                                   JobSpec aSpec,
                                   JobId aId,
                                   JobChange aChange,
-                                  ConfigurationChange aConfigurationChange,
+                                  DeclarationChange aConfigurationChange,
                                   std::optional<Revision> aExpected,
                                   std::uint32_t aLimit)
 {
--- a/src/platform/store_guard.cpp
+++ b/src/platform/store_guard.cpp
@@ -28,21 +28,21 @@
   mNextTurn = std::max(mNextTurn, aNow - mBurst + mInterval) + mInterval;
 }
 
-// RetryBudget
+// ReadRetryBudget
 
-RetryBudget::RetryBudget(double aPerCall, double aMax)
+ReadRetryBudget::ReadRetryBudget(double aPerCall, double aMax)
   : mPerCall(aPerCall)
   , mMax(aMax)
   , mLeft(aMax)
 {
 }
 
-void RetryBudget::Earn() noexcept
+void ReadRetryBudget::Earn() noexcept
 {
   mLeft = std::min(mLeft + mPerCall, mMax);
 }
 
-bool RetryBudget::Spend() noexcept
+bool ReadRetryBudget::Spend() noexcept
 {
   if (mLeft < 1)
     return false;
--- a/src/platform/store_guard.h
+++ b/src/platform/store_guard.h
@@ -5,7 +5,7 @@
 // Index
 //   Settings
 //   CallPacer     rate bound
-//   RetryBudget   retries in proportion to calls
+//   ReadRetryBudget   retries in proportion to calls
 //   StoreHealth   whether the store answers
 //   GuardedStore
 #pragma once
@@ -52,11 +52,11 @@
   TimePoint mNextTurn{};  // when the bucket would be empty; in the past: saved turns
 };
 
-// RetryBudget: retries can't multiply an outage's load. Not locked.
-class RetryBudget
+// ReadRetryBudget: retries can't multiply an outage's load. Not locked.
+class ReadRetryBudget
 {
 public:
-  RetryBudget(double aPerCall, double aMax);
+  ReadRetryBudget(double aPerCall, double aMax);
   void Earn() noexcept;
   bool Spend() noexcept;  // false: no retry now
 
@@ -105,7 +105,7 @@
   mutable std::mutex mLock{};
   CallPacer mReads;
   CallPacer mWrites;
-  RetryBudget mRetries;
+  ReadRetryBudget mRetries;
   StoreHealth mHealth{};
   StoreCounts mCounts{};
   std::mt19937_64 mRandom;
