Add the job controller with placement, gangs, preemption and takeover

Cause: job shards need to act on their tables: holds, entries, starts, reports. Ruled out: several appends under way per shard (their order of application would be open).

--- a/src/controllers/job_table.h
+++ b/src/controllers/job_table.h
@@ -110,6 +110,7 @@
   // Ends a placement. Tasks that stayed without room wait for a jittered time; a gang's grows.
   void EndPlacing(const PlannedGroup& aGroup, bool aFoundRoom, TimePoint aNow);
   void NoteFleetChanged();  // room may be new: forget back-offs of full fleets
+  void SetReason(const JobId& aJob, std::string aReason);  // why it waits, for people
   [[nodiscard]] std::vector<JobId> ListHeld() const;
   [[nodiscard]] std::vector<PreemptionCandidate> ListPreemptible(const PlanContext& aContext) const;
 
@@ -122,6 +123,7 @@
   [[nodiscard]] bool IsCurrent(const TaskKey& aTask, std::uint32_t aAttempt) const;
   // Attempts of cancelled jobs, of gangs that lost a member, and replaced replicas.
   std::vector<TaskStop> ListStops(TimePoint aNow, std::size_t aLimit);
+  void NoteStopSent(const TaskKey& aTask, TimePoint aAgain);
   // Attempts to ask after, by worker and epoch.
   std::vector<TaskQuery> ListQueries(TimePoint aNow);
   void QueryAllNow();
--- a/src/controllers/job_table_plan.cpp
+++ b/src/controllers/job_table_plan.cpp
@@ -218,6 +218,18 @@
   mBlockedId = job->mSpec.mId;
 }
 
+void JobTable::SetReason(const JobId& aJob, std::string aReason)
+{
+  if (JobRecord* job = FindJob(aJob))
+    job->mReason = std::move(aReason);
+}
+
+void JobTable::NoteStopSent(const TaskKey& aTask, TimePoint aAgain)
+{
+  if (TaskRecord* task = FindTask(aTask))
+    task->mStopAgain = aAgain;
+}
+
 void JobTable::NoteFleetChanged()
 {
   for (const JobId& id : mWaitingJobs) {
--- /dev/null
+++ b/src/controllers/jobs.h
@@ -0,0 +1,154 @@
+// The job shards that this process owns: accepts jobs, places their tasks, follows them to their
+// end. One JobTable and one journal per shard.
+//
+// Everything runs on the one executor that is passed in. A journal entry is written before the act
+// that it permits: an answer to a submission, a start, the confirmation of a report.
+//
+// Index
+//   Requests     of callers and other processes
+//   Events       that wake the shards
+//   Shards       takeover, commits
+//   Placement    offers, holds, starts
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "controllers/job_table.h"
+#include "controllers/jobs_commit.h"
+#include "controllers/supervision_parallel.h"
+#include "controllers/views.h"
+#include "journal/journal_types.h"
+#include "policy/placement.h"
+
+namespace monsoon {
+
+struct JobsSettings
+{
+  ProcessName mSelf{};
+  ZoneName mZone{};
+  std::map<ProcessName, ZoneName> mZones{};  // of all processes of the cell
+  ShardIndex mShards = 8;                    // job shards of the cell
+  Duration mPeerDeadline = seconds(2);
+  Duration mHoldExpiry = seconds(3);       // covers the journal entry and the start
+  Duration mStartWithin = seconds(2);      // the worker refuses a later start
+  Duration mFallback = milliseconds(500);  // rounds without an event
+  std::uint32_t mMaxTasksPerRound = 512;
+  std::uint32_t mMaxPlacements = 64;   // groups under way per shard
+  std::uint32_t mSnapshotEvery = 256;  // journal values
+};
+
+template<JournalLike Journal, PeerCaller Peers, OwnershipView Ownership, ConfigurationView Config>
+class JobsController
+{
+public:
+  using JournalFactory = std::function<std::shared_ptr<Journal>(ShardIndex aShard)>;
+
+  JobsController(asio::any_io_executor aExecutor,
+                 JournalFactory aMakeJournal,
+                 Peers& aPeers,
+                 const Ownership& aOwnership,
+                 const Config& aConfig,
+                 JobsSettings aSettings);
+
+  // Requests
+  Async<Result<PeerReply>> Handle(JobSubmit aRequest);    // JobStatus once it stands; Conflict
+  Async<Result<PeerReply>> Handle(JobCancel aRequest);    // JobStatus
+  Async<Result<PeerReply>> Handle(JobQuery aRequest);     // JobStatus; NotFound
+  Async<Result<PeerReply>> Handle(JobList aRequest);      // JobStatuses
+  Async<Result<PeerReply>> Handle(TaskReports aRequest);  // Done once all of it is journaled
+
+  // Events
+  void Start();
+  void Stop();
+  void Wake();                                           // ownership changed
+  void NoteFleetChanged(std::set<WorkerName> aLeaving);  // VMs came, went or are leaving
+
+private:
+  struct Shard
+  {
+    Shard(const asio::any_io_executor& aExecutor, ShardIndex aIndex)
+      : mIndex(aIndex)
+      , mTable(aIndex + 1)
+      , mTimer(aExecutor)
+    {
+    }
+    ShardIndex mIndex = 0;
+    JobTable mTable;
+    std::shared_ptr<Journal> mJournal{};
+    Epoch mEpoch = 0;
+    bool mReady = false;  // replayed and fenced under mEpoch
+    bool mKicked = false;
+    bool mWriting = false;
+    bool mFleetChanged = false;
+    std::vector<CommitPtr> mQueue{};
+    std::uint32_t mSinceSnapshot = 0;
+    std::uint32_t mPlacements = 0;  // groups under way
+    asio::steady_timer mTimer;
+    std::multimap<JobId, asio::steady_timer*> mWaiters{};
+  };
+  using ShardPtr = std::shared_ptr<Shard>;
+
+  struct HeldRoom
+  {
+    WorkerName mWorker{};
+    ProcessName mOwner{};
+    HoldReply mHold{};
+  };
+
+  // Shards
+  Async<void> RunShard(ShardPtr aShard);
+  Async<bool> TakeOver(ShardPtr aShard, Epoch aEpoch);
+  Async<void> RunRound(ShardPtr aShard);
+  Async<void> SendStops(ShardPtr aShard, std::vector<TaskStop> aStops);
+  Async<void> AskAfter(ShardPtr aShard, std::vector<TaskQuery> aQueries);
+  Async<void> LiftHolds(ShardPtr aShard);
+  Async<Result<void>> ApplyReports(ShardPtr aShard, std::vector<TaskReport> aReports);
+  void Kick(Shard& aShard);
+  void DropShard(Shard& aShard);
+  Result<ShardPtr> FindActing(ShardIndex aShard);
+  Async<Result<PeerReply>> MakeStatus(ShardPtr aShard, JobId aJob);
+  [[nodiscard]] PlanContext MakeContext() const;
+
+  // Commits
+  Async<CommitPtr> Commit(ShardPtr aShard, std::vector<JobEntry> aEntries);
+  Async<void> Write(ShardPtr aShard);
+  Async<void> WriteBatch(ShardPtr aShard);
+  Async<void> WriteSnapshot(ShardPtr aShard);
+  void WakeWaiters(Shard& aShard);
+
+  // Placement
+  Async<void> Place(ShardPtr aShard, PlannedGroup aGroup);
+  Async<bool> PlaceGroup(ShardPtr aShard, PlannedGroup& aGroup);
+  Async<FitReply> CollectOffers(TaskShape aShape, std::uint32_t aCount, bool aEverywhere);
+  Async<FitReply> AskOwners(std::vector<ProcessName> aOwners,
+                            TaskShape aShape,
+                            std::uint32_t aCount);
+  Async<std::vector<HeldRoom>> HoldAll(const PlannedGroup& aGroup, std::vector<Offer> aChosen);
+  Async<std::vector<HeldRoom>> HoldGang(const PlannedGroup& aGroup, std::vector<Offer> aChosen);
+  Async<void> ReleaseAll(std::vector<HeldRoom> aHeld);
+  Async<void> StartAll(ShardPtr aShard,
+                       const PlannedGroup& aGroup,
+                       std::vector<HeldRoom> aHeld,
+                       CommitPtr aCommit);
+  Async<bool> ExplainNoRoom(ShardPtr aShard, const PlannedGroup& aGroup, const FitReply& aReply);
+  Async<void> Preempt(ShardPtr aShard, const PlannedGroup& aGroup);
+  [[nodiscard]] HoldRequest MakeHold(const PlannedGroup& aGroup, const GangStep& aStep) const;
+  [[nodiscard]] ProcessName FindOwner(const WorkerName& aWorker) const;
+  [[nodiscard]] bool IsActing(const Shard& aShard, Epoch aEpoch) const;
+
+  asio::any_io_executor mExecutor;
+  JournalFactory mMakeJournal;
+  Peers& mPeers;
+  const Ownership& mOwnership;
+  const Config& mConfig;
+  JobsSettings mSettings{};
+  std::vector<ShardPtr> mShards{};
+  std::set<WorkerName> mLeaving{};
+  bool mStopped = false;
+};
+
+}  // namespace monsoon
+
+#include "controllers/jobs_impl.h"
+#include "controllers/jobs_place_impl.h"
--- /dev/null
+++ b/src/controllers/jobs_place_impl.h
@@ -0,0 +1,304 @@
+// Bodies of JobsController: placement. Included by controllers/jobs.h only.
+#pragma once
+
+namespace monsoon {
+
+inline constexpr Duration kPreemptAfter = seconds(1);  // waited without room
+inline constexpr Duration kPreemptAgain = seconds(5);  // before the same task is asked again
+
+MONSOON_JOBS_TEMPLATE
+ProcessName MONSOON_JOBS::FindOwner(const WorkerName& aWorker) const
+{
+  const auto owner = mOwnership.FindWorkerOwner(aWorker);
+  return owner ? owner->mProcess : ProcessName();
+}
+
+MONSOON_JOBS_TEMPLATE
+Async<void> MONSOON_JOBS::Place(ShardPtr aShard, PlannedGroup aGroup)
+{
+  const Epoch epoch = aShard->mEpoch;
+  const bool found = co_await PlaceGroup(aShard, aGroup);
+  --aShard->mPlacements;
+  if (aShard->mReady && aShard->mEpoch == epoch)
+    aShard->mTable.EndPlacing(aGroup, found, BootClock::now());
+  if (found)
+    Kick(*aShard);
+}
+
+MONSOON_JOBS_TEMPLATE
+Async<bool> MONSOON_JOBS::PlaceGroup(ShardPtr aShard, PlannedGroup& aGroup)
+{
+  const Epoch epoch = aShard->mEpoch;
+  const auto count = static_cast<std::uint32_t>(aGroup.mTasks.size());
+  const TaskShape& shape = aGroup.mShape;
+  const bool everywhere = aGroup.mAllOrNone || shape.mSpreadZones || shape.mSpreadRacks;
+  FitReply fit = co_await CollectOffers(shape, count, everywhere);
+  // Avoiding workers is a wish, not a condition, unless they are leaving.
+  if (fit.mOffers.empty() && fit.mExcluded > 0 && !shape.mAvoid.empty() && !aGroup.mReplaces) {
+    aGroup.mShape.mAvoid.clear();
+    fit = co_await CollectOffers(shape, count, true);
+  }
+  // A corrected size that fits no VM is wrong: the job ran somewhere when it was measured.
+  const bool corrected = shape.mNeed != aGroup.mDeclared;
+  if (fit.mOffers.empty() && fit.mFullNow + fit.mExcluded == 0 && corrected) {
+    aGroup.mShape.mNeed = aGroup.mDeclared;
+    fit = co_await CollectOffers(shape, count, true);
+  }
+  if (!IsActing(*aShard, epoch))
+    co_return false;
+  std::vector<Offer> chosen = ChooseOffers(fit.mOffers, shape, count);
+  std::vector<HeldRoom> held;
+  if (aGroup.mAllOrNone)
+    held = co_await HoldGang(aGroup, std::move(chosen));
+  else
+    held = co_await HoldAll(aGroup, std::move(chosen));
+  if (!IsActing(*aShard, epoch)) {
+    co_await ReleaseAll(std::move(held));
+    co_return false;
+  }
+  if (held.empty()) {
+    co_await ExplainNoRoom(aShard, aGroup, fit);
+    co_return false;
+  }
+
+  std::vector<JobEntry> entries;
+  const JobRecord* job = aShard->mTable.Find(shape.mJob);
+  for (const HeldRoom& room : held)
+    for (const TaskKey& task : room.mHold.mTasks) {
+      TaskAssigned assigned{ task, 0, room.mWorker, room.mHold.mEpoch, shape.mNeed };
+      assigned.mReplaces = aGroup.mReplaces;
+      assigned.mAttempt = job ? job->mTasks[task.mIndex].mLastAttempt + 1 : 1;
+      entries.emplace_back(std::move(assigned));
+    }
+  const CommitPtr commit = co_await Commit(aShard, std::move(entries));
+  if (commit->mFailure || !IsActing(*aShard, epoch)) {
+    co_await ReleaseAll(std::move(held));
+    co_return false;
+  }
+  co_await StartAll(aShard, aGroup, std::move(held), commit);
+  co_return true;
+}
+
+// Offers
+MONSOON_JOBS_TEMPLATE
+Async<FitReply> MONSOON_JOBS::AskOwners(std::vector<ProcessName> aOwners,
+                                        TaskShape aShape,
+                                        std::uint32_t aCount)
+{
+  std::vector<PeerCall> calls;
+  for (ProcessName& it : aOwners)
+    calls.push_back({ std::move(it), FitQuery{ aShape, aCount } });
+  const auto replies = co_await CallAll(mPeers, std::move(calls), mSettings.mPeerDeadline);
+  FitReply sum;
+  for (const auto& reply : replies) {
+    // An owner that does not answer may have room: nobody may conclude that nothing ever fits.
+    if (!reply || !std::holds_alternative<FitReply>(*reply)) {
+      ++sum.mExcluded;
+      continue;
+    }
+    const FitReply& fit = std::get<FitReply>(*reply);
+    sum.mOffers.insert(sum.mOffers.end(), fit.mOffers.begin(), fit.mOffers.end());
+    sum.mNeverFits += fit.mNeverFits;
+    sum.mFullNow += fit.mFullNow;
+    sum.mExcluded += fit.mExcluded;
+  }
+  co_return sum;
+}
+
+// The own zone first: traffic between zones is paid for.
+MONSOON_JOBS_TEMPLATE
+Async<FitReply> MONSOON_JOBS::CollectOffers(TaskShape aShape,
+                                            std::uint32_t aCount,
+                                            bool aEverywhere)
+{
+  std::vector<ProcessName> near;
+  std::vector<ProcessName> far;
+  for (const ProcessName& it : mOwnership.ListOwners()) {
+    auto zone = mSettings.mZones.find(it);
+    const bool isNear =
+      it == mSettings.mSelf || (zone != mSettings.mZones.end() && zone->second == mSettings.mZone);
+    (aEverywhere || isNear ? near : far).push_back(it);
+  }
+  FitReply fit = co_await AskOwners(std::move(near), aShape, aCount);
+  std::uint32_t n = 0;
+  for (const Offer& it : fit.mOffers)
+    n += it.mCount;
+  if (n >= aCount || far.empty())
+    co_return fit;
+  FitReply more = co_await AskOwners(std::move(far), aShape, aCount);
+  fit.mOffers.insert(fit.mOffers.end(), more.mOffers.begin(), more.mOffers.end());
+  fit.mNeverFits += more.mNeverFits;
+  fit.mFullNow += more.mFullNow;
+  fit.mExcluded += more.mExcluded;
+  co_return fit;
+}
+
+// Holds
+MONSOON_JOBS_TEMPLATE
+HoldRequest MONSOON_JOBS::MakeHold(const PlannedGroup& aGroup, const GangStep& aStep) const
+{
+  HoldRequest request;
+  request.mShape = aGroup.mShape;
+  request.mWorker = aStep.mWorker;
+  for (const std::uint32_t index : aStep.mTasks)
+    request.mTasks.push_back({ aGroup.mShape.mJob, index });
+  request.mExpiry =
+    aGroup.mAllOrNone ? kGangHoldExpiry + mSettings.mHoldExpiry : mSettings.mHoldExpiry;
+  return request;
+}
+
+MONSOON_JOBS_TEMPLATE
+auto MONSOON_JOBS::HoldAll(const PlannedGroup& aGroup, std::vector<Offer> aChosen)
+  -> Async<std::vector<HeldRoom>>
+{
+  std::vector<PeerCall> calls;
+  std::vector<HeldRoom> rooms;
+  std::size_t next = 0;
+  for (const Offer& offer : aChosen) {
+    GangStep step{ offer.mWorker, {} };
+    for (; step.mTasks.size() < offer.mCount && next < aGroup.mTasks.size(); ++next)
+      step.mTasks.push_back(aGroup.mTasks[next]);
+    rooms.push_back({ offer.mWorker, FindOwner(offer.mWorker), {} });
+    calls.push_back({ rooms.back().mOwner, MakeHold(aGroup, step) });
+  }
+  auto replies = co_await CallAll(mPeers, std::move(calls), mSettings.mPeerDeadline);
+  std::vector<HeldRoom> held;
+  for (std::size_t i = 0; i < replies.size(); ++i) {
+    if (!replies[i] || !std::holds_alternative<HoldReply>(*replies[i]))
+      continue;
+    rooms[i].mHold = std::move(std::get<HoldReply>(*replies[i]));
+    if (!rooms[i].mHold.mTasks.empty())
+      held.push_back(std::move(rooms[i]));
+  }
+  co_return held;
+}
+
+// One after the other in the global order of workers. A gang that meets another frees what it has
+// at once and comes back after a jittered delay, so no partial holds outlive the try.
+MONSOON_JOBS_TEMPLATE
+auto MONSOON_JOBS::HoldGang(const PlannedGroup& aGroup, std::vector<Offer> aChosen)
+  -> Async<std::vector<HeldRoom>>
+{
+  std::vector<HeldRoom> held;
+  for (const GangStep& step : PlanGang(aChosen, aGroup.mTasks)) {
+    HeldRoom room{ step.mWorker, FindOwner(step.mWorker), {} };
+    HoldRequest request = MakeHold(aGroup, step);
+    auto reply = co_await mPeers.Call(room.mOwner, std::move(request), mSettings.mPeerDeadline);
+    const bool got = reply.has_value() && std::holds_alternative<HoldReply>(*reply);
+    if (got) {
+      room.mHold = std::move(std::get<HoldReply>(*reply));
+      held.push_back(std::move(room));
+    }
+    if (got && held.back().mHold.mTasks.size() == step.mTasks.size())
+      continue;
+    co_await ReleaseAll(std::move(held));
+    co_return std::vector<HeldRoom>();
+  }
+  co_return held;
+}
+
+MONSOON_JOBS_TEMPLATE
+Async<void> MONSOON_JOBS::ReleaseAll(std::vector<HeldRoom> aHeld)
+{
+  std::vector<PeerCall> calls;
+  for (const HeldRoom& it : aHeld)
+    calls.push_back({ it.mOwner, HoldRelease{ it.mHold.mId, it.mWorker, it.mHold.mEpoch } });
+  co_await CallAll(mPeers, std::move(calls), mSettings.mPeerDeadline);
+}
+
+// Starts
+MONSOON_JOBS_TEMPLATE
+Async<void> MONSOON_JOBS::StartAll(ShardPtr aShard,
+                                   const PlannedGroup& aGroup,
+                                   std::vector<HeldRoom> aHeld,
+                                   CommitPtr aCommit)
+{
+  const Epoch epoch = aShard->mEpoch;
+  const JobRecord* job = aShard->mTable.Find(aGroup.mShape.mJob);
+  std::vector<PeerCall> calls;
+  std::vector<TaskReport> reports;
+  std::vector<HeldRoom> unused;
+  std::size_t entry = 0;
+  for (const HeldRoom& room : aHeld) {
+    const std::size_t before = calls.size();
+    for (const TaskKey& task : room.mHold.mTasks) {
+      const auto& assigned = std::get<TaskAssigned>(aCommit->mEntries[entry]);
+      const bool stands = aCommit->mEffects[entry++].has_value();
+      // A cancellation stood before it in the journal, or came since: don't start.
+      if (!stands || !job || job->mCancelled)
+        continue;
+      TaskStart start;
+      start.mHold = room.mHold.mId;
+      start.mEpoch = room.mHold.mEpoch;
+      start.mWorker = room.mWorker;
+      start.mTask = task;
+      start.mAttempt = assigned.mAttempt;
+      start.mKind = aGroup.mShape.mKind;
+      start.mNeed = aGroup.mShape.mNeed;
+      start.mExpectedRun = aGroup.mExpectedRun;
+      start.mStartWithin = mSettings.mStartWithin;
+      start.mPayload = job->mSpec.mPayload;
+      calls.push_back({ room.mOwner, std::move(start) });
+      reports.push_back({ task, assigned.mAttempt, room.mWorker });
+    }
+    if (calls.size() == before)
+      unused.push_back(room);
+  }
+  co_await ReleaseAll(std::move(unused));
+  const auto replies = co_await CallAll(mPeers, std::move(calls), mSettings.mPeerDeadline);
+  std::vector<TaskReport> known;
+  for (std::size_t i = 0; i < replies.size(); ++i) {
+    // Whatever is in doubt is asked after later.
+    if (!replies[i] && !SurelyNotRun(replies[i].error().mKind))
+      continue;
+    reports[i].mEnd = replies[i] ? TaskEnd::Running : TaskEnd::NeverStarted;
+    known.push_back(std::move(reports[i]));
+  }
+  if (!known.empty() && IsActing(*aShard, epoch))
+    co_await ApplyReports(aShard, std::move(known));
+}
+
+// No room
+MONSOON_JOBS_TEMPLATE
+Async<bool> MONSOON_JOBS::ExplainNoRoom(ShardPtr aShard,
+                                        const PlannedGroup& aGroup,
+                                        const FitReply& aReply)
+{
+  const std::string reason = DescribeNoRoom(aReply);
+  aShard->mTable.SetReason(aGroup.mShape.mJob, reason);
+  const bool never =
+    aReply.mOffers.empty() && aReply.mNeverFits > 0 && aReply.mFullNow + aReply.mExcluded == 0;
+  if (never && !aGroup.mReplaces) {
+    std::vector<JobEntry> entries;
+    entries.emplace_back(
+      JobHeld{ aGroup.mShape.mJob, true, "no VM that exists could run it: " + reason });
+    co_await Commit(aShard, std::move(entries));
+    co_return true;
+  }
+  const bool urgent = aGroup.mShape.mPriority == Priority::Urgent;
+  if ((urgent || aGroup.mGuaranteed) && aGroup.mWaited >= kPreemptAfter)
+    co_await Preempt(aShard, aGroup);
+  co_return false;
+}
+
+MONSOON_JOBS_TEMPLATE
+Async<void> MONSOON_JOBS::Preempt(ShardPtr aShard, const PlannedGroup& aGroup)
+{
+  const PlanContext context = MakeContext();
+  const auto running = aShard->mTable.ListPreemptible(context);
+  // Below its own class only for urgent work; a team's guarantee reclaims what others borrowed.
+  const Priority priority =
+    aGroup.mShape.mPriority == Priority::Urgent ? Priority::Urgent : Priority::Low;
+  std::vector<TaskStop> stops;
+  for (const auto& it : ChooseVictims(running, aGroup.mShape.mNeed, priority, aGroup.mGuaranteed)) {
+    aShard->mTable.NoteStopSent(it.mTask, context.mNow + kPreemptAgain);
+    stops.push_back({ it.mWorker, it.mTask, it.mAttempt, TaskStopMode::Checkpoint });
+  }
+  if (!stops.empty())
+    co_await SendStops(aShard, std::move(stops));
+}
+
+}  // namespace monsoon
+
+#undef MONSOON_JOBS
+#undef MONSOON_JOBS_TEMPLATE
--- a/src/controllers/supervision_impl.h
+++ b/src/controllers/supervision_impl.h
@@ -229,6 +229,10 @@
 template<WorkerClient Client, PeerCaller Peers, OwnershipView Ownership, CapacityAccess Capacity>
 Async<void> Supervision<Client, Peers, Ownership, Capacity>::Report(WatchedPtr aWatched)
 {
+  if (!aWatched->mState) {
+    aWatched->mReporting = false;
+    co_return;
+  }
   std::map<ProcessName, std::map<ShardIndex, TaskReports>> byShard;
   for (const TaskReport& it : aWatched->mState->ListReports(aWatched->mSpec.mName)) {
     const ShardIndex shard = ComputeShard(it.mTask.mJob, mSettings.mShards);
@@ -369,7 +373,8 @@
     co_await mClient.Start(spec, aStart, *before, mSettings.mLease, mSettings.mCallDeadline);
 
   if (watched->mState && watched->mState->GetEpoch() == epoch) {
-    watched->mState->EndStart(attempt, done ? nullptr : &done.error(), BootClock::now());
+    const Failure failure = done ? Failure{} : done.error();
+    watched->mState->EndStart(attempt, done ? nullptr : &failure, BootClock::now());
     if (!watched->mState->GetTasks().contains(attempt))
       mCapacity.With(aStart.mWorker, [&](auto& aBook) {
         aBook.EndTask(aStart.mWorker, attempt.first, attempt.second);
