--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -40,13 +40,19 @@
 {
   ProcessName mName{};
   std::uint64_t mIncarnation = 0;  // grows with every start, and when a suspicion is refuted
+  std::uint64_t mCount = 0;        // latest heartbeat known of that incarnation
   MemberState mState = MemberState::Alive;
+  std::uint64_t mSession = 0;  // incarnation of its session lease; 0: none
+  bool mReady = true;
+  bool mStoreReachable = true;
+  std::uint32_t mFreeSlots = 0;
 };
 
 struct JournalHead  // how far a process has applied a journal
 {
   std::string mJournal{};
   Sequence mHead = 0;
+  Duration mAge{};  // since the store confirmed that this is the head
 };
 
 struct Heartbeat
@@ -55,7 +61,8 @@
   ProcessName mFrom{};
   ZoneName mZone{};
   std::uint64_t mIncarnation = 0;
-  std::uint64_t mCount = 0;              // grows by one with each heartbeat of an incarnation
+  std::uint64_t mCount = 0;              // grows by one with each round of heartbeats
+  std::uint64_t mSession = 0;            // incarnation of the sender's session lease; 0: none
   bool mLeaving = false;                 // planned stop announced
   bool mReady = true;                    // takes new work
   bool mStoreReachable = true;           // the sender's view of the platform's store
@@ -88,11 +95,12 @@
 
 enum class GrantEnd : std::uint8_t
 {
-  Unused,
-  Answered,
-  Refused,
-  Broken,
-  Unknown
+  Unused,    // nothing was sent
+  Answered,  // a whole answer came
+  Refused,   // explicitly, or no byte could be written: it did not run
+  Broken,    // bytes were written and the connection broke
+  Unknown,   // bytes were written and time ran out
+  Failed     // a whole answer came, and it was a server error
 };
 
 struct GrantReturn  // ends a grant; also tells the owner how the endpoint behaved
@@ -276,6 +284,7 @@
   std::string mKey{};
   RequestId mRequest{};
   ProcessName mEntry{};
+  Duration mTimeout{};  // until the caller's deadline; in flight no longer than this plus a lease
 };
 
 enum class KeyState : std::uint8_t
