Run the process on the real parts: leases, ownership, books, job shards, keys

Change: ControlPlane wires session, membership, ownership, configuration, VM list and planned stop; WorkPlane wires books, grants, supervision, job shards and keys; the node keeps lifecycle and HTTP routes. Waiting coroutines are destroyed before the parts they refer to.

--- /dev/null
+++ b/src/app/job_calls.cpp
@@ -0,0 +1,56 @@
+#include "app/job_calls.h"
+
+namespace monsoon {
+
+namespace {
+
+constexpr Duration kFirstPause = milliseconds(10);
+constexpr Duration kLongestPause = milliseconds(250);
+constexpr Duration kTryFor = seconds(5);  // one call; longer waits are repeated
+
+bool IsWorthRepeating(FailureKind aKind)
+{
+  switch (aKind) {
+    case FailureKind::NotOwner:
+    case FailureKind::NotReady:
+    case FailureKind::Fenced:
+    case FailureKind::PeerUnreachable:
+    case FailureKind::PeerUnknown:
+    case FailureKind::Timeout:
+    case FailureKind::StoreUnavailable:
+    case FailureKind::WriteUnknown:
+    case FailureKind::BudgetExhausted:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+Async<Result<PeerReply>> CallShardOwner(PeerLink& aLink,
+                                        const ControlPlane& aControl,
+                                        ShardIndex aShard,
+                                        PeerRequest aRequest,
+                                        Duration aDeadline)
+{
+  const TimePoint until = BootClock::now() + aDeadline;
+  Duration pause = kFirstPause;
+  Failure last = MakeFailure(FailureKind::NotReady, "the job shard has no owner");
+  while (true) {
+    const Duration left = until - BootClock::now();
+    if (left <= Duration::zero())
+      co_return last;
+    const auto owner = aControl.FindShardOwner(aShard);
+    if (owner) {
+      auto reply = co_await aLink.Call(owner->mProcess, aRequest, std::min(left, kTryFor));
+      if (reply || !IsWorthRepeating(reply.error().mKind))
+        co_return reply;
+      last = reply.error();
+    }
+    co_await Sleep(std::min(pause, left));
+    pause = std::min(pause * 2, kLongestPause);
+  }
+}
+
+}  // namespace monsoon
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -1,316 +1,167 @@
 #include "app/node.h"
 
-#include <boost/functional/hash.hpp>
+#include <boost/asio/use_future.hpp>
 
-#include <algorithm>
-#include <map>
-#include <mutex>
-#include <thread>
-
-#include "core/json.h"
-#include "http/client.h"
-#include "http/server.h"
-#include "peer/link.h"
-#include "platform/http_store.h"
-#include "worker/http_worker.h"
+#include "app/node_state.h"
 
 namespace monsoon {
 
-namespace json = boost::json;
-
 namespace {
 
-constexpr Duration kVmListInterval = seconds(1);
-constexpr Duration kTaskPollInterval = milliseconds(50);
-constexpr Duration kTaskLease = seconds(30);
-constexpr Duration kPeerDeadline = seconds(2);
-
-}  // namespace
-
-struct Node::State
-{
-  explicit State(Settings aSettings)
-    : mSettings(std::move(aSettings))
-    , mStore(mClient, { { mSettings.mPlatform.mHost, mSettings.mPlatform.mPort } })
-    , mWorkerClient(mClient)
-  {
-  }
-
-  Settings mSettings;
-  std::vector<std::unique_ptr<asio::io_context>> mContexts{};
-  std::vector<std::thread> mThreads{};
-  std::atomic<bool> mStopping = false;
-  HttpClient mClient{};
-  HttpStore mStore;
-  HttpWorker mWorkerClient;
-  std::unique_ptr<HttpServer> mServer{};
-  std::unique_ptr<PeerLink> mLink{};
-  std::uint16_t mHttpPort = 0;
-  std::atomic<std::uint64_t> mNextId = 1;
-
-  std::mutex mLock{};
-  std::map<WorkerName, WorkerSpec> mWorkers{};
-  std::map<WorkerName, Resources> mUsed{};
-  std::map<GrantId, std::pair<WorkerName, Resources>> mGrants{};
-  std::map<JobId, JobStatus> mJobs{};
-
-  ProcessName FindOwner(const WorkerName& aWorker) const;
-  Result<Grant> Take(const Resources& aNeed, const WorkerName& aOnly);
-  void GiveBack(GrantId aId);
-  std::string MakeId(std::string_view aPrefix);
+constexpr Duration kSettleFor =
+  milliseconds(100);  // for messages on their way, at the end of a planned stop
 
-  Async<void> FollowVms();
-  Async<Result<PeerReply>> OnPeer(ProcessName aFrom, PeerRequest aRequest);
-  Async<Result<PeerReply>> StartTask(TaskStart aStart);
-  Async<void> Supervise(WorkerSpec aWorker, TaskStart aStart, GrantId aGrant);
-  Async<HttpResponse> OnHttp(HttpRequest aRequest);
-  Async<HttpResponse> RunRequest(HttpRequest aRequest);
-  Async<HttpResponse> SubmitJob(HttpRequest aRequest);
-  HttpResponse ShowJob(const JobId& aId);
-  Async<void> RunTask(JobSpec aSpec, std::uint32_t aIndex);
-};
-
-// Rendezvous hashing over the processes of the settings.
-ProcessName Node::State::FindOwner(const WorkerName& aWorker) const
-{
-  std::pair<std::size_t, ProcessName> best;
-  const auto consider = [&](const ProcessName& aName) {
-    std::size_t hash = 0;
-    boost::hash_combine(hash, aName);
-    boost::hash_combine(hash, aWorker);
-    best = std::max(best, { hash, aName });
-  };
-  consider(mSettings.mProcess.mName);
-  for (const PeerSettings& peer : mSettings.mPeers)
-    consider(peer.mName);
-  return best.second;
-}
-
-std::string Node::State::MakeId(std::string_view aPrefix)
+GuardSettings MakeGuardSettings(const Settings& aSettings)
 {
-  return std::string(aPrefix) + "-" + mSettings.mProcess.mName + "-" + std::to_string(mNextId++);
+  GuardSettings guard;
+  guard.mReadsPerSecond = aSettings.mPlatform.mReadsPerSecond;
+  guard.mWritesPerSecond = aSettings.mPlatform.mWritesPerSecond;
+  guard.mSeed = static_cast<std::uint64_t>(BootClock::now().time_since_epoch().count());
+  return guard;
 }
 
-Result<Grant> Node::State::Take(const Resources& aNeed, const WorkerName& aOnly)
+PlatformSettings MakePlatformSettings(const Settings& aSettings)
 {
-  std::lock_guard lock(mLock);
-  for (const auto& [name, worker] : mWorkers) {
-    if (!aOnly.empty() && name != aOnly)
-      continue;
-    if (FindOwner(name) != mSettings.mProcess.mName)
-      continue;
-    Resources& used = mUsed[name];
-    if (!Fits(aNeed, Subtract(worker.mCapacity, used)))
-      continue;
-    used = Add(used, aNeed);
-    Grant grant{
-      .mId = mNextId++, .mWorker = worker, .mOwner = mSettings.mProcess.mName, .mEpoch = 1
-    };
-    mGrants[grant.mId] = { name, aNeed };
-    return grant;
-  }
-  return MakeFailure(FailureKind::CapacityFull, "no worker has room");
+  PlatformSettings platform;
+  platform.mAddress = { aSettings.mPlatform.mHost, aSettings.mPlatform.mPort };
+  platform.mCallTimeout = aSettings.mPlatform.mCallTimeout;
+  return platform;
 }
 
-void Node::State::GiveBack(GrantId aId)
+RequestSettings MakeRequestSettings(const Settings& aSettings)
 {
-  std::lock_guard lock(mLock);
-  auto it = mGrants.find(aId);
-  if (it == mGrants.end())
-    return;
-  Resources& used = mUsed[it->second.first];
-  used = Subtract(used, it->second.second);
-  mGrants.erase(it);
+  RequestSettings requests;
+  requests.mSelf = aSettings.mProcess.mName;
+  requests.mZone = aSettings.mProcess.mZone;
+  requests.mJobShards = aSettings.mJobs.mShards;
+  requests.mRouting.mRouting =
+    ParseRouting(aSettings.mRequests.mRouting).value_or(Routing::LateBinding);
+  return requests;
 }
 
-Async<void> Node::State::FollowVms()
+std::vector<PeerAddress> MakePeerAddresses(const Settings& aSettings)
 {
-  while (!mStopping) {
-    auto workers = co_await mStore.ListWorkers();
-    if (workers) {
-      std::lock_guard lock(mLock);
-      mWorkers.clear();
-      for (const WorkerSpec& worker : *workers)
-        mWorkers[worker.mName] = worker;
-    }
-    co_await Sleep(kVmListInterval);
-  }
+  std::vector<PeerAddress> peers;
+  for (const PeerSettings& it : aSettings.mPeers)
+    peers.push_back({ it.mName, it.mZone, it.mHost, it.mPort });
+  return peers;
 }
 
-Async<void> Node::State::Supervise(WorkerSpec aWorker, TaskStart aStart, GrantId aGrant)
-{
-  TaskEnd end = TaskEnd::Running;
-  const std::pair<TaskKey, std::uint32_t> attempt{ aStart.mTask, aStart.mAttempt };
-  while (end == TaskEnd::Running && !mStopping) {
-    co_await Sleep(kTaskPollInterval);
-    LeaseRenewal renewal{ .mEpoch = 1, .mLease = kTaskLease };
-    renewal.mRenew.push_back(attempt);
-    auto inventory = co_await mWorkerClient.Renew(aWorker, renewal, kPeerDeadline);
-    if (!inventory)
-      continue;
-    for (const WorkerTask& task : inventory->mTasks)
-      if (task.mTask == aStart.mTask && task.mAttempt == aStart.mAttempt)
-        end = task.mEnd;
-  }
-  LeaseRenewal acknowledgement{ .mEpoch = 1, .mLease = kTaskLease };
-  acknowledgement.mAcknowledge.push_back(attempt);
-  co_await mWorkerClient.Renew(aWorker, acknowledgement, kPeerDeadline);
-  GiveBack(aGrant);
-  std::lock_guard lock(mLock);
-  auto it = mJobs.find(aStart.mTask.mJob);
-  if (it == mJobs.end())
-    co_return;
-  it->second.mTasks[aStart.mTask.mIndex].mState =
-    end == TaskEnd::Succeeded ? TaskState::Succeeded : TaskState::Failed;
-}
+}  // namespace
 
-Async<Result<PeerReply>> Node::State::StartTask(TaskStart aStart)
+Node::State::State(Settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mRequestSettings(MakeRequestSettings(mSettings))
+  , mHttpStore(mClient, MakePlatformSettings(mSettings))
+  , mStore(mHttpStore, MakeGuardSettings(mSettings))
+  , mWorkers(mClient)
+  , mShared(mRequestSettings)
+  , mStart(static_cast<std::uint64_t>(ReadWallMillis()))
 {
-  auto grant = Take(aStart.mNeed, aStart.mWorker);
-  if (!grant)
-    co_return grant.error();
-  auto started = co_await mWorkerClient.Start(grant->mWorker, aStart, 0, kTaskLease, kPeerDeadline);
-  if (!started) {
-    GiveBack(grant->mId);
-    co_return started.error();
-  }
-  co_return *grant;
 }
 
 Async<Result<PeerReply>> Node::State::OnPeer(ProcessName, PeerRequest aRequest)
 {
-  if (std::holds_alternative<GrantRequest>(aRequest)) {
-    auto grant = Take(Resources{ .mSlots = 1 }, "");
-    if (!grant)
-      co_return grant.error();
-    co_return *grant;
-  }
-  if (auto* end = std::get_if<GrantReturn>(&aRequest)) {
-    GiveBack(end->mId);
-    co_return Done{};
-  }
-  if (auto* start = std::get_if<TaskStart>(&aRequest))
-    co_return co_await StartTask(*start);
-  co_return MakeFailure(FailureKind::BadInput, "unknown peer request");
+  if (const auto* fetch = std::get_if<JournalFetch>(&aRequest))
+    co_return mControl->OnFetch(*fetch);
+  if (const auto* promise = std::get_if<OutagePromiseRequest>(&aRequest))
+    co_return mControl->OnPromiseRequest(*promise);
+  co_return co_await mWork->Handle(std::move(aRequest));
 }
 
-Async<HttpResponse> Node::State::RunRequest(HttpRequest aRequest)
+Result<void> Node::State::Start()
 {
-  RequestSpec spec;
-  spec.mId = std::string(aRequest["Request-Id"]);
-  if (spec.mId.empty())
-    spec.mId = MakeId("request");
-  spec.mBody = std::move(aRequest.body());
-  std::vector<ProcessName> owners{ mSettings.mProcess.mName };
-  for (const PeerSettings& peer : mSettings.mPeers)
-    owners.push_back(peer.mName);
+  for (std::uint32_t i = 0; i < mSettings.mProcess.mThreads; ++i)
+    mContexts.push_back(std::make_unique<NodeContext>());
+  asio::io_context& first = *mContexts.front();
 
-  const TimePoint deadline = BootClock::now() + spec.mTimeout;
-  while (BootClock::now() < deadline) {
-    for (const ProcessName& owner : owners) {
-      GrantRequest want{ .mRequest = spec.mId };
-      auto reply = co_await mLink->Call(owner, want, kPeerDeadline);
-      if (!reply)
-        continue;
-      const Grant grant = std::get<Grant>(*reply);
-      auto answer =
-        co_await mWorkerClient.Run(grant.mWorker, spec, grant, deadline - BootClock::now());
-      GrantReturn end{ .mId = grant.mId, .mWorker = grant.mWorker.mName };
-      co_await mLink->Call(owner, end, kPeerDeadline);
-      if (!answer)
-        co_return MakeProblem(GetStatus(answer.error().mKind), Outcome::Unknown, answer.error());
-      co_return MakeJsonResponse(http::int_to_status(answer->mStatus), std::move(answer->mBody));
-    }
-    co_await Sleep(milliseconds(5));
-  }
-  co_return MakeProblem(http::status::service_unavailable,
-                        Outcome::NotRun,
-                        MakeFailure(FailureKind::CapacityFull, "no slot before the deadline"));
-}
+  const ProcessSettings& process = mSettings.mProcess;
+  mLink =
+    std::make_unique<PeerLink>(first, process.mName, process.mZone, MakePeerAddresses(mSettings));
+  mControl = std::make_unique<ControlPlane>(first, mSettings, mStore, *mLink);
+  mWork = std::make_unique<WorkPlane>(first, mSettings, mStore, *mLink, mWorkers, *mControl);
+  mLink->SetRequestHandler([this](ProcessName aFrom, PeerRequest aRequest) {
+    return OnPeer(std::move(aFrom), std::move(aRequest));
+  });
+  mLink->SetHeartbeatHandler(
+    [this](const Heartbeat& aHeartbeat) { mControl->OnHeartbeat(aHeartbeat); });
+  auto peerPort = mLink->Listen(mSettings.mListen.mPeerHost, mSettings.mListen.mPeerPort);
+  if (!peerPort)
+    return peerPort.error();
 
-Async<void> Node::State::RunTask(JobSpec aSpec, std::uint32_t aIndex)
-{
-  while (!mStopping) {
-    std::vector<WorkerSpec> workers;
-    {
-      std::lock_guard lock(mLock);
-      for (const auto& [name, worker] : mWorkers)
-        workers.push_back(worker);
-    }
-    for (const WorkerSpec& worker : workers) {
-      TaskStart start;
-      start.mWorker = worker.mName;
-      start.mTask = { aSpec.mId, aIndex };
-      start.mAttempt = 1;
-      start.mEpoch = 1;
-      start.mKind = aSpec.mKind;
-      start.mNeed = aSpec.mShape;
-      start.mPayload = aSpec.mPayload;
-      auto reply = co_await mLink->Call(FindOwner(worker.mName), start, kPeerDeadline);
-      if (!reply)
-        continue;
-      co_await Supervise(worker, start, 0);
-      GrantReturn end{ .mId = std::get<Grant>(*reply).mId };
-      co_await mLink->Call(FindOwner(worker.mName), end, kPeerDeadline);
-      co_return;
-    }
-    co_await Sleep(milliseconds(20));
-  }
-}
+  HttpLimits limits;
+  limits.mMaxBodyBytes = mSettings.mLimits.mBody;
+  limits.mMaxHeaderBytes = static_cast<std::uint32_t>(mSettings.mLimits.mHeader);
+  limits.mMaxConnections = mSettings.mLimits.mConnections;
+  limits.mReadTimeout = mSettings.mLimits.mReadTimeout;
+  limits.mIdleTimeout = mSettings.mLimits.mIdleTimeout;
+  mServer =
+    std::make_unique<HttpServer>(limits, [this](HttpRequest aRequest, std::string aPeerAddress) {
+      return OnHttp(std::move(aRequest), std::move(aPeerAddress));
+    });
+  std::vector<asio::io_context*> contexts;
+  for (const auto& context : mContexts)
+    contexts.push_back(context.get());
+  auto port = mServer->Listen(mSettings.mListen.mHttpHost, mSettings.mListen.mHttpPort, contexts);
+  if (!port)
+    return port.error();
+  mHttpPort = *port;
 
-Async<HttpResponse> Node::State::SubmitJob(HttpRequest aRequest)
-{
-  auto body = ParseJson(aRequest.body());
-  if (!body)
-    co_return MakeProblem(http::status::bad_request, Outcome::NotRun, body.error());
-  auto spec = ParseJobSpec(*body);
-  if (!spec)
-    co_return MakeProblem(http::status::bad_request, Outcome::NotRun, spec.error());
-  if (spec->mId.empty())
-    spec->mId = MakeId("job");
-  {
-    std::lock_guard lock(mLock);
-    JobStatus& status = mJobs[spec->mId];
-    status.mSpec = *spec;
-    for (std::uint32_t i = 0; i < spec->mTasks; ++i)
-      status.mTasks.push_back({ .mIndex = i });
-  }
-  for (std::uint32_t i = 0; i < spec->mTasks; ++i)
-    asio::co_spawn(*mContexts.front(), RunTask(*spec, i), asio::detached);
-  co_return ShowJob(spec->mId);
+  ControlHooks hooks;
+  hooks.mOnOwnership = [this] { mWork->OnOwnership(); };
+  hooks.mOnFleet = [this](const auto& aWorkers, const auto& aExcluded) {
+    mWork->OnFleet(aWorkers, aExcluded);
+  };
+  hooks.mCountFreeSlots = [this] { return mWork->CountFreeSlots(); };
+  mControl->Start(std::move(hooks));
+  mWork->Start();
+  for (const auto& context : mContexts)
+    mThreads.emplace_back([&context] {
+      auto work = asio::make_work_guard(*context);
+      context->run();
+    });
+  Log(LogPart::Process,
+      LogLevel::Info,
+      "started",
+      { { "process", process.mName }, { "zone", process.mZone } });
+  return {};
 }
 
-HttpResponse Node::State::ShowJob(const JobId& aId)
+// Graceful: tells the balancer, drains, hands over, and only then ends the threads.
+void Node::State::Stop()
 {
-  std::lock_guard lock(mLock);
-  auto it = mJobs.find(aId);
-  if (it == mJobs.end())
-    return MakeProblem(
-      http::status::not_found, Outcome::NotRun, MakeFailure(FailureKind::NotFound, aId));
-  json::object object = MakeJson(it->second.mSpec);
-  json::object counts;
-  for (const TaskStatus& task : it->second.mTasks) {
-    json::value& n = counts[GetName(task.mState)];
-    n = n.is_int64() ? n.get_int64() + 1 : 1;
+  if (mStopping.exchange(true))
+    return;
+  if (!mThreads.empty()) {
+    Log(LogPart::Process, LogLevel::Info, "stopping", { { "process", mSettings.mProcess.mName } });
+    const auto countInFlight = [this] { return mServer->CountInFlight() + mShared.mBackground; };
+    const auto onDraining = [this] {
+      mShared.mDraining = true;
+      mServer->StopAccepting();
+    };
+    auto stopped = asio::co_spawn(
+      *mContexts.front(), mControl->StopGracefully(countInFlight, onDraining), asio::use_future);
+    const StopReport report = stopped.get();
+    Log(LogPart::Drain,
+        report.mCut == 0 ? LogLevel::Info : LogLevel::Warn,
+        "stopped",
+        { { "cut", report.mCut }, { "handed_over", report.mHandedOver ? "yes" : "no" } });
+    asio::post(*mContexts.front(), [this] {
+      mWork->Stop();
+      mControl->Stop();
+    });
+    std::this_thread::sleep_for(kSettleFor);
   }
-  object["states"] = std::move(counts);
-  return MakeJsonResponse(http::status::ok, json::serialize(object));
-}
-
-Async<HttpResponse> Node::State::OnHttp(HttpRequest aRequest)
-{
-  const std::string path(GetPath(std::string_view(aRequest.target())));
-  static constexpr std::string_view kJobs = "/v1/jobs/";
-  if (path == "/healthz" || path == "/readyz")
-    co_return MakeJsonResponse(http::status::ok, "{\"ok\":true}");
-  if (path == "/v1/requests")
-    co_return co_await RunRequest(std::move(aRequest));
-  if (path == "/v1/jobs")
-    co_return co_await SubmitJob(std::move(aRequest));
-  if (path.starts_with(kJobs))
-    co_return ShowJob(path.substr(kJobs.size()));
-  co_return MakeProblem(
-    http::status::not_found, Outcome::NotRun, MakeFailure(FailureKind::NotFound, path));
+  if (mLink)
+    mLink->Stop();
+  for (const auto& context : mContexts)
+    context->stop();
+  for (std::thread& thread : mThreads)
+    thread.join();
+  mThreads.clear();
+  mClient.Clear();
+  for (const auto& context : mContexts)
+    context->DropWaiting();
 }
 
 Node::Node(Settings aSettings)
@@ -325,68 +176,12 @@
 
 Result<void> Node::Start()
 {
-  State& state = *mState;
-  for (std::uint32_t i = 0; i < state.mSettings.mProcess.mThreads; ++i)
-    state.mContexts.push_back(std::make_unique<asio::io_context>(1));
-  asio::io_context& first = *state.mContexts.front();
-
-  std::vector<PeerAddress> peers;
-  for (const PeerSettings& peer : state.mSettings.mPeers)
-    peers.push_back({ peer.mName, peer.mZone, peer.mHost, peer.mPort });
-  const ProcessSettings& process = state.mSettings.mProcess;
-  state.mLink = std::make_unique<PeerLink>(first, process.mName, process.mZone, std::move(peers));
-  state.mLink->SetRequestHandler([&state](ProcessName aFrom, PeerRequest aRequest) {
-    return state.OnPeer(std::move(aFrom), std::move(aRequest));
-  });
-  auto peerPort =
-    state.mLink->Listen(state.mSettings.mListen.mPeerHost, state.mSettings.mListen.mPeerPort);
-  if (!peerPort)
-    return peerPort.error();
-
-  state.mServer =
-    std::make_unique<HttpServer>(HttpLimits{}, [&state](HttpRequest aRequest, std::string) {
-      return state.OnHttp(std::move(aRequest));
-    });
-  std::vector<asio::io_context*> contexts;
-  for (const auto& context : state.mContexts)
-    contexts.push_back(context.get());
-  auto port = state.mServer->Listen(
-    state.mSettings.mListen.mHttpHost, state.mSettings.mListen.mHttpPort, contexts);
-  if (!port)
-    return port.error();
-  state.mHttpPort = *port;
-
-  asio::co_spawn(first, state.FollowVms(), asio::detached);
-  for (const auto& context : state.mContexts)
-    state.mThreads.emplace_back([&context] {
-      auto work = asio::make_work_guard(*context);
-      context->run();
-    });
-  return {};
+  return mState->Start();
 }
-
 void Node::Stop()
 {
-  State& state = *mState;
-  if (state.mStopping.exchange(true))
-    return;
-  if (state.mServer) {
-    state.mServer->StopAccepting();
-    while (state.mServer->CountInFlight() > 0)
-      std::this_thread::sleep_for(milliseconds(5));
-  }
-  if (state.mLink)
-    state.mLink->Stop();
-  for (const auto& context : state.mContexts)
-    context->stop();
-  for (std::thread& thread : state.mThreads)
-    thread.join();
-  state.mThreads.clear();
-  state.mClient.Clear();
-  state.mServer.reset();
-  state.mContexts.clear();
+  mState->Stop();
 }
-
 std::uint16_t Node::GetHttpPort() const noexcept
 {
   return mState->mHttpPort;
