--- a/tests/unit/memory_store.h
+++ b/tests/unit/memory_store.h
@@ -39,6 +39,7 @@
   MemoryFaults mFaults{};
   bool mDown = false;
   std::function<Async<void>()> mBeforeCreate{};  // holds a write on its way to the store
+  std::function<Async<void>()> mBeforeList{};
 
   Async<Result<std::optional<StoreValue>>> Get(std::string aKey, CallPurpose)
   {
@@ -57,6 +58,8 @@
                                               CallPurpose)
   {
     co_await Arrive();
+    if (const auto before = mBeforeList)
+      co_await before();
     if (IsReadLost())
       co_return MakeFailure(FailureKind::StoreUnavailable);
     std::vector<StoreValue> values;
--- a/tests/unit/test_journal.cpp
+++ b/tests/unit/test_journal.cpp
@@ -66,8 +66,8 @@
     REQUIRE(state->mEntries.size() == 100);
     CHECK(state->mEntries[41].mBytes == "entry 42");
     CHECK(state->mCorrupt.empty());
-    auto step1 = co_await writer.Append("late");
-    REQUIRE(step1.has_value());
+    auto done1 = co_await writer.Append("late");
+    REQUIRE(done1.has_value());
     auto more = co_await reader.ReadNew();
     REQUIRE(more.has_value());
     CHECK(GetBytes(*more) == std::vector<std::string>{ "late" });
@@ -135,10 +135,10 @@
   Run([&]() -> Async<void> {
     TestJournal older(oldStore, "jobs-0", MakeSettings(data, 1));
     TestJournal newer(newStore, "jobs-0", MakeSettings(data, 2));
-    auto step2 = co_await older.ReplayAndFence("fence 1");
-    REQUIRE(step2.has_value());
-    auto step3 = co_await older.Append("a");
-    REQUIRE(step3.has_value());
+    auto done2 = co_await older.ReplayAndFence("fence 1");
+    REQUIRE(done2.has_value());
+    auto done3 = co_await older.Append("a");
+    REQUIRE(done3.has_value());
     // The append leaves the old writer, but the store sees it after the new owner's fence.
     std::optional<Result<FencedState>> fenced;
     oldStore.mBeforeCreate = [&]() -> Async<void> {
@@ -165,19 +165,19 @@
   MemoryStore store(data, 1);
   Run([&]() -> Async<void> {
     TestJournal older(store, "jobs-0", MakeSettings(data, 1));
-    auto step4 = co_await older.Append("a");
-    REQUIRE(step4.has_value());
+    auto done4 = co_await older.Append("a");
+    REQUIRE(done4.has_value());
     TestJournal newer(store, "jobs-0", MakeSettings(data, 2));
-    auto step5 = co_await newer.ReplayAndFence("fence");
-    REQUIRE(step5.has_value());
-    auto step6 = co_await newer.WriteSnapshot(2, "a fence");
-    REQUIRE(step6.has_value());
+    auto done5 = co_await newer.ReplayAndFence("fence");
+    REQUIRE(done5.has_value());
+    auto done6 = co_await newer.WriteSnapshot(2, "a fence");
+    REQUIRE(done6.has_value());
     CHECK(data.mValues.contains(MakeValueKey("jobs-0", 2)));  // too young to be deleted
     data.mNow += seconds(121);
-    auto step7 = co_await newer.Append("b");
-    REQUIRE(step7.has_value());
-    auto step8 = co_await newer.WriteSnapshot(3, "a fence b");
-    REQUIRE(step8.has_value());
+    auto done7 = co_await newer.Append("b");
+    REQUIRE(done7.has_value());
+    auto done8 = co_await newer.WriteSnapshot(3, "a fence b");
+    REQUIRE(done8.has_value());
     CHECK_FALSE(data.mValues.contains(MakeValueKey("jobs-0", 2)));
     auto late = co_await older.Append("late");
     REQUIRE(late.has_error());
@@ -198,16 +198,16 @@
   Run([&]() -> Async<void> {
     TestJournal first(store, "config", MakeSettings(data, 1));
     TestJournal second(store, "config", MakeSettings(data, 2));
-    auto step9 = co_await first.AppendAt(1, "one");
-    REQUIRE(step9.has_value());
+    auto done9 = co_await first.AppendAt(1, "one");
+    REQUIRE(done9.has_value());
     auto lost = co_await second.AppendAt(1, "two");
     REQUIRE(lost.has_error());
     CHECK(lost.error().mKind == FailureKind::Conflict);
     auto seen = co_await second.ReadNew();
     REQUIRE(seen.has_value());
     CHECK(GetBytes(*seen) == std::vector<std::string>{ "one" });
-    auto step10 = co_await second.AppendAt(2, "two");
-    CHECK(step10.has_value());
+    auto done10 = co_await second.AppendAt(2, "two");
+    CHECK(done10.has_value());
     auto gap = co_await second.AppendAt(9, "gap");
     REQUIRE(gap.has_error());
     CHECK(gap.error().mKind == FailureKind::BadInput);
@@ -231,12 +231,12 @@
     REQUIRE(lost.has_error());
     CHECK(lost.error().mKind == FailureKind::WriteUnknown);
     store.mFaults.mLoseBeforeEffect = 0;
-    auto step11 = co_await writer.Append("c");
-    CHECK(step11.error().mKind == FailureKind::WriteUnknown);
-    auto step12 = co_await writer.Replay();
-    REQUIRE(step12.has_value());
-    auto step13 = co_await writer.Append("c");
-    CHECK(step13.has_value());
+    auto done11 = co_await writer.Append("c");
+    CHECK(done11.error().mKind == FailureKind::WriteUnknown);
+    auto done12 = co_await writer.Replay();
+    REQUIRE(done12.has_value());
+    auto done13 = co_await writer.Append("c");
+    CHECK(done13.has_value());
   });
 }
 
@@ -247,8 +247,8 @@
   Run([&]() -> Async<void> {
     TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
     for (int n = 1; n <= 5; ++n) {
-      auto step14 = co_await writer.Append(std::to_string(n));
-      REQUIRE(step14.has_value());
+      auto done14 = co_await writer.Append(std::to_string(n));
+      REQUIRE(done14.has_value());
     }
     TestJournal follower(store, "jobs-0", MakeSettings(data, 3));
     data.mValues[MakeValueKey("jobs-0", 2)].mValue.back() ^= 1;
@@ -276,13 +276,13 @@
   MemoryStore store(data, 1);
   Run([&]() -> Async<void> {
     TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
-    auto step15 = co_await writer.Append("a");
-    REQUIRE(step15.has_value());
+    auto done15 = co_await writer.Append("a");
+    REQUIRE(done15.has_value());
     const std::string large(2'500'000, 's');
-    auto step16 = co_await writer.WriteSnapshot(1, large);
-    REQUIRE(step16.has_value());
-    auto step17 = co_await writer.Append("b");
-    REQUIRE(step17.has_value());
+    auto done16 = co_await writer.WriteSnapshot(1, large);
+    REQUIRE(done16.has_value());
+    auto done17 = co_await writer.Append("b");
+    REQUIRE(done17.has_value());
     TestJournal reader(store, "jobs-0", MakeSettings(data, 2));
     auto state = co_await reader.Replay();
     REQUIRE(state.has_value());
@@ -291,8 +291,94 @@
     CHECK(GetBytes(state->mEntries) == std::vector<std::string>{ "b" });
     for (const auto& [key, value] : data.mValues)
       CHECK(value.mValue.size() <= kMaxStoreValueBytes);
-    auto step18 = co_await writer.WriteSnapshot(2, "small");
-    REQUIRE(step18.has_value());
+    auto done18 = co_await writer.WriteSnapshot(2, "small");
+    REQUIRE(done18.has_value());
     CHECK(data.mValues.size() == 3);  // two young values and the head; the parts are gone
   });
 }
+
+TEST_CASE("a follower that slept through a snapshot is told to replay", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal follower(store, "config", MakeSettings(data, 1));
+    TestJournal writer(store, "config", MakeSettings(data, 2));
+    auto empty = co_await follower.Replay();
+    auto appended = co_await writer.Append("a");
+    REQUIRE(empty.has_value());
+    REQUIRE(appended.has_value());
+    auto young = co_await writer.WriteSnapshot(1, "a");
+    data.mNow += seconds(121);
+    auto more = co_await writer.Append("b");
+    auto covered = co_await writer.WriteSnapshot(2, "a b");
+    REQUIRE(covered.has_value());
+    CHECK(data.mValues.size() == 2);  // the snapshot and the young value; "a" is gone
+    auto read = co_await follower.ReadNew();
+    REQUIRE(read.has_error());
+    CHECK(read.error().mKind == FailureKind::Fenced);
+    data.mNow += seconds(121);
+    auto again = co_await writer.Append("c");
+    auto third = co_await writer.WriteSnapshot(3, "a b c");
+    REQUIRE(third.has_value());
+    auto state = co_await follower.Replay();
+    REQUIRE(state.has_value());
+    CHECK(state->mSnapshot == "a b c");
+  });
+}
+
+TEST_CASE("a replay that a snapshot overtakes starts again", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  MemoryStore slow(data, 2);
+  Run([&]() -> Async<void> {
+    TestJournal writer(store, "jobs-0", MakeSettings(data, 1));
+    for (int n = 0; n < 3; ++n) {
+      auto appended = co_await writer.Append("x");
+      REQUIRE(appended.has_value());
+    }
+    auto first = co_await writer.WriteSnapshot(1, "x");
+    TestJournal reader(slow, "jobs-0", MakeSettings(data, 2));
+    slow.mBeforeList = [&]() -> Async<void> {
+      slow.mBeforeList = nullptr;
+      data.mNow += seconds(121);
+      auto appended = co_await writer.Append("y");
+      auto second = co_await writer.WriteSnapshot(4, "xxxy");
+      data.mNow += seconds(121);
+      auto third = co_await writer.WriteSnapshot(4, "xxxy");
+    };
+    auto state = co_await reader.Replay();
+    REQUIRE(state.has_value());
+    CHECK(state->mSnapshot == "xxxy");
+    CHECK(state->mHead == 4);
+    CHECK(state->mEntries.empty());
+    CHECK(state->mCorrupt.empty());
+  });
+}
+
+TEST_CASE("a tail read beside an append never returns the writer's own entry", "[journal]")
+{
+  MemoryData data;
+  MemoryStore store(data, 1);
+  Run([&]() -> Async<void> {
+    TestJournal writer(store, "config", MakeSettings(data, 1));
+    auto executor = co_await asio::this_coro::executor;
+    std::size_t seen = 0;
+    for (int n = 1; n <= 50; ++n) {
+      bool open = true;
+      auto append = [&]() -> Async<void> {
+        auto at = co_await writer.AppendAt(Sequence(n), "own");
+        REQUIRE(at.has_value());
+        open = false;
+      };
+      asio::co_spawn(executor, append, asio::detached);
+      while (open) {
+        auto read = co_await writer.ReadNew();
+        REQUIRE(read.has_value());
+        seen += read->size();
+      }
+    }
+    CHECK(seen == 0);
+  });
+}
