--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -1,5 +1,6 @@
 #include "core/json.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace monsoon {
@@ -49,6 +50,12 @@
   return n ? *n : aDefault;
 }
 
+Duration GetMillis(const json::value& aValue, std::string_view aKey, std::int64_t aDefault)
+{
+  static constexpr std::int64_t kLongestMs = std::int64_t(10) * 365 * 24 * 3600 * 1000;
+  return milliseconds(std::clamp(GetSigned(aValue, aKey, aDefault), -kLongestMs, kLongestMs));
+}
+
 bool GetBool(const json::value& aValue, std::string_view aKey, bool aDefault)
 {
   const bool* flag = GetMember(aValue, aKey).if_bool();
@@ -179,10 +186,9 @@
   if (IsNegative(spec.mShape))
     return MakeFailure(FailureKind::BadInput, "shape: no member may be negative");
   spec.mAcceleratorType = GetString(aValue, "accelerator_type");
-  const std::int64_t runMs = GetSigned(aValue, "expected_run_ms", 60000);
-  if (runMs < 0)
+  spec.mExpectedRun = GetMillis(aValue, "expected_run_ms", 60000);
+  if (spec.mExpectedRun < Duration::zero())
     return MakeFailure(FailureKind::BadInput, "expected_run_ms: must not be negative");
-  spec.mExpectedRun = milliseconds(runMs);
   spec.mRepeatable = GetBool(aValue, "repeatable", spec.mRepeatable);
   spec.mSpreadZones = GetBool(aValue, "spread_zones");
   spec.mSpreadRacks = GetBool(aValue, "spread_racks");
--- a/src/core/json.h
+++ b/src/core/json.h
@@ -24,6 +24,10 @@
 [[nodiscard]] std::int64_t GetSigned(const boost::json::value& aValue,
                                      std::string_view aKey,
                                      std::int64_t aDefault = 0);
+// A member in ms, clamped to ten years either way, so that adding it to a time can't overflow.
+[[nodiscard]] Duration GetMillis(const boost::json::value& aValue,
+                                 std::string_view aKey,
+                                 std::int64_t aDefault = 0);
 [[nodiscard]] bool GetBool(const boost::json::value& aValue,
                            std::string_view aKey,
                            bool aDefault = false);
--- a/src/worker/wire.cpp
+++ b/src/worker/wire.cpp
@@ -72,7 +72,7 @@
   start.mAttempt = ParseAttempt(aValue);
   start.mEpoch = GetUnsigned(aValue, "epoch");
   start.mNeed = ParseResources(GetMember(aValue, "need"));
-  start.mExpectedRun = milliseconds(GetSigned(aValue, "expected_run_ms"));
+  start.mExpectedRun = GetMillis(aValue, "expected_run_ms");
   start.mPayload = GetString(aValue, "payload");
   return start;
 }
@@ -107,7 +107,7 @@
 {
   LeaseRenewal renewal;
   renewal.mEpoch = GetUnsigned(aValue, "epoch");
-  renewal.mLease = milliseconds(GetSigned(aValue, "lease_ms"));
+  renewal.mLease = GetMillis(aValue, "lease_ms");
   renewal.mRenew = ParseAttempts(GetArray(aValue, "renew"));
   renewal.mAcknowledge = ParseAttempts(GetArray(aValue, "acknowledge"));
   return renewal;
@@ -153,7 +153,7 @@
       end <= static_cast<unsigned>(TaskEnd::Unknown) ? static_cast<TaskEnd>(end) : TaskEnd::Unknown;
     task.mNeed = ParseResources(GetMember(it, "need"));
     task.mUsed = ParseResources(GetMember(it, "used"));
-    task.mRan = milliseconds(GetSigned(it, "ran_ms"));
+    task.mRan = GetMillis(it, "ran_ms");
     inventory.mTasks.push_back(std::move(task));
   }
   for (const auto& it : GetArray(aValue, "requests"))
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view kKvPath = "/v1/kv/";
 constexpr std::string_view kVmPath = "/v1/vms/";
 constexpr std::string_view kLeasePath = "/v1/leases/";
+constexpr std::uint64_t kLongestWaitMs = 24 * 3600 * 1000;
 constexpr Duration kHangStep = milliseconds(50);
 
 json::object MakeJson(const Value& aValue)
@@ -187,7 +188,9 @@
   auto self = shared_from_this();
   const std::string prefix = GetQuery(aTarget, "prefix");
   std::uint64_t after = GetNumber(aTarget, "after");
-  const TimePoint until = BootClock::now() + milliseconds(GetNumber(aTarget, "wait_ms"));
+  const TimePoint until =
+    BootClock::now() +
+    milliseconds(std::min<std::uint64_t>(GetNumber(aTarget, "wait_ms"), kLongestWaitMs));
   const bool lost = mData.IsLost(after);
   std::vector<Value> changes;
   if (mFaults.PickReplay(BootClock::now()))
@@ -222,7 +225,8 @@
   const TimePoint now = BootClock::now();
   if (aRequest.method() == http::verb::post) {
     json::object answer;
-    answer["lease"] = mData.GrantLease(milliseconds(GetNumber(target, "ttl_ms")), now);
+    answer["lease"] = mData.GrantLease(
+      milliseconds(std::min<std::uint64_t>(GetNumber(target, "ttl_ms"), kLongestWaitMs)), now);
     return MakeAnswer(std::move(answer));
   }
   const std::string path(GetPath(target));
--- a/standin/platform_faults.cpp
+++ b/standin/platform_faults.cpp
@@ -23,7 +23,7 @@
   return aValue >= 0 && aValue <= 1;
 }
 
-Duration GetMillis(const json::value& aValue, std::string_view aKey)
+Duration ParseDelay(const json::value& aValue, std::string_view aKey)
 {
   return milliseconds(std::clamp<std::int64_t>(GetSigned(aValue, aKey), 0, kLongestMs));
 }
@@ -33,7 +33,7 @@
   FaultPeriod period;
   period.mOn = aFault.is_object();
   if (period.mOn && GetUnsigned(aFault, "for_ms") != 0)
-    period.mUntil = aNow + GetMillis(aFault, "for_ms");
+    period.mUntil = aNow + ParseDelay(aFault, "for_ms");
   return period;
 }
 
@@ -55,8 +55,8 @@
 
   const json::value& slow = GetMember(aValue, "slow");
   faults.mSlow = ParsePeriod(slow, aNow);
-  faults.mLeastDelay = GetMillis(slow, "min_ms");
-  faults.mMeanDelay = GetMillis(slow, "mean_ms");
+  faults.mLeastDelay = ParseDelay(slow, "min_ms");
+  faults.mMeanDelay = ParseDelay(slow, "mean_ms");
 
   const json::value& lose = GetMember(aValue, "lose_answers");
   faults.mLose = ParsePeriod(lose, aNow);
@@ -77,7 +77,7 @@
 
   const json::value& vms = GetMember(aValue, "vms");
   faults.mVms = ParsePeriod(vms, aNow);
-  faults.mVmLag = GetMillis(vms, "lag_ms");
+  faults.mVmLag = ParseDelay(vms, "lag_ms");
   faults.mLapseLeases = GetBool(aValue, "lapse_leases");
 
   const bool sound = IsProbability(faults.mLoseProbability) &&
