Judge sessions, takeovers and promises in virtual time under seeded faults

Cause: who may act rests on leases, takeovers and promises; their faults (freezes, late effects, lost answers, unlike clocks, a store out for some) need many schedules, which real time can't give.

Ruled out: a simulator of the whole cell; one resource and the pure classes are enough to judge each act against the highest epoch that acted before.

--- a/src/controllers/session.h
+++ b/src/controllers/session.h
@@ -22,10 +22,11 @@
 {
   Duration mLease = seconds(3);
   Duration mRenewEvery = seconds(1);
-  Duration mDrift = milliseconds(300);       // taken off the lease here, added to it by a taker
-  Duration mRetryAfter = milliseconds(300);  // after a store failure
-  Duration mSlowAfter = milliseconds(300);   // an unanswered call counts as an outage from then on
-  bool mExtendByPromises = true;             // go on during an outage while all peers promise
+  Duration mDrift = milliseconds(300);         // taken off the lease here, added to it by a taker
+  Duration mCallTimeout = milliseconds(1200);  // one lost answer must not cost the lease
+  Duration mRetryAfter = milliseconds(300);    // after a store failure
+  Duration mSlowAfter = milliseconds(300);  // an unanswered call counts as an outage from then on
+  bool mExtendByPromises = true;            // go on during an outage while all peers promise
 };
 
 struct SessionRecord
--- a/src/controllers/session_driver.h
+++ b/src/controllers/session_driver.h
@@ -9,6 +9,29 @@
 
 namespace monsoon {
 
+// Gives up waiting after aDeadline; the call itself goes on, and its late answer is dropped.
+template<class T>
+Async<Result<T>> WithDeadline(Async<Result<T>> aCall, Duration aDeadline, FailureKind aLate)
+{
+  struct Shared
+  {
+    std::optional<Result<T>> mResult{};
+    asio::steady_timer mTimer;
+  };
+  const auto executor = co_await asio::this_coro::executor;
+  auto shared = std::make_shared<Shared>(std::nullopt, asio::steady_timer(executor, aDeadline));
+  auto run = [](std::shared_ptr<Shared> aShared, Async<Result<T>> aInner) -> Async<void> {
+    aShared->mResult = co_await std::move(aInner);
+    aShared->mTimer.cancel();
+  };
+  asio::co_spawn(executor, run(shared, std::move(aCall)), asio::detached);
+  if (!shared->mResult)  // the call may have completed without waiting
+    co_await shared->mTimer.async_wait(kNoThrow);
+  if (shared->mResult)
+    co_return std::move(*shared->mResult);
+  co_return MakeFailure(aLate, "no answer from the store in time");
+}
+
 template<Store StoreType, PeerCaller Peers>
 class Session
 {
@@ -105,16 +128,19 @@
 Async<void> Session<StoreType, Peers>::Do(SessionAction aAction)
 {
   const std::string key = MakeSessionKey(mSelf);
+  const Duration timeout = mSettings.mCallTimeout;
   if (aAction.mStep == SessionStep::Read) {
-    const auto read = co_await mStore.Get(key, CallPurpose::Session);
+    auto call = mStore.Get(key, CallPurpose::Session);
+    const auto read = co_await WithDeadline(std::move(call), timeout, FailureKind::Timeout);
     mState.OnRead(read, BootClock::now());
   } else if (aAction.mStep == SessionStep::Create) {
-    const auto written = co_await mStore.Create(key, aAction.mValue, CallPurpose::Session);
-    mState.OnWritten(written, BootClock::now());
+    auto call = mStore.Create(key, aAction.mValue, CallPurpose::Session);
+    const auto done = co_await WithDeadline(std::move(call), timeout, FailureKind::WriteUnknown);
+    mState.OnWritten(done, BootClock::now());
   } else if (aAction.mStep == SessionStep::Swap) {
-    const auto written =
-      co_await mStore.CompareAndSwap(key, aAction.mValue, aAction.mRevision, CallPurpose::Session);
-    mState.OnWritten(written, BootClock::now());
+    auto call = mStore.CompareAndSwap(key, aAction.mValue, aAction.mRevision, CallPurpose::Session);
+    const auto done = co_await WithDeadline(std::move(call), timeout, FailureKind::WriteUnknown);
+    mState.OnWritten(done, BootClock::now());
   } else {
     co_await Announce(aAction.mIncarnation);
   }
--- /dev/null
+++ b/tests/unit/control_sim.cpp
@@ -0,0 +1,297 @@
+#include "control_sim.h"
+
+namespace monsoon::mocks {
+
+SimProcess::SimProcess(Sim& aSim, std::size_t aIndex)
+  : mSim(aSim)
+  , mName("p" + std::to_string(aIndex))
+  , mRate(1 + (aSim.Draw() * 2 - 1) * aSim.mSettings.mClockSkew)
+{
+  Restart();
+}
+
+void SimProcess::Restart()
+{
+  ++mGeneration;
+  mDead = false;
+  mSessionBusy = mJournalBusy = false;
+  mTakeovers.clear();
+  mTakeoverBusy.clear();
+  mAnnouncedTo.clear();
+  mFreeSince.clear();
+  mTable = {};
+  const auto& settings = mSim.mSettings;
+  std::vector<ProcessName> others;
+  for (std::size_t i = 0; i < settings.mProcesses; ++i)
+    if (const ProcessName name = "p" + std::to_string(i); name != mName)
+      others.push_back(name);
+  mSession = std::make_unique<SessionState>(mName, settings.mSession, mSim.mRandom());
+  mGiver = std::make_unique<PromiseGiver>(settings.mSession, Now());
+  mAsker = std::make_unique<PromiseAsker>(others, settings.mSession);
+}
+
+TimePoint SimProcess::Now() const
+{
+  const double elapsed = static_cast<double>(mSim.mTrue.time_since_epoch().count());
+  return TimePoint(Duration(static_cast<Duration::rep>(elapsed * mRate)));
+}
+
+bool SimProcess::IsFrozen() const
+{
+  return mDead || mSim.mTrue < mFrozenUntil;
+}
+
+bool SimProcess::Owns() const
+{
+  const auto owner = mTable.Find(kSimResource);
+  return owner && owner->mProcess == mName && mSession->GetIncarnation() != 0 &&
+         owner->mIncarnation == mSession->GetIncarnation();
+}
+
+void SimProcess::Step()
+{
+  // Acting comes first: whatever a thawed process finds out later in its step is too late.
+  if (Owns() && mSession->MayAct(Now()))
+    mSim.Act(*this, mTable.Find(kSimResource)->mEpoch);
+  DriveSession();
+  DrivePromises();
+  for (const ProcessName& victim : mSuspects)
+    DriveTakeover(victim);
+  DriveJournal();
+}
+
+void SimProcess::DriveSession()
+{
+  if (mSessionBusy)
+    return;
+  const SessionAction action = mSession->Next(Now());
+  const std::string key = MakeSessionKey(mName);
+  if (action.mStep == SessionStep::Wait)
+    return;
+  if (action.mStep == SessionStep::Announce) {
+    Announce(action.mIncarnation);
+    return;
+  }
+  mSessionBusy = true;
+  if (action.mStep == SessionStep::Read) {
+    mSim.Call<std::optional<StoreValue>>(
+      *this,
+      false,
+      [this, key] { return mSim.mStore.Get(key); },
+      [this](const auto& aRead) {
+        mSessionBusy = false;
+        mSession->OnRead(aRead, Now());
+      });
+    return;
+  }
+  mSim.Call<std::uint64_t>(
+    *this,
+    true,
+    [this, key, action] {
+      return action.mStep == SessionStep::Create
+               ? mSim.mStore.Create(key, action.mValue)
+               : mSim.mStore.Swap(key, action.mValue, action.mRevision);
+    },
+    [this](const auto& aWritten) {
+      mSessionBusy = false;
+      mSession->OnWritten(aWritten, Now());
+    });
+}
+
+void SimProcess::Announce(std::uint64_t aIncarnation)
+{
+  std::set<ProcessName> heard;
+  bool knew = false;
+  for (auto& peer : mSim.mProcesses) {
+    if (peer.get() == this || peer->IsFrozen())
+      continue;
+    OutagePromiseRequest request;
+    request.mFrom = mName;
+    request.mIncarnation = aIncarnation;
+    const auto promise = peer->mGiver->Answer(request, false, peer->Now());
+    knew = knew || (promise.mPromised && mAnnouncedTo.contains(peer->mName));
+    heard.insert(peer->mName);
+  }
+  mAnnouncedTo = heard;
+  if (!heard.empty())
+    mSession->OnAnnounced(knew);
+}
+
+void SimProcess::DrivePromises()
+{
+  const TimePoint now = Now();
+  const auto& settings = mSim.mSettings.mSession;
+  const bool wants = settings.mExtendByPromises && mSession->MayAct(now) &&
+                     !mSession->IsStoreReachable(now) &&
+                     mSession->GetDeadline() - now < settings.mLease - settings.mRenewEvery;
+  if (!wants || now - mAskedAt < milliseconds(200))
+    return;
+  mAskedAt = now;
+  OutagePromiseRequest request;
+  request.mFrom = mName;
+  request.mIncarnation = mSession->GetIncarnation();
+  request.mFor = settings.mLease;
+  const auto round = mAsker->BeginRound(request.mIncarnation, now);
+  for (auto& it : mSim.mProcesses) {
+    SimProcess* peer = it.get();
+    if (peer == this)
+      continue;
+    mSim.At(milliseconds(5), [this, peer, request, round, mine = mGeneration] {
+      mSim.Deliver(*peer, peer->mGeneration, [this, peer, request, round, mine] {
+        const TimePoint there = peer->Now();
+        const bool out = !peer->mSession->IsStoreReachable(there);
+        if (!out)
+          peer->mSession->Poke(there);
+        const auto promise = peer->mGiver->Answer(request, out, there);
+        mSim.At(milliseconds(5), [this, peer, request, round, mine, promise] {
+          mSim.Deliver(*this, mine, [this, peer, request, round, promise] {
+            const auto until = mAsker->OnAnswer(round, peer->mName, promise.mPromised);
+            if (until)
+              mSession->Extend(request.mIncarnation, *until, Now());
+          });
+        });
+      });
+    });
+  }
+}
+
+void SimProcess::DriveTakeover(const ProcessName& aVictim)
+{
+  const auto owner = mTable.Find(kSimResource);
+  if (mTakeoverBusy.contains(aVictim) || !owner || owner->mProcess != aVictim)
+    return;
+  auto& takeover = mTakeovers[aVictim];
+  if (!takeover)
+    takeover =
+      std::make_unique<Takeover>(mName, aVictim, owner->mIncarnation, mSim.mSettings.mSession);
+  const TakeoverAction action = takeover->Next(*mGiver, Now());
+  const std::string key = MakeSessionKey(aVictim);
+  if (action.mStep == TakeoverStep::Lost) {
+    takeover.reset();
+  } else if (action.mStep == TakeoverStep::Read) {
+    mTakeoverBusy.insert(aVictim);
+    mSim.Call<std::optional<StoreValue>>(
+      *this,
+      false,
+      [this, key] { return mSim.mStore.Get(key); },
+      [this, aVictim](const auto& aRead) {
+        mTakeoverBusy.erase(aVictim);
+        mTakeovers[aVictim]->OnRead(aRead, *mGiver, Now());
+      });
+  } else if (action.mStep == TakeoverStep::Swap) {
+    mTakeoverBusy.insert(aVictim);
+    mSim.Call<std::uint64_t>(
+      *this,
+      true,
+      [this, key, action] { return mSim.mStore.Swap(key, action.mValue, action.mRevision); },
+      [this, aVictim](const auto& aWritten) {
+        mTakeoverBusy.erase(aVictim);
+        mTakeovers[aVictim]->OnWritten(aWritten, *mGiver, Now());
+      });
+  }
+}
+
+std::vector<OwnershipEntry> SimProcess::Plan()
+{
+  PlanContext context;
+  context.mSelf = mName;
+  context.mIncarnation = mSession->GetIncarnation();
+  context.mZone = "zone-a";
+  context.mSettings = mSim.mSettings.mPlan;
+  context.mNow = Now();
+  std::vector<Eligible> eligible;
+  eligible.push_back({ mName, "zone-a", context.mIncarnation, {} });
+  context.mEligible = eligible;
+  auto entries = PlanTakeover(context, mTable, mName, context.mIncarnation - 1, context.mNow);
+  for (const auto& [victim, takeover] : mTakeovers)
+    if (entries.empty() && takeover && takeover->GetEnded() != 0)
+      entries =
+        PlanTakeover(context, mTable, victim, takeover->GetEnded(), takeover->GetSilentSince());
+  if (entries.empty()) {
+    const std::vector<ResourceKey> resources{ kSimResource };
+    entries = PlanClaims(context, mTable, resources, mFreeSince);
+  }
+  return entries;
+}
+
+void SimProcess::DriveJournal()
+{
+  if (mJournalBusy)
+    return;
+  const Sequence next = mTable.GetApplied() + 1;
+  const std::string key = "journal/" + std::to_string(next);
+  std::vector<OwnershipEntry> entries;
+  if (mSession->GetIncarnation() != 0 && mSession->MayAct(Now()) && mSim.Draw() < 0.5)
+    entries = Plan();
+  if (entries.empty() && mSim.Draw() < 0.8)
+    return;
+  mJournalBusy = true;
+  const auto read = [this, key, next] {
+    mSim.Call<std::optional<StoreValue>>(
+      *this,
+      false,
+      [this, key] { return mSim.mStore.Get(key); },
+      [this, next](const auto& aRead) {
+        mJournalBusy = false;
+        if (aRead && *aRead)
+          (void)mTable.Apply(next, (*aRead)->mValue);
+      });
+  };
+  if (entries.empty())
+    return read();
+  mSim.Call<std::uint64_t>(
+    *this,
+    true,
+    [this, key, bytes = Encode(entries)] { return mSim.mStore.Create(key, bytes); },
+    [read](const auto&) { read(); });
+}
+
+void Sim::Deliver(SimProcess& aTo, std::uint64_t aGeneration, std::function<void()> aEvent)
+{
+  if (aTo.mDead || aTo.mGeneration != aGeneration)
+    return;
+  if (!aTo.IsFrozen()) {
+    aEvent();
+    return;
+  }
+  // On waking, what waited may be handled before or after the process's own step.
+  const Duration wait =
+    aTo.mFrozenUntil - mTrue + Duration(static_cast<Duration::rep>(Draw() * 2e7));
+  At(wait, [this, to = &aTo, aGeneration, aEvent] { Deliver(*to, aGeneration, aEvent); });
+}
+
+void Sim::Act(const SimProcess& aProcess, Epoch aEpoch)
+{
+  ++const_cast<SimProcess&>(aProcess).mActs;
+  if (aEpoch < mHighest)
+    ++mViolations;
+  mHighest = std::max(mHighest, aEpoch);
+}
+
+SimProcess* Sim::FindOwner()
+{
+  for (auto& process : mProcesses)
+    if (!process->IsFrozen() && process->Owns() && process->mSession->MayAct(process->Now()))
+      return process.get();
+  return nullptr;
+}
+
+void Sim::Run(Duration aFor)
+{
+  const TimePoint end = mTrue + aFor;
+  while (mTrue < end) {
+    const TimePoint next = mTrue + kSimStep;
+    while (!mEvents.empty() && mEvents.begin()->first <= next) {
+      mTrue = std::max(mTrue, mEvents.begin()->first);
+      const auto event = std::move(mEvents.begin()->second);
+      mEvents.erase(mEvents.begin());
+      event();
+    }
+    mTrue = next;
+    for (auto& process : mProcesses)
+      if (!process->IsFrozen())
+        process->Step();
+  }
+}
+
+}  // namespace monsoon::mocks
