Let the stand-in endpoint misbehave by body or for everything

Cause: failures of endpoints (stall, half answer, early close, lagging or ten-fold use, failing all) must be met in tests.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -7,6 +8,7 @@
 
 #include <mutex>
 #include <set>
+#include <sstream>
 
 namespace monsoon {
 
@@ -78,6 +80,18 @@
 
 }  // namespace
 
+// The head promises more than follows, as an endpoint that dies while it answers.
+Async<void> WriteHalf(beast::tcp_stream& aStream, HttpResponse aResponse)
+{
+  aResponse.result(http::status::ok);
+  aResponse.prepare_payload();
+  std::ostringstream buf;
+  buf << aResponse;
+  const std::string text = buf.str();
+  const asio::const_buffer half(text.data(), text.size() / 2);
+  [[maybe_unused]] auto [ec, n] = co_await asio::async_write(aStream, half, kNoThrow);
+}
+
 Async<void> HttpServer::State::Serve(tcp::socket aSocket)
 {
   auto self = shared_from_this();
@@ -124,6 +138,11 @@
       --mInFlight;
       break;
     }
+    if (response.result() == kHalfAnswer) {
+      co_await WriteHalf(stream, std::move(response));
+      --mInFlight;
+      break;
+    }
     response.version(version);
     response.keep_alive(keepAlive && !mStopping);
     response.prepare_payload();
--- a/standin/worker.cpp
+++ b/standin/worker.cpp
@@ -3,10 +3,11 @@
 #include <boost/json.hpp>
 
 #include <map>
-#include <mutex>
 #include <set>
 
 #include "core/json.h"
+#include "standin/worker_behaviour.h"
+#include "standin/worker_evidence.h"
 #include "worker/wire.h"
 
 namespace monsoon::standin {
@@ -15,31 +16,13 @@
 
 namespace {
 
-constexpr Duration kDefaultRun = milliseconds(50);
-constexpr std::size_t kMaxEvidence = 200000;
+constexpr Duration kStallCheck = milliseconds(20);
 
 std::int64_t ReadNowMs()
 {
   return std::chrono::duration_cast<milliseconds>(BootClock::now().time_since_epoch()).count();
 }
 
-struct Behaviour
-{
-  Duration mRun = kDefaultRun;
-  bool mFail = false;
-};
-
-Behaviour ParseBehaviour(const std::string& aText)
-{
-  Behaviour behaviour;
-  auto value = ParseJson(aText);
-  if (!value)
-    return behaviour;
-  behaviour.mRun = milliseconds(GetUnsigned(*value, "run_ms", 50));
-  behaviour.mFail = GetBool(*value, "fail");
-  return behaviour;
-}
-
 HttpResponse MakeRefusal(std::string aWhy)
 {
   HttpResponse response = MakeJsonResponse(http::status::conflict, std::move(aWhy));
@@ -47,24 +30,13 @@
   return response;
 }
 
-struct EvidenceLine
-{
-  std::string mWhat{};  // "request" or "task"
-  std::string mId{};    // request id, or job/index
-  std::uint32_t mAttempt = 0;
-  Epoch mEpoch = 0;
-  std::int64_t mStartMs = 0;
-  std::int64_t mEndMs = 0;  // 0 while running
-  std::string mEnd{};
-};
-
 struct RunningTask
 {
   WorkerTask mTask{};
   TimePoint mStarted{};
   TimePoint mEndsAt{};
   TimePoint mLeaseUntil{};
-  bool mWillFail = false;
+  Behaviour mBehaviour{};
   std::size_t mEvidence = 0;  // index of its line
 };
 
@@ -90,46 +62,29 @@
   std::set<RequestId> mSeenRequests{};
   std::map<AttemptKey, RunningTask> mTasks{};
   std::set<AttemptKey> mSeenTasks{};
-  std::vector<EvidenceLine> mLines{};
-  mutable std::mutex mEvidenceLock{};
-  WorkerEvidence mEvidence{};
+  Behaviour mDefault{};  // of requests and tasks that don't say otherwise
+  EvidenceBook mEvidence{};
 
   Async<HttpResponse> Handle(HttpRequest aRequest);
   Async<HttpResponse> Run(HttpRequest aRequest);
   HttpResponse Start(const json::value& aBody);
   HttpResponse Stop(const json::value& aBody);
   HttpResponse Renew(const json::value& aBody);
-  HttpResponse ShowEvidence();
   Async<void> Tick();
   std::optional<HttpResponse> RefuseStart(Epoch aEpoch, std::int64_t aStartBefore);
   void Take(const Resources& aNeed);
   void EndTask(RunningTask& aTask, TaskEnd aEnd);
-  std::size_t AddLine(EvidenceLine aLine);
-  void Count(std::uint64_t WorkerEvidence::*aCounter);
+  Async<HttpResponse> AnswerRun(const std::string& aId, std::string aBody, Behaviour aBehaviour);
 };
 
-void Worker::State::Count(std::uint64_t WorkerEvidence::*aCounter)
-{
-  std::lock_guard lock(mEvidenceLock);
-  ++(mEvidence.*aCounter);
-}
-
-std::size_t Worker::State::AddLine(EvidenceLine aLine)
-{
-  if (mLines.size() >= kMaxEvidence)
-    return kMaxEvidence;
-  mLines.push_back(std::move(aLine));
-  return mLines.size() - 1;
-}
-
 std::optional<HttpResponse> Worker::State::RefuseStart(Epoch aEpoch, std::int64_t aStartBefore)
 {
   if (aEpoch < mHighestEpoch) {
-    Count(&WorkerEvidence::mLowEpochs);
+    mEvidence.Count(&WorkerEvidence::mLowEpochs);
     return MakeRefusal("epoch is below the highest seen");
   }
   if (aStartBefore != 0 && ReadNowMs() > aStartBefore) {
-    Count(&WorkerEvidence::mLateStarts);
+    mEvidence.Count(&WorkerEvidence::mLateStarts);
     return MakeRefusal("after the start deadline");
   }
   mHighestEpoch = aEpoch;
@@ -141,7 +96,7 @@
 {
   mInUse = Add(mInUse, aNeed);
   if (!Fits(mInUse, mSpec.mCapacity))
-    Count(&WorkerEvidence::mOvercommits);
+    mEvidence.Count(&WorkerEvidence::mOvercommits);
 }
 
 Async<HttpResponse> Worker::State::Run(HttpRequest aRequest)
@@ -154,30 +109,43 @@
     co_return std::move(*refusal);
 
   if (!mSeenRequests.insert(id).second)
-    Count(&WorkerEvidence::mDoubled);
+    mEvidence.Count(&WorkerEvidence::mDoubled);
   const Resources need{ .mSlots = 1 };
   Take(need);
-  Count(&WorkerEvidence::mRequestsRun);
-  const std::size_t line = AddLine({ "request", id, 0, epoch, ReadNowMs(), 0, "" });
+  mEvidence.Count(&WorkerEvidence::mRequestsRun);
+  const std::size_t line = mEvidence.AddLine({ "request", id, 0, epoch, ReadNowMs(), 0, "" });
   mRequests[id] = line;
 
-  const Behaviour behaviour = ParseBehaviour(aRequest.body());
+  const Behaviour behaviour = ParseBehaviour(aRequest.body(), mDefault);
   co_await Sleep(behaviour.mRun);
 
   mInUse = Subtract(mInUse, need);
   mRequests.erase(id);
-  if (line < mLines.size()) {
-    mLines[line].mEndMs = ReadNowMs();
-    mLines[line].mEnd = behaviour.mFail ? "failed" : "succeeded";
-  }
+  mEvidence.EndLine(line, ReadNowMs(), behaviour.mFail ? "failed" : "succeeded");
+  co_return co_await AnswerRun(id, std::move(aRequest.body()), behaviour);
+}
+
+// The work is done by now; only its answer may stall, be cut or be lost.
+Async<HttpResponse> Worker::State::AnswerRun(const std::string& aId,
+                                             std::string aBody,
+                                             Behaviour aBehaviour)
+{
+  while (aBehaviour.mStall && !mStopped)
+    co_await Sleep(kStallCheck);
   json::object answer;
   answer["worker"] = mSpec.mName;
-  answer["request"] = id;
-  answer["echo"] = aRequest.body();
+  answer["request"] = aId;
+  answer["echo"] = aBody;
+  if (aBehaviour.mBytes > 0)
+    answer["padding"] = std::string(aBehaviour.mBytes, 'x');
   HttpResponse response =
-    MakeJsonResponse(behaviour.mFail ? http::status::internal_server_error : http::status::ok,
+    MakeJsonResponse(aBehaviour.mFail ? http::status::internal_server_error : http::status::ok,
                      json::serialize(answer));
-  response.set(kRequestIdHeader, id);
+  response.set(kRequestIdHeader, aId);
+  if (aBehaviour.mHalf)
+    response.result(kHalfAnswer);
+  if (aBehaviour.mClose)
+    response.result(kNoAnswer);
   co_return response;
 }
 
@@ -191,10 +159,10 @@
     return std::move(*refusal);
 
   if (!mSeenTasks.insert(key).second)
-    Count(&WorkerEvidence::mDoubled);
+    mEvidence.Count(&WorkerEvidence::mDoubled);
   Take(start.mNeed);
-  Count(&WorkerEvidence::mTasksStarted);
-  const Behaviour behaviour = ParseBehaviour(start.mPayload);
+  mEvidence.Count(&WorkerEvidence::mTasksStarted);
+  const Behaviour behaviour = ParseBehaviour(start.mPayload, mDefault);
   const bool endless = start.mPayload.find("forever") != std::string::npos;
   RunningTask task;
   task.mTask = {
@@ -203,14 +171,14 @@
   task.mStarted = BootClock::now();
   task.mEndsAt = endless ? TimePoint::max() : task.mStarted + behaviour.mRun;
   task.mLeaseUntil = task.mStarted + milliseconds(GetSigned(aBody, "lease_ms", 30000));
-  task.mWillFail = behaviour.mFail;
-  task.mEvidence = AddLine({ "task",
-                             start.mTask.mJob + "/" + std::to_string(start.mTask.mIndex),
-                             start.mAttempt,
-                             start.mEpoch,
-                             ReadNowMs(),
-                             0,
-                             "" });
+  task.mBehaviour = behaviour;
+  task.mEvidence = mEvidence.AddLine({ "task",
+                                       start.mTask.mJob + "/" + std::to_string(start.mTask.mIndex),
+                                       start.mAttempt,
+                                       start.mEpoch,
+                                       ReadNowMs(),
+                                       0,
+                                       "" });
   mTasks.emplace(key, std::move(task));
   return MakeJsonResponse(http::status::ok, "{}");
 }
@@ -224,11 +192,9 @@
   aTask.mTask.mEnd = aEnd;
   aTask.mTask.mRan = BootClock::now() - aTask.mStarted;
   mInUse = Subtract(mInUse, aTask.mTask.mNeed);
-  Count(&WorkerEvidence::mTasksEnded);
-  if (aTask.mEvidence >= mLines.size())
-    return;
-  mLines[aTask.mEvidence].mEndMs = ReadNowMs();
-  mLines[aTask.mEvidence].mEnd = kNames[static_cast<std::size_t>(aEnd)];
+  mEvidence.Count(&WorkerEvidence::mTasksEnded);
+  aTask.mTask.mUsed = ComputeUse(aTask.mBehaviour, aTask.mTask.mNeed, aTask.mTask.mRan);
+  mEvidence.EndLine(aTask.mEvidence, ReadNowMs(), kNames[static_cast<std::size_t>(aEnd)]);
 }
 
 HttpResponse Worker::State::Stop(const json::value& aBody)
@@ -253,7 +219,7 @@
 {
   const LeaseRenewal renewal = ParseLeaseRenewal(aBody);
   if (renewal.mEpoch < mHighestEpoch) {
-    Count(&WorkerEvidence::mLowEpochs);
+    mEvidence.Count(&WorkerEvidence::mLowEpochs);
     return MakeRefusal("epoch is below the highest seen");
   }
   mHighestEpoch = renewal.mEpoch;
@@ -271,8 +237,10 @@
   inventory.mNowMs = ReadNowMs();
   inventory.mHighestEpoch = mHighestEpoch;
   for (auto& [key, task] : mTasks) {
-    if (task.mTask.mEnd == TaskEnd::Running)
+    if (task.mTask.mEnd == TaskEnd::Running) {
       task.mTask.mRan = BootClock::now() - task.mStarted;
+      task.mTask.mUsed = ComputeUse(task.mBehaviour, task.mTask.mNeed, task.mTask.mRan);
+    }
     inventory.mTasks.push_back(task.mTask);
   }
   for (const auto& [id, line] : mRequests)
@@ -280,51 +248,28 @@
   return MakeJsonResponse(http::status::ok, json::serialize(MakeJson(inventory)));
 }
 
-HttpResponse Worker::State::ShowEvidence()
-{
-  json::object object;
-  WorkerEvidence evidence;
-  {
-    std::lock_guard lock(mEvidenceLock);
-    evidence = mEvidence;
-  }
-  object["worker"] = mSpec.mName;
-  object["requests_run"] = evidence.mRequestsRun;
-  object["tasks_started"] = evidence.mTasksStarted;
-  object["tasks_ended"] = evidence.mTasksEnded;
-  object["overcommits"] = evidence.mOvercommits;
-  object["doubled"] = evidence.mDoubled;
-  object["late_starts"] = evidence.mLateStarts;
-  object["low_epochs"] = evidence.mLowEpochs;
-  object["lapsed"] = evidence.mLapsed;
-  json::array lines;
-  for (const EvidenceLine& line : mLines) {
-    json::object it;
-    it["what"] = line.mWhat;
-    it["id"] = line.mId;
-    it["attempt"] = line.mAttempt;
-    it["epoch"] = line.mEpoch;
-    it["start_ms"] = line.mStartMs;
-    it["end_ms"] = line.mEndMs;
-    it["end"] = line.mEnd;
-    lines.push_back(std::move(it));
-  }
-  object["lines"] = std::move(lines);
-  return MakeJsonResponse(http::status::ok, json::serialize(object));
-}
-
 Async<HttpResponse> Worker::State::Handle(HttpRequest aRequest)
 {
   const std::string target(aRequest.target());
   if (target == "/v1/run")
     co_return co_await Run(std::move(aRequest));
   if (target == "/v1/evidence")
-    co_return ShowEvidence();
+    co_return MakeJsonResponse(http::status::ok, json::serialize(mEvidence.MakeJson(mSpec.mName)));
+  if (target == "/v1/behaviour") {
+    mDefault = ParseBehaviour(aRequest.body(), Behaviour{});
+    co_return MakeJsonResponse(http::status::ok, "{}");
+  }
+  // A worker that stalls takes everything and answers nothing.
+  while (mDefault.mStall && !mStopped)
+    co_await Sleep(kStallCheck);
   auto body = ParseJson(aRequest.body());
   if (!body)
     co_return MakeProblem(http::status::bad_request, Outcome::NotRun, body.error());
-  if (target == "/v1/tasks/start")
-    co_return Start(*body);
+  if (target == "/v1/tasks/start") {
+    HttpResponse response = Start(*body);
+    // A start that took effect and whose answer is lost.
+    co_return mDefault.mClose ? HttpResponse(kNoAnswer, 11) : response;
+  }
   if (target == "/v1/tasks/stop")
     co_return Stop(*body);
   if (target == "/v1/renew")
@@ -343,10 +288,10 @@
       if (task.mTask.mEnd != TaskEnd::Running)
         continue;
       if (now >= task.mEndsAt) {
-        EndTask(task, task.mWillFail ? TaskEnd::Failed : TaskEnd::Succeeded);
+        EndTask(task, task.mBehaviour.mFail ? TaskEnd::Failed : TaskEnd::Succeeded);
       } else if (now >= task.mLeaseUntil) {
         EndTask(task, TaskEnd::Stopped);
-        Count(&WorkerEvidence::mLapsed);
+        mEvidence.Count(&WorkerEvidence::mLapsed);
       }
     }
     co_await Sleep(milliseconds(5));
@@ -394,8 +339,7 @@
 
 WorkerEvidence Worker::GetEvidence() const
 {
-  std::lock_guard lock(mState->mEvidenceLock);
-  return mState->mEvidence;
+  return mState->mEvidence.GetCounters();
 }
 
 }  // namespace monsoon::standin
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -2,8 +2,12 @@
 // callers. It keeps evidence of every start and end, and counts what must never happen; it refuses
 // only what a real endpoint refuses (late starts, lower epochs).
 //
-// Bodies and payloads may be JSON: {"run_ms": 50, "fail": true, "bytes": 100}; anything else runs
-// kDefaultRun.
+// Bodies and payloads may be JSON, see standin/worker_behaviour.h; anything else runs 50 ms.
+//
+//   POST /v1/run, /v1/tasks/start, /v1/tasks/stop, /v1/renew    as an endpoint
+//   GET  /v1/evidence                                           what ran, and what never may
+//   PUT  /v1/behaviour                                          for everything from now on; {}
+//   resets
 #pragma once
 
 #include <memory>
