--- a/src/controllers/job_table_plan.cpp
+++ b/src/controllers/job_table_plan.cpp
@@ -36,6 +36,36 @@
            aNeed.mConnections * n };
 }
 
+struct Candidate  // a job that wants workers
+{
+  TimePoint mDue{};
+  bool mGang = false;
+  double mSize = 0;
+  JobRecord* mJob = nullptr;
+};
+
+// The larger of the shares of one large VM.
+double ComputeSize(const Resources& aNeed)
+{
+  return std::max(static_cast<double>(aNeed.mMilliCores) / 64000,
+                  static_cast<double>(aNeed.mMemoryMiB) / 262144);
+}
+
+// Jobs due at nearly the same time are placed as an offline packer would: whole gangs while there
+// is room for them, then the large before the small.
+bool GoesFirst(const Candidate& aLeft, const Candidate& aRight)
+{
+  const auto left = std::chrono::floor<seconds>(aLeft.mDue.time_since_epoch());
+  const auto right = std::chrono::floor<seconds>(aRight.mDue.time_since_epoch());
+  if (left != right)
+    return left < right;
+  if (aLeft.mGang != aRight.mGang)
+    return aLeft.mGang;
+  if (aLeft.mSize != aRight.mSize)
+    return aLeft.mSize > aRight.mSize;
+  return aLeft.mJob->mAt < aRight.mJob->mAt;
+}
+
 void AddAvoid(TaskShape& aShape, const TaskRecord& aTask)
 {
   for (const WorkerName& it : aTask.mFailedOn)
@@ -132,12 +162,6 @@
 
 std::vector<PlannedGroup> JobTable::PlanNext(const PlanContext& aContext)
 {
-  struct Candidate
-  {
-    TimePoint mDue{};
-    Sequence mAt = 0;
-    JobRecord* mJob = nullptr;
-  };
   std::vector<PlannedGroup> groups;
   std::uint32_t n = 0;
   const auto take = [&](PlannedGroup aGroup) {
@@ -158,11 +182,12 @@
     JobRecord& job = *FindJob(id);
     const bool borrows = mLedger.Judge(aContext.mQuotas, job.mSpec.mTeam, job.mSpec.mShape) !=
                          QuotaVerdict::Guaranteed;
-    candidates.push_back({ ComputeDue(job.mSince, job.mSpec.mPriority, borrows), job.mAt, &job });
+    candidates.push_back({ ComputeDue(job.mSince, job.mSpec.mPriority, borrows),
+                           job.mSpec.mKind == JobKind::Gang,
+                           ComputeSize(job.mSpec.mShape),
+                           &job });
   }
-  std::ranges::sort(candidates, [](const Candidate& aLeft, const Candidate& aRight) {
-    return std::pair(aLeft.mDue, aLeft.mAt) < std::pair(aRight.mDue, aRight.mAt);
-  });
+  std::ranges::sort(candidates, GoesFirst);
   FindBlocked(aContext.mNow);
   for (const Candidate& it : candidates) {
     if (n >= aContext.mMaxTasks)
