--- a/tests/integration/cell.cpp
+++ b/tests/integration/cell.cpp
@@ -91,12 +91,30 @@
 
 namespace {
 
-// A port that was free a moment ago, for processes whose peers must know it before they start.
-std::uint16_t PickPort()
+constexpr std::uint16_t kFirstPort = 10000;
+constexpr std::uint16_t kLastPort = 32000;  // outgoing connections take their ports above it
+
+bool IsFree(std::uint16_t aPort)
 {
   boost::asio::io_context context;
-  tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return acceptor.local_endpoint().port();
+  boost::system::error_code ec;
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4(), ec);
+  acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+  acceptor.bind(tcp::endpoint(boost::asio::ip::address_v4::loopback(), aPort), ec);
+  return !ec;
+}
+
+// A free port, for processes whose peers must know it before they start. Programs that run side by
+// side begin at different places.
+std::uint16_t PickPort()
+{
+  static std::uint32_t sNext = static_cast<std::uint32_t>(getpid()) * 131;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + sNext++ % (kLastPort - kFirstPort));
+    if (IsFree(port))
+      return port;
+  }
 }
 
 std::string GetZone(std::uint32_t aIndex, std::uint32_t aZones)
@@ -144,11 +162,45 @@
     mHttpPorts.push_back(PickPort());
     mPeerPorts.push_back(PickPort());
   }
+  if (mOptions.mProxied)
+    StartProxies();
   mProcesses.resize(mOptions.mProcesses);
   for (std::uint32_t i = 0; i < mOptions.mProcesses; ++i)
     StartProcess(i);
 }
 
+void Cell::StartProxies()
+{
+  mProxyThread = std::make_unique<ProxyThread>();
+  std::uint64_t seed = mOptions.mSeed;
+  for (std::uint32_t i = 0; i < mOptions.mProcesses; ++i) {
+    mPlatformProxies.push_back(
+      std::make_unique<Proxy>(*mProxyThread, mPlatform->GetPort(), ++seed));
+    for (std::uint32_t k = 0; k < mOptions.mProcesses; ++k)
+      if (k != i)
+        mPeerProxies[{ i, k }] = std::make_unique<Proxy>(*mProxyThread, mPeerPorts[k], ++seed);
+  }
+}
+
+void Cell::SetPeerFaults(std::uint32_t aFrom, std::uint32_t aTo, const LinkFaults& aFaults)
+{
+  mPeerProxies.at({ aFrom, aTo })->SetFaults(aFaults);
+}
+
+void Cell::SetPlatformFaults(std::uint32_t aProcess, const LinkFaults& aFaults)
+{
+  mPlatformProxies.at(aProcess)->SetFaults(aFaults);
+}
+
+void Cell::Isolate(std::uint32_t aProcess, bool aIsolated)
+{
+  LinkFaults faults;
+  faults.mCut = aIsolated;
+  for (const auto& [link, proxy] : mPeerProxies)
+    if (link.first == aProcess || link.second == aProcess)
+      proxy->SetFaults(faults);
+}
+
 Cell::~Cell()
 {
   mProcesses.clear();
@@ -166,13 +218,16 @@
                      GetZone(aIndex, mOptions.mZones) + "\"\n";
   text += "[listen]\nhttp = " + address(mHttpPorts[aIndex]) +
           "\npeer = " + address(mPeerPorts[aIndex]) + "\n";
-  text += "[platform]\naddress = " + address(mPlatform->GetPort()) + "\n" +
-          mOptions.mExtraSettings + "\n";
+  const std::uint16_t platform =
+    mOptions.mProxied ? mPlatformProxies[aIndex]->GetPort() : mPlatform->GetPort();
+  text += "[platform]\naddress = " + address(platform) + "\n" + mOptions.mExtraSettings + "\n";
   for (std::uint32_t i = 0; i < mOptions.mProcesses; ++i) {
     if (i == aIndex)
       continue;
     text += "[[peer]]\nname = \"" + name(i) + "\"\nzone = \"" + GetZone(i, mOptions.mZones) +
-            "\"\naddress = " + address(mPeerPorts[i]) + "\n";
+            "\"\naddress = " +
+            address(mOptions.mProxied ? mPeerProxies.at({ aIndex, i })->GetPort() : mPeerPorts[i]) +
+            "\n";
   }
   return text;
 }
