--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -12,8 +12,12 @@
 
 using Arguments = std::vector<std::string>;  // the subcommand's name, then its arguments
 
-int RunServe(Arguments aArguments);    // one process of the system
-int RunCheck(Arguments aArguments);    // reads settings, prints every error
-int RunStandin(Arguments aArguments);  // platform or worker stand-in, for tests and trials
+int RunServe(Arguments aArguments);        // one process of the system
+int RunCheck(Arguments aArguments);        // reads settings, prints every error
+int RunCtl(Arguments aArguments);          // operators' commands
+int RunApply(Arguments aArguments);        // a cell's declarations from a file
+int RunDev(Arguments aArguments);          // a whole cell in one process
+int RunLoadCommand(Arguments aArguments);  // open-loop load
+int RunStandin(Arguments aArguments);      // platform or worker stand-in, for tests and trials
 
 }  // namespace monsoon
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -16,8 +16,12 @@
 };
 
 constexpr Subcommand kSubcommands[] = {
+  { "dev", "run a whole cell in this process and show what it does", &monsoon::RunDev },
   { "serve", "run one process of the system", &monsoon::RunServe },
   { "check", "read settings and print every error", &monsoon::RunCheck },
+  { "ctl", "run operators' commands", &monsoon::RunCtl },
+  { "apply", "bring a cell to the declarations in a file", &monsoon::RunApply },
+  { "load", "ask a cell for work and measure how long it waits", &monsoon::RunLoadCommand },
   { "standin", "run a stand-in of the platform or of a worker", &monsoon::RunStandin },
 };
 
