--- /dev/null
+++ b/src/app/blocking_call.cpp
@@ -0,0 +1,27 @@
+#include "app/blocking_call.h"
+
+namespace monsoon {
+
+Result<HttpResponse> CallBlocking(HttpAddress aAddress, HttpRequest aRequest, Duration aDeadline)
+{
+  asio::io_context context(1);
+  HttpClient client;
+  Result<HttpResponse> result = MakeFailure(FailureKind::Internal, "no answer");
+  asio::co_spawn(
+    context,
+    [&]() -> Async<void> {
+      result = co_await client.Call(aAddress, std::move(aRequest), aDeadline);
+    },
+    asio::detached);
+  context.run();
+  client.Clear();
+  return result;
+}
+
+Result<HttpResponse> GetBlocking(HttpAddress aAddress, const std::string& aTarget)
+{
+  constexpr Duration kDeadline = seconds(10);
+  return CallBlocking(std::move(aAddress), HttpRequest(http::verb::get, aTarget, 11), kDeadline);
+}
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/app/blocking_call.h
@@ -0,0 +1,13 @@
+// One HTTP call that blocks, for the command line.
+#pragma once
+
+#include "http/client.h"
+
+namespace monsoon {
+
+[[nodiscard]] Result<HttpResponse> CallBlocking(HttpAddress aAddress,
+                                                HttpRequest aRequest,
+                                                Duration aDeadline);
+[[nodiscard]] Result<HttpResponse> GetBlocking(HttpAddress aAddress, const std::string& aTarget);
+
+}  // namespace monsoon
--- /dev/null
+++ b/src/app/dev.cpp
@@ -0,0 +1,191 @@
+#include <boost/json.hpp>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "app/commands.h"
+#include "app/dev_cell.h"
+#include "app/load.h"
+#include "app/signals.h"
+
+namespace monsoon {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr double kSampleSeconds = 10;  // without --seconds
+constexpr double kRate = 60;           // arrivals a second
+
+// All four kinds of work often enough for a short run.
+LoadProfile MakeDevProfile()
+{
+  LoadProfile profile = *FindProfile("drying");
+  profile.mName = "dev";
+  for (WorkClass& it : profile.mClasses)
+    if (it.mJob)
+      it.mShare *= 5;
+  return profile;
+}
+
+struct DevReport
+{
+  LoadReport mLoad{};
+  DevCounts mCounts{};
+  std::uint64_t mLost = 0;
+
+  [[nodiscard]] bool IsSound() const
+  {
+    return mLost == 0 && mCounts.mDoubled == 0 && mCounts.mOvercommits == 0 && mLoad.mWrong == 0 &&
+           mLoad.mAnswered > 0;
+  }
+};
+
+DevReport MakeReport(LoadReport aLoad, DevCounts aCounts)
+{
+  DevReport report{ std::move(aLoad), aCounts };
+  const LoadReport& load = report.mLoad;
+  const std::uint64_t told =
+    load.mAnswered + load.mFailed + load.mCancelled + load.mNotRun + load.mUnknown + load.mWrong;
+  report.mLost = load.mAsked - told;
+  return report;
+}
+
+double ToMs(double aSeconds)
+{
+  return std::round(aSeconds * 1e5) / 100;
+}
+
+// One list of rows for both outputs, so that they agree.
+json::object MakeRows(const DevReport& aReport)
+{
+  const LoadReport& load = aReport.mLoad;
+  const DevCounts& counts = aReport.mCounts;
+  json::object rows;
+  rows["asked"] = load.mAsked;
+  rows["run"] = load.mAnswered;
+  rows["failed"] = load.mFailed;
+  rows["not_run"] = load.mNotRun;
+  rows["unknown"] = load.mUnknown;
+  rows["doubled"] = counts.mDoubled;
+  rows["lost"] = aReport.mLost;
+  rows["wrong_answers"] = load.mWrong;
+  rows["overcommitted"] = counts.mOvercommits;
+  rows["waiting_p50_ms"] = ToMs(load.mWaiting.GetQuantile(0.5));
+  rows["waiting_p99_ms"] = ToMs(load.mWaiting.GetQuantile(0.99));
+  rows["waiting_p99_9_ms"] = ToMs(load.mWaiting.GetQuantile(0.999));
+  rows["job_waiting_p50_ms"] = ToMs(load.mJobWaiting.GetQuantile(0.5));
+  rows["job_waiting_p99_ms"] = ToMs(load.mJobWaiting.GetQuantile(0.99));
+  rows["packing_slots_percent"] = std::round(counts.mSlotsBusy * 1000) / 10;
+  rows["store_calls"] = counts.mStoreCalls;
+  rows["cross_zone_bytes"] = counts.mCrossZoneBytes;
+  return rows;
+}
+
+std::string FormatRows(const DevReport& aReport)
+{
+  std::ostringstream out;
+  const auto add = [&](std::string_view aName, const json::value& aValue) {
+    out << "  " << std::left << std::setw(24) << aName << std::right << std::setw(12);
+    if (aValue.is_double())
+      out << aValue.get_double() << '\n';
+    else
+      out << json::serialize(aValue) << '\n';
+  };
+  for (const auto& [name, value] : MakeRows(aReport))
+    add(std::string_view(name.data(), name.size()), value);
+  for (const auto& [name, count] : aReport.mLoad.mByClass)
+    add("run: " + name, count);
+  return std::move(out).str();
+}
+
+std::string FormatJson(const DevReport& aReport)
+{
+  json::object object = MakeRows(aReport);
+  json::object classes;
+  for (const auto& [name, count] : aReport.mLoad.mByClass)
+    classes[name] = count;
+  object["run_by_class"] = std::move(classes);
+  object["sound"] = aReport.IsSound();
+  return json::serialize(object);
+}
+
+void PrintHowToTalk(std::ostream& aOut, const HttpAddress& aAddress)
+{
+  const std::string at = aAddress.mHost + ":" + std::to_string(aAddress.mPort);
+  aOut << "\nThe cell stays up until Ctrl-C. Talk to it:\n"
+       << "  curl -d '{\"run_ms\":20}' http://" << at << "/v1/requests\n"
+       << "  curl -d '{\"id\":\"cure-1\",\"tasks\":4}' http://" << at << "/v1/jobs\n"
+       << "  curl http://" << at << "/v1/jobs/cure-1\n"
+       << "  curl http://" << at << "/metrics\n"
+       << "  monsoonstage ctl --at " << at << " 'show workers order by zone'\n"
+       << "  monsoonstage ctl --at " << at << " 'explain job \"cure-1\"'\n"
+       << "  monsoonstage load --at " << at << " --profile dairy --rate 50\n"
+       << std::flush;
+}
+
+DevReport RunSample(const DevCell& aCell, double aSeconds, std::ostream& aOut)
+{
+  // A fifth at the end is for jobs that still run.
+  LoadOptions options;
+  options.mProfile = MakeDevProfile();
+  options.mRate = kRate;
+  options.mLength = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
+  aOut << "asking for " << kRate << " pieces of work a second for " << aSeconds
+       << " s: requests, batch, gang, service and watch\n"
+       << std::flush;
+  constexpr Duration kPatience = seconds(30);
+  return MakeReport(RunLoad(options, aCell.ListAddresses(), kPatience, nullptr),
+                    aCell.ReadCounts());
+}
+
+}  // namespace
+
+int RunDev(Arguments aArguments)
+{
+  TCLAP::CmdLine line(
+    "Runs a whole cell in this process: stand-ins of the platform and of twelve "
+    "workers, three nodes in three zones. Asks it for all kinds of work and tells "
+    "what became of it. Exit 1 when anything was lost, doubled or overcommitted.",
+    ' ',
+    "0.1.0");
+  TCLAP::ValueArg<double> length(
+    "s", "seconds", "stop after this long; without it the cell stays up", false, 0, "N", line);
+  TCLAP::SwitchArg asJson("", "json", "the final table as JSON", line);
+  line.parse(aArguments);
+  if (length.isSet() && length.getValue() < 1) {
+    std::cerr << "dev: --seconds from 1\n";
+    return kExitBadUse;
+  }
+
+  BlockStopSignals();
+  std::ostream& talk = asJson.getValue() ? std::cerr : std::cout;
+  DevCell cell;
+  if (auto started = cell.Start(); !started) {
+    std::cerr << "dev: " << GetName(started.error().mKind) << ": " << started.error().mDetail
+              << '\n';
+    return kExitFailed;
+  }
+  for (const std::string& it : cell.Describe())
+    talk << it << '\n';
+
+  const double sample = length.isSet() ? length.getValue() * 0.8 : kSampleSeconds;
+  const DevReport report = RunSample(cell, sample, talk);
+  std::cout << (asJson.getValue() ? FormatJson(report) + "\n" : "\n" + FormatRows(report))
+            << std::flush;
+  talk << (report.IsSound()
+             ? "nothing lost, doubled or overcommitted\n"
+             : "NOT SOUND: see lost, doubled, overcommitted, wrong_answers and run\n");
+  if (!length.isSet()) {
+    PrintHowToTalk(talk, cell.ListAddresses().front());
+    WaitForStopSignal();
+  }
+  cell.Stop();
+  return report.IsSound() ? kExitDone : kExitFailed;
+}
+
+}  // namespace monsoon
