--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -10,18 +10,20 @@
 template<class A>
 void serialize(A& aArchive, MemberGossip& aM)
 {
-  aArchive(aM.mName, aM.mIncarnation, aM.mState);
+  aArchive(aM.mName, aM.mIncarnation, aM.mCount, aM.mState, aM.mSession, aM.mReady);
+  aArchive(aM.mStoreReachable, aM.mFreeSlots);
   CheckEnum(aM.mState, MemberState::Leaving);
 }
 template<class A>
 void serialize(A& aArchive, JournalHead& aM)
 {
-  aArchive(aM.mJournal, aM.mHead);
+  aArchive(aM.mJournal, aM.mHead, aM.mAge);
 }
 template<class A>
 void serialize(A& aArchive, Heartbeat& aM)
 {
-  aArchive(aM.mVersion, aM.mFrom, aM.mZone, aM.mIncarnation, aM.mCount, aM.mLeaving, aM.mReady);
+  aArchive(aM.mVersion, aM.mFrom, aM.mZone, aM.mIncarnation, aM.mCount, aM.mSession);
+  aArchive(aM.mLeaving, aM.mReady);
   aArchive(aM.mStoreReachable, aM.mFreeSlots, aM.mMembers, aM.mHeads);
 }
 template<class A>
@@ -111,7 +113,7 @@
 template<class A>
 void serialize(A& aArchive, TaskQuery& aM)
 {
-  aArchive(aM.mWorker, aM.mAttempts);
+  aArchive(aM.mWorker, aM.mEpoch, aM.mAttempts);
 }
 template<class A>
 void serialize(A& aArchive, JobSubmit& aM)
@@ -152,7 +154,7 @@
 template<class A>
 void serialize(A& aArchive, KeyRecord& aM)
 {
-  aArchive(aM.mKey, aM.mRequest, aM.mEntry);
+  aArchive(aM.mKey, aM.mRequest, aM.mEntry, aM.mTimeout);
 }
 template<class A>
 void serialize(A& aArchive, KeyReply& aM)
