--- a/src/policy/outlier.cpp
+++ b/src/policy/outlier.cpp
@@ -41,11 +41,16 @@
     mCallers[aCaller].mAnsweredBy[aWorker] = aNow;
     return;
   }
-  mCallers[aCaller].mFailedOn[aWorker] = aNow;
-  if (aNow - worker.mLastFailure > mSettings.mWindow)
+  // No work makes an endpoint unreachable, so a refusal says nothing of the caller.
+  const bool refused = aEnd == GrantEnd::Refused;
+  if (!refused)
+    mCallers[aCaller].mFailedOn[aWorker] = aNow;
+  if (aNow - worker.mLastFailure > mSettings.mWindow) {
     worker.mFailures.clear();
+    worker.mRefusals = 0;
+  }
   worker.mLastFailure = aNow;
-  ++worker.mFailures[aCaller];
+  ++(refused ? worker.mRefusals : worker.mFailures[aCaller]);
   const bool probed = worker.mEjected;
   if (probed || CountBlame(worker, aNow) >= mSettings.mFailures)
     Eject(worker, aNow);
@@ -53,7 +58,7 @@
 
 std::uint32_t OutlierTable::CountBlame(const Worker& aWorker, TimePoint aNow) const
 {
-  std::uint32_t n = 0;
+  std::uint32_t n = aWorker.mRefusals;
   for (const auto& [caller, failures] : aWorker.mFailures)
     n += IsSuspect(caller, aNow) ? 0 : failures;
   return n;
--- a/src/policy/outlier.h
+++ b/src/policy/outlier.h
@@ -46,6 +46,7 @@
   struct Worker
   {
     std::map<std::string, std::uint32_t> mFailures{};  // in a row, by caller
+    std::uint32_t mRefusals = 0;                       // in a row, by anyone
     TimePoint mLastFailure{};
     std::uint32_t mEjections = 0;  // in a row
     TimePoint mEjectedUntil = TimePoint::min();
