--- a/src/controllers/job_table.cpp
+++ b/src/controllers/job_table.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kKeepFinished = 2000;  // finished jobs that queries and repeats still find
+constexpr std::size_t kKeepFinished = 20000;  // finished jobs that queries and repeats still find
 constexpr Duration kConfirmWait =
   seconds(3);  // an assigned task that nobody confirmed is asked after
 constexpr std::uint32_t kMaxTasksPerJob = 100000;
--- a/src/controllers/supervision_state.cpp
+++ b/src/controllers/supervision_state.cpp
@@ -142,11 +142,12 @@
   for (const Attempt& attempt : gone) {
     SupervisedTask& task = mTasks[attempt];
     const bool startOver = task.mStartEnded < aSentAt;
+    task.mInDoubt = task.mInDoubt || restarted;
     if (task.mReported && task.mEnd != TaskEnd::Running)
       mTasks.erase(attempt);  // the worker forgot it: all is done
     else if (task.mEnd == TaskEnd::Running && task.mConfirmed && startOver)
       End(attempt, TaskEnd::Unknown, ended);  // it ran, and the worker lost it
-    else if (restarted && startOver)
+    else if (task.mInDoubt && startOver)
       End(attempt, TaskEnd::Unknown, ended);
     else if (!task.mConfirmed && startOver && task.mStartUntil < aSentAt)
       End(attempt, TaskEnd::NeverStarted, ended);  // workers keep what ended until acknowledged
--- a/src/controllers/supervision_state.h
+++ b/src/controllers/supervision_state.h
@@ -21,6 +21,7 @@
   bool mConfirmed = false;    // the worker showed it, or answered its start
   bool mReported = false;     // the shard owner has journaled its end
   bool mRunningTold = false;  // the shard owner was told that it runs
+  bool mInDoubt = false;      // the worker restarted while the start was under way
   bool mDisowned = false;     // declared lost: stop it if it shows up again
   TimePoint mStartUntil{};    // the worker refuses the start later
   TimePoint mStartEnded{};    // when the start call came back; max while it is under way
--- /dev/null
+++ b/tests/unit/test_job_faults.cpp
@@ -0,0 +1,143 @@
+// Random faults over the job table, placement, supervision and the book: every promise that
+// concerns tasks is an invariant checked after each step, and each invariant catches a planted
+// fault.
+#include <catch2/catch.hpp>
+
+#include "tests/unit/job_model.h"
+
+using namespace monsoon;
+using namespace monsoon::testing;
+
+namespace {
+
+constexpr std::uint32_t kSeeds = 100;
+constexpr std::uint32_t kSteps = 300;
+
+int Draw(JobModel& aModel, int aBelow)
+{
+  return std::uniform_int_distribution<int>(0, aBelow - 1)(aModel.mRandom);
+}
+
+WorkerName DrawWorker(JobModel& aModel)
+{
+  return "w" + std::to_string(Draw(aModel, static_cast<int>(aModel.mWorkers.size())));
+}
+
+void SubmitOne(JobModel& aModel, std::uint32_t aStep)
+{
+  JobSpec spec;
+  spec.mId = "job-" + std::to_string(aStep);
+  spec.mKind = Draw(aModel, 4) == 0 ? JobKind::Gang : JobKind::Batch;
+  spec.mTasks = static_cast<std::uint32_t>(1 + Draw(aModel, 8));
+  spec.mRepeatable = Draw(aModel, 2) == 0;
+  spec.mShape = { 500 * (1 + Draw(aModel, 8)), 512 * (1 + Draw(aModel, 8)) };
+  spec.mPriority = static_cast<Priority>(Draw(aModel, 3));
+  [[maybe_unused]] const auto done = aModel.Submit(spec);
+}
+
+void StepOnce(JobModel& aModel, std::uint32_t aStep)
+{
+  switch (Draw(aModel, 24)) {
+    case 0:
+    case 1:
+      SubmitOne(aModel, aStep);
+      break;
+    case 2:
+      aModel.Cancel("job-" + std::to_string(Draw(aModel, static_cast<int>(aStep) + 1)));
+      break;
+    case 3:
+      aModel.mCancelDuringPlace.push_back(
+        "job-" + std::to_string(Draw(aModel, static_cast<int>(aStep) + 1)));
+      break;
+    case 4:
+      aModel.KillShardOwner();
+      break;
+    case 5:
+      aModel.KillWorkerOwner(DrawWorker(aModel));
+      break;
+    case 6:
+      if (Draw(aModel, 4) == 0)
+        aModel.RestartWorker(DrawWorker(aModel));
+      break;
+    case 7:
+      aModel.mWorkers[DrawWorker(aModel)].mUp = Draw(aModel, 3) > 0;
+      break;
+    case 8:
+      if (Draw(aModel, 8) == 0)
+        aModel.SetLeaving("w0");
+      break;
+    case 9:
+      if (Draw(aModel, 6) == 0)
+        aModel.Advance(seconds(40));  // leases lapse
+      break;
+    case 10:
+    case 11:
+    case 12:
+      aModel.RenewAll();
+      break;
+    case 13:
+      aModel.SendStops();
+      break;
+    case 14:
+      aModel.SendQueries();
+      break;
+    case 15:
+    case 16:
+    case 17:
+      aModel.DeliverStarts();
+      break;
+    default:
+      aModel.Advance(milliseconds(Draw(aModel, 800)));
+      aModel.Place();
+      break;
+  }
+}
+
+std::string RunSeed(std::uint32_t aSeed, Planted aPlanted)
+{
+  JobModel model(aSeed, aPlanted);
+  for (std::uint32_t i = 0; i < 6; ++i)
+    model.AddWorker("w" + std::to_string(i), { 8000 + 4000 * (i % 3), 32768 });
+  model.mLoss = 0.15;
+  model.mWriteUnknown = 0.02;
+  for (std::uint32_t i = 0; i < kSteps; ++i) {
+    StepOnce(model, i);
+    if (const std::string broken = model.FindBroken(); !broken.empty())
+      return broken;
+  }
+  model.Settle(300);
+  if (const std::string broken = model.FindBroken(); !broken.empty())
+    return broken;
+  return model.AreAllDone() ? std::string() : "stuck";
+}
+
+// Whether any of the seeds shows the planted fault under this name.
+bool IsCaught(Planted aPlanted, const std::string& aName)
+{
+  for (std::uint32_t seed = 1; seed <= 20; ++seed)
+    if (RunSeed(seed, aPlanted).find(aName) == 0)
+      return true;
+  return false;
+}
+
+}  // namespace
+
+TEST_CASE("100 seeds of random faults break no promise, and all work ends", "[faults]")
+{
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    CHECK(RunSeed(seed, Planted::None) == "");
+  }
+}
+
+TEST_CASE("each invariant catches its planted fault", "[faults]")
+{
+  CHECK(IsCaught(Planted::StartWithoutHold, "overcommit"));
+  CHECK(IsCaught(Planted::RepeatRunning, "two places"));
+  CHECK(IsCaught(Planted::RepeatUnknown, "repeated"));
+  CHECK(IsCaught(Planted::ClaimNeverStarted, "not run is untrue"));
+  CHECK(IsCaught(Planted::StartOnLeaving, "new work on a leaving endpoint"));
+  CHECK(IsCaught(Planted::ForgetEntry, "lost"));
+  CHECK(IsCaught(Planted::IgnoreCancel, "a cancellation was outrun"));
+  CHECK(IsCaught(Planted::ForgetPlacing, "stuck"));
+}
