Follow the rename of declaration changes

Ruled out: an alias. Change: MakeDeclarationChange. Figures: unit_tests of commands, settings, load, log and metrics pass.

--- a/src/command/execute.h
+++ b/src/command/execute.h
@@ -46,7 +46,7 @@
     if (auto* it = std::get_if<CancelJob>(&aCommand.mBody))
       co_return MakeChanged(co_await mBackend.CancelJob(it->mId, expected));
     co_return MakeChanged(
-      co_await mBackend.ChangeConfiguration(MakeConfigurationChange(aCommand.mBody), expected));
+      co_await mBackend.ChangeConfiguration(MakeDeclarationChange(aCommand.mBody), expected));
   }
 
 private:
--- a/src/command/rows.cpp
+++ b/src/command/rows.cpp
@@ -223,7 +223,7 @@
   return table;
 }
 
-ConfigurationChange MakeConfigurationChange(const CommandBody& aBody)
+DeclarationChange MakeDeclarationChange(const CommandBody& aBody)
 {
   if (const auto* it = std::get_if<DrainWorker>(&aBody))
     return PutDrained{ it->mWorker, it->mDrained };
--- a/src/command/rows.h
+++ b/src/command/rows.h
@@ -18,6 +18,6 @@
 [[nodiscard]] Result<Table> MakeChanged(const Result<Revision>& aRevision);
 
 // Of the commands that change the configuration; the caller must have handled all others.
-[[nodiscard]] ConfigurationChange MakeConfigurationChange(const CommandBody& aBody);
+[[nodiscard]] DeclarationChange MakeDeclarationChange(const CommandBody& aBody);
 
 }  // namespace monsoon
--- a/tests/unit/test_command_execute.cpp
+++ b/tests/unit/test_command_execute.cpp
@@ -66,7 +66,7 @@
   {
     return std::make_shared<const Configuration>(mConfiguration);
   }
-  Async<Result<Revision>> ChangeConfiguration(ConfigurationChange aChange,
+  Async<Result<Revision>> ChangeConfiguration(DeclarationChange aChange,
                                               std::optional<Revision> aExpected)
   {
     if (aExpected && *aExpected != mConfiguration.mRevision)
