Route to a leaving owner until it has handed over, and wait out a takeover

Cause: a planned stop is announced in heartbeats two seconds before the hand-over; placement took the leaving owner for unusable at once, and with no other owner it refused every request ("no process owns a worker": 39,582 not_run answers in one stop).

Ruled out: the hand-over itself (stopped in 2.0 s, handed_over=yes) and the successors' inventory reading (few refusals after the hand-over).

Change: an alive owner is used whether it is leaving or not; while nobody usable owns a worker the request waits until its deadline.

--- a/src/filters/placement.h
+++ b/src/filters/placement.h
@@ -89,7 +89,8 @@
         if (member.mName != it)
           continue;
         view.mZone = member.mZone;
-        view.mUsable = view.mUsable || (member.mAlive && !member.mLeaving);
+        // A process that is leaving serves grants until it has handed its workers over.
+        view.mUsable = view.mUsable || member.mAlive;
         view.mFreeSlots = member.mFreeSlots;
       }
       views.push_back(std::move(view));
@@ -112,21 +113,26 @@
       owners, mEnvironment.mSettings.mSelf, mEnvironment.mSettings.mZone, routing, random);
   }
 
-  // Waits and re-reservations alike end at the deadline; a refusal by all owners is met by a pause
-  // and a new look at who owns what.
+  // Waits and re-reservations alike end at the deadline; a refusal by all owners, or a takeover
+  // under way, is met by a pause and a new look at who owns what.
   Async<Result<Grant>> Place(RequestContext& aContext)
   {
     Duration pause = kFirstPause;
+    bool hasOwner = false;
     while (aContext.GetTimeLeft(BootClock::now()) > mEnvironment.mSettings.mRetry.mLeastTime) {
       const std::vector<RouteStep> steps = ListSteps();
-      if (steps.empty())
-        co_return MakeFailure(FailureKind::NotReady, "no process owns a worker");
-      auto grant = co_await RunRace(aContext, steps);
-      if (grant)
-        co_return std::move(*grant);
+      hasOwner = !steps.empty();
+      if (hasOwner) {
+        auto grant = co_await RunRace(aContext, steps);
+        if (grant)
+          co_return std::move(*grant);
+      }
       co_await Sleep(std::min(pause, aContext.GetTimeLeft(BootClock::now())));
       pause = std::min(pause * 2, kLongestPause);
     }
+    if (!hasOwner)
+      co_return MakeFailure(FailureKind::NotReady,
+                            "no live process owned a worker before the deadline");
     co_return MakeFailure(FailureKind::CapacityFull, "no slot was free before the deadline");
   }
 
--- a/tests/integration/load.cpp
+++ b/tests/integration/load.cpp
@@ -39,6 +39,8 @@
   const auto* echo = answer.get_object().if_contains("echo");
   record.mWhole =
     aAnswer.mStatus == 200 && echo && echo->is_string() && echo->get_string() == aBody;
+  if (const auto* detail = answer.get_object().if_contains("detail"); detail && detail->is_string())
+    record.mDetail = std::string(detail->get_string());
   if (const auto* outcome = answer.get_object().if_contains("outcome");
       outcome && outcome->is_string())
     record.mOutcome = std::string(outcome->get_string());
--- a/tests/integration/load.h
+++ b/tests/integration/load.h
@@ -18,6 +18,7 @@
   int mStatus = 0;         // 0: the connection broke without an answer
   bool mWhole = false;     // 200 and the body is this request's own
   std::string mOutcome{};  // of a problem answer: not_run or unknown
+  std::string mDetail{};   // of a problem answer, for people
 };
 
 struct RequestLoadOptions
--- a/tests/integration/test_failures.cpp
+++ b/tests/integration/test_failures.cpp
@@ -226,10 +226,13 @@
     CHECK(status == 200);
     cell.StartProcess(i);
     REQUIRE(cell.WaitUntilReady());
-    std::uint64_t failed = 0;
+    std::map<std::string, std::uint64_t> failed;
     for (const RequestRecord& it : others.Stop())
-      failed += it.mWhole ? 0 : 1;
-    CHECK(failed == 0);
+      if (!it.mWhole)
+        ++failed[std::to_string(it.mStatus) + " " + it.mOutcome + " " + it.mDetail];
+    for (const auto& [answer, n] : failed)
+      UNSCOPED_INFO(n << " times " << answer);
+    CHECK(failed.empty());
   }
   CHECK(WaitFor([&] { return CountTasks(cell.GetHttpPort(1), "reports", "succeeded") == 300; }));
   const RunsById runs = CollectRuns(cell.ReadEvidence(), "task");
