--- a/bench/bench_store.cpp
+++ b/bench/bench_store.cpp
@@ -27,6 +27,7 @@
   int mConcurrency = 0;
   int mAppended = 0;
   int mFailed = 0;
+  int mOpen = 0;  // coroutines that still append
   double mSeconds = 0;
   std::uint64_t mCalls = 0;
   std::uint64_t mStoredBytes = 0;
@@ -46,7 +47,7 @@
   return std::chrono::duration<double, std::milli>(aDuration).count();
 }
 
-Async<void> AppendMany(Journal<Guarded>& aJournal, int aCount, Row& aRow, int& aOpen)
+Async<void> AppendMany(Journal<Guarded>& aJournal, int aCount, Row& aRow)
 {
   for (int n = 0; n < aCount; ++n) {
     const TimePoint start = BootClock::now();
@@ -54,7 +55,7 @@
     aRow.mLatenciesMs.push_back(GetMillis(BootClock::now() - start));
     ++(at.has_value() ? aRow.mAppended : aRow.mFailed);
   }
-  --aOpen;
+  --aRow.mOpen;
 }
 
 std::uint64_t CountAll(const Guarded& aStore)
@@ -89,10 +90,10 @@
   const int each = std::max(20, 2000 / aRow.mConcurrency);
   const std::uint64_t callsBefore = CountAll(aStore);
   const TimePoint start = BootClock::now();
-  int open = aRow.mConcurrency;
+  aRow.mOpen = aRow.mConcurrency;
   for (int n = 0; n < aRow.mConcurrency; ++n)
-    asio::co_spawn(executor, AppendMany(journal, each, aRow, open), asio::detached);
-  while (open > 0)
+    asio::co_spawn(executor, AppendMany(journal, each, aRow), asio::detached);
+  while (aRow.mOpen > 0)
     co_await Sleep(milliseconds(1));
   aRow.mSeconds = GetMillis(BootClock::now() - start) / 1000;
   aRow.mCalls = CountAll(aStore) - callsBefore;
--- a/src/journal/journal_reading.h
+++ b/src/journal/journal_reading.h
@@ -27,9 +27,10 @@
   auto tail = co_await mReader.ReadTail(snapshot->mHead.mAt, CallPurpose::Recovery);
   if (!tail)
     co_return tail.error();
-  const bool gap = std::any_of(tail->mUnreadable.begin(),
-                               tail->mUnreadable.end(),
-                               [](const auto& it) { return it.mFault == ValueFault::Missing; });
+  const bool gap =
+    std::any_of(tail->mUnreadable.begin(), tail->mUnreadable.end(), [](const auto& aValue) {
+      return aValue.mFault == ValueFault::Missing;
+    });
   if (gap || MayBeTrimmed(startedAt)) {
     auto again = co_await mReader.ReadSnapshotHead(CallPurpose::Recovery);
     if (!again)
--- a/standin/platform_data.cpp
+++ b/standin/platform_data.cpp
@@ -134,7 +134,7 @@
 void PlatformData::DropKeysOf(LeaseId aLease)
 {
   mRevision +=
-    std::erase_if(mValues, [aLease](const auto& it) { return it.second.mLease == aLease; });
+    std::erase_if(mValues, [aLease](const auto& aPair) { return aPair.second.mLease == aLease; });
 }
 
 // VM list
--- a/tests/unit/test_codec.cpp
+++ b/tests/unit/test_codec.cpp
@@ -1,6 +1,7 @@
 // Peer messages survive the wire, and broken bytes become typed failures.
 #include <catch2/catch.hpp>
 
+#include "core/archive.h"
 #include "peer/codec.h"
 
 using namespace monsoon;
@@ -66,3 +67,15 @@
   REQUIRE(DecodeRequest(bytes).has_error());
   CHECK(DecodeRequest(bytes).error().mKind == FailureKind::BadInput);
 }
+
+TEST_CASE("a count above the bytes at hand is refused before anything is allocated for it",
+          "[codec]")
+{
+  const std::string body(100, 'x');
+  const std::string claimed = EncodeBytes(std::uint64_t(101)) + body;
+  BoundedInputArchive tooMany(claimed);
+  CHECK_THROWS_AS(tooMany.LoadCount(), cereal::Exception);
+  const std::string honest = EncodeBytes(std::uint64_t(100)) + body;
+  BoundedInputArchive fits(honest);
+  CHECK(fits.LoadCount() == 100);
+}
--- a/tests/unit/test_journal.cpp
+++ b/tests/unit/test_journal.cpp
@@ -32,7 +32,7 @@
 {
   asio::io_context context;
   std::exception_ptr thrown;
-  asio::co_spawn(context, aBody(), [&thrown](std::exception_ptr e) { thrown = e; });
+  asio::co_spawn(context, aBody(), [&thrown](std::exception_ptr aThrown) { thrown = aThrown; });
   context.run();
   if (thrown)
     std::rethrow_exception(thrown);
--- a/tests/unit/test_journal_faults.cpp
+++ b/tests/unit/test_journal_faults.cpp
@@ -43,6 +43,11 @@
   return text;
 }
 
+struct Burst  // appends that wait together
+{
+  int mOpen = 0;
+};
+
 struct Schedule
 {
   MemoryData mData{};
@@ -72,7 +77,7 @@
     return settings;
   }
 
-  Async<void> AppendOne(TestJournal& aJournal, std::string aId, int& aOpen)
+  Async<void> AppendOne(TestJournal& aJournal, std::string aId, Burst& aBurst)
   {
     auto at = co_await aJournal.Append(aId);
     if (at.has_value())
@@ -81,7 +86,7 @@
       mLedger.mRefused.insert(aId);
     if (at.has_error() && at.error().mKind == FailureKind::Fenced)
       ++mLedger.mFenced;
-    --aOpen;
+    --aBurst.mOpen;
   }
 
   Async<void> Turns(std::uint64_t aMost)
@@ -102,13 +107,13 @@
       if (!fenced)
         continue;
       while (next < aEntries && !journal.IsRefusing()) {
-        int open = 0;
+        Burst burst;
         for (std::uint64_t n = 1 + mRandom() % 6; n > 0 && next < aEntries; --n, ++next) {
-          ++open;
-          auto append = AppendOne(journal, aName + " " + std::to_string(next), open);
+          ++burst.mOpen;
+          auto append = AppendOne(journal, aName + " " + std::to_string(next), burst);
           asio::co_spawn(executor, std::move(append), asio::detached);
         }
-        while (open > 0)
+        while (burst.mOpen > 0)
           co_await asio::post(executor, asio::use_awaitable);
         if (mRandom() % 4 == 0)
           co_await Turns(mRandom() % 4 == 0 ? 2000 : 50);
--- a/tests/unit/test_platform_standin.cpp
+++ b/tests/unit/test_platform_standin.cpp
@@ -34,8 +34,8 @@
   void Run(F aBody)
   {
     std::exception_ptr thrown;
-    asio::co_spawn(mContext, aBody(*this), [&](std::exception_ptr e) {
-      thrown = e;
+    asio::co_spawn(mContext, aBody(*this), [&](std::exception_ptr aThrown) {
+      thrown = aThrown;
       mContext.stop();
     });
     mContext.run();
--- a/tests/unit/test_store_guard.cpp
+++ b/tests/unit/test_store_guard.cpp
@@ -37,7 +37,7 @@
   {
     asio::io_context context;
     std::exception_ptr thrown;
-    asio::co_spawn(context, aBody(), [&thrown](std::exception_ptr e) { thrown = e; });
+    asio::co_spawn(context, aBody(), [&thrown](std::exception_ptr aThrown) { thrown = aThrown; });
     context.run();
     if (thrown)
       std::rethrow_exception(thrown);
