--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -6,8 +6,11 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <array>
 #include <mutex>
 #include <set>
+
+#include "observe/log.h"
 #include <sstream>
 
 namespace monsoon {
@@ -78,6 +81,58 @@
   return std::nullopt;
 }
 
+constexpr Duration kLingerFor = seconds(1);
+constexpr std::size_t kLingerBytes = 1024 * 1024;
+
+// Closing with unread bytes resets the connection, and the caller might never see the answer: reads
+// on for a while.
+Async<void> Linger(beast::tcp_stream& aStream)
+{
+  boost::system::error_code ignored;
+  aStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  aStream.expires_after(kLingerFor);
+  std::array<char, 4096> buf{};
+  for (std::size_t total = 0; total < kLingerBytes;) {
+    auto [ec, n] = co_await aStream.async_read_some(asio::buffer(buf), kNoThrow);
+    if (ec)
+      break;
+    total += n;
+  }
+}
+
+// Counts down on every way out, also when a handler throws.
+class CountGuard
+{
+public:
+  explicit CountGuard(std::atomic<std::size_t>& aCount)
+    : mCount(aCount)
+  {
+  }
+  ~CountGuard() { --mCount; }
+  CountGuard(const CountGuard&) = delete;
+  CountGuard& operator=(const CountGuard&) = delete;
+
+private:
+  std::atomic<std::size_t>& mCount;
+};
+
+// A handler that throws is a fault of ours; its caller still gets an answer.
+Async<HttpResponse> CallHandler(const HttpHandler& aHandler,
+                                HttpRequest aRequest,
+                                const std::string& aPeerAddress)
+{
+  std::string what;
+  try {
+    co_return co_await aHandler(std::move(aRequest), aPeerAddress);
+  } catch (const std::exception& error) {
+    what = error.what();
+  }
+  Log(LogPart::Http, LogLevel::Error, "a handler failed", { { "what", what } });
+  co_return MakeProblem(http::status::internal_server_error,
+                        Outcome::Unknown,
+                        MakeFailure(FailureKind::Internal, "the handler failed"));
+}
+
 }  // namespace
 
 // The head promises more than follows, as an endpoint that dies while it answers.
@@ -94,6 +149,7 @@
 
 Async<void> HttpServer::State::Serve(tcp::socket aSocket)
 {
+  const CountGuard connection(mConnections);
   auto self = shared_from_this();
   boost::system::error_code ignored;
   const auto remote = aSocket.remote_endpoint(ignored);
@@ -121,26 +177,31 @@
     auto [ec, n] = co_await http::async_read(stream, buf, parser, kNoThrow);
     if (ec) {
       if (auto answer = MakeParseAnswer(ec)) {
+        Log(
+          LogPart::Http,
+          LogLevel::Info,
+          "refused malformed input",
+          { { "peer", peerAddress }, { "status", answer->result_int() }, { "why", ec.message() } });
         answer->keep_alive(false);
         stream.expires_after(mLimits.mReadTimeout);
         co_await http::async_write(stream, *answer, kNoThrow);
+        co_await Linger(stream);
       }
       break;
     }
 
     ++mInFlight;
+    const CountGuard inFlight(mInFlight);
     stream.expires_never();
     HttpRequest request = parser.release();
     const bool keepAlive = request.keep_alive();
     const unsigned version = request.version();
-    HttpResponse response = co_await mHandler(std::move(request), peerAddress);
+    HttpResponse response = co_await CallHandler(mHandler, std::move(request), peerAddress);
     if (response.result() == kNoAnswer) {
-      --mInFlight;
       break;
     }
     if (response.result() == kHalfAnswer) {
       co_await WriteHalf(stream, std::move(response));
-      --mInFlight;
       break;
     }
     response.version(version);
@@ -148,12 +209,10 @@
     response.prepare_payload();
     stream.expires_after(mLimits.mReadTimeout);
     auto [writeError, written] = co_await http::async_write(stream, response, kNoThrow);
-    --mInFlight;
     if (writeError || !response.keep_alive())
       break;
   }
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  --mConnections;
 }
 
 Async<void> HttpServer::State::Accept()
@@ -168,8 +227,13 @@
       co_await Sleep(milliseconds(10));  // out of descriptors, most often: don't spin
       continue;
     }
-    if (mConnections >= mLimits.mMaxConnections)
+    if (mConnections >= mLimits.mMaxConnections) {
+      Log(LogPart::Http,
+          LogLevel::Warn,
+          "closed a connection above the limit",
+          { { "limit", mLimits.mMaxConnections } });
       continue;
+    }
     ++mConnections;
     asio::co_spawn(context, Serve(std::move(socket)), asio::detached);
   }
--- /dev/null
+++ b/tests/unit/test_http.cpp
@@ -0,0 +1,141 @@
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include "http/server.h"
+
+using namespace monsoon;
+using asio::ip::tcp;
+
+namespace {
+
+// A server on a thread of its own, and raw sockets towards it.
+class Fixture
+{
+public:
+  explicit Fixture(HttpLimits aLimits = {})
+    : mServer(aLimits, [](HttpRequest aRequest, std::string) { return Answer(aRequest.target()); })
+  {
+    mPort = *mServer.Listen("127.0.0.1", 0, { &mContext });
+    mThread = std::thread([this] {
+      auto work = asio::make_work_guard(mContext);
+      mContext.run();
+    });
+  }
+  ~Fixture()
+  {
+    mServer.StopAccepting();
+    mContext.stop();
+    mThread.join();
+  }
+
+  tcp::socket Connect()
+  {
+    tcp::socket socket(mClient);
+    socket.connect({ asio::ip::address_v4::loopback(), mPort });
+    return socket;
+  }
+  static std::string ReadAll(tcp::socket& aSocket)
+  {
+    std::string text;
+    boost::system::error_code ec;
+    asio::read(aSocket, asio::dynamic_buffer(text), ec);
+    return text;
+  }
+  // What the server says to these bytes until it closes.
+  std::string Send(std::string_view aBytes)
+  {
+    tcp::socket socket = Connect();
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(aBytes), ec);
+    return ReadAll(socket);
+  }
+  bool Works()
+  {
+    return Send("GET /good HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").find("200 OK") !=
+           std::string::npos;
+  }
+  [[nodiscard]] std::size_t CountInFlight() const { return mServer.CountInFlight(); }
+
+private:
+  static Async<HttpResponse> Answer(std::string aTarget)
+  {
+    if (aTarget == "/throws")
+      throw std::runtime_error("on purpose");
+    co_return MakeJsonResponse(http::status::ok, "{}");
+  }
+
+  asio::io_context mContext{ 1 };
+  asio::io_context mClient{ 1 };
+  HttpServer mServer;
+  std::uint16_t mPort = 0;
+  std::thread mThread{};
+};
+
+}  // namespace
+
+TEST_CASE("malformed input gets a 4xx or a close, and the server goes on", "[http]")
+{
+  Fixture fixture;
+  CHECK(fixture.Send("nonsense\r\n\r\n").find("HTTP/1.1 400") == 0);
+  CHECK(fixture.Send("GET / HTTP/9.9\r\n\r\n").find("HTTP/1.1 400") == 0);
+  CHECK(fixture.Send("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd")
+          .find("HTTP/1.1 400") == 0);
+  CHECK(fixture.Send("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n").find("HTTP/1.1 400") == 0);
+  CHECK(fixture.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")
+          .find("HTTP/1.1 400") == 0);
+  CHECK(fixture.Send("GET / HTTP/1.1\r\nbad header\r\n\r\n").find("HTTP/1.1 400") == 0);
+  CHECK(fixture.Works());
+}
+
+TEST_CASE("bodies and headers above the limits are refused", "[http]")
+{
+  Fixture fixture({ .mMaxBodyBytes = 1000, .mMaxHeaderBytes = 500 });
+  const std::string body(200'000, 'x');
+  CHECK(
+    fixture.Send("POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + body).find("HTTP/1.1 413") ==
+    0);
+  CHECK(fixture.Send("GET / HTTP/1.1\r\nA: " + std::string(2000, 'a') + "\r\n\r\n")
+          .find("HTTP/1.1 431") == 0);
+  CHECK(fixture.Works());
+}
+
+TEST_CASE("slow senders are timed out", "[http]")
+{
+  Fixture fixture({ .mReadTimeout = milliseconds(50), .mIdleTimeout = milliseconds(50) });
+  CHECK(fixture.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc").find("HTTP/1.1 408") == 0);
+  CHECK(fixture.Send("GET / HTTP/1.1\r\nHos").find("HTTP/1.1 408") == 0);
+  CHECK(fixture.Send("").empty());
+  CHECK(fixture.Works());
+}
+
+TEST_CASE("connections above the limit are closed, and places come free again", "[http]")
+{
+  Fixture fixture({ .mMaxConnections = 2 });
+  {
+    tcp::socket first = fixture.Connect();
+    tcp::socket second = fixture.Connect();
+    tcp::socket third = fixture.Connect();
+    CHECK(Fixture::ReadAll(third).empty());
+  }
+  bool works = false;
+  for (int i = 0; i < 1000 && !works; ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+    works = fixture.Works();
+  }
+  CHECK(works);
+}
+
+TEST_CASE("a handler that throws is answered and counted out", "[http]")
+{
+  Fixture fixture;
+  const std::string answer =
+    fixture.Send("GET /throws HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK(answer.find("HTTP/1.1 500") == 0);
+  CHECK(answer.find("\"outcome\":\"unknown\"") != std::string::npos);
+  CHECK(fixture.CountInFlight() == 0);
+  CHECK(fixture.Works());
+}
