Answer slow senders with 408 before closing

Ruled out: a plain close (a caller can't tell it from a fault). Change: ReadDeadline cancels the read; the connection is closed after the answer.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -116,6 +116,51 @@
   std::atomic<std::size_t>& mCount;
 };
 
+// Bounds the reading of one request. tcp_stream's own timeout closes the socket, and then the
+// caller could not be told; this one only cancels.
+class ReadDeadline
+{
+public:
+  explicit ReadDeadline(beast::tcp_stream& aStream)
+    : mTimer(aStream.get_executor())
+    , mShared(std::make_shared<Shared>(Shared{ &aStream }))
+  {
+  }
+  ~ReadDeadline() { mShared->mStream = nullptr; }
+  ReadDeadline(const ReadDeadline&) = delete;
+  ReadDeadline& operator=(const ReadDeadline&) = delete;
+
+  void Start(Duration aTimeout)
+  {
+    mShared->mPassed = false;
+    const std::uint64_t round = ++mShared->mRound;
+    mTimer.expires_after(aTimeout);
+    mTimer.async_wait([shared = mShared, round](boost::system::error_code aError) {
+      if (aError || !shared->mStream || shared->mRound != round)
+        return;
+      shared->mPassed = true;
+      shared->mStream->cancel();
+    });
+  }
+  void End()
+  {
+    ++mShared->mRound;
+    mTimer.cancel();
+  }
+  [[nodiscard]] bool HasPassed() const { return mShared->mPassed; }
+
+private:
+  struct Shared  // outlives the connection while a handler is queued
+  {
+    beast::tcp_stream* mStream = nullptr;
+    std::uint64_t mRound = 0;
+    bool mPassed = false;
+  };
+
+  asio::steady_timer mTimer;
+  std::shared_ptr<Shared> mShared;
+};
+
 // A handler that throws is a fault of ours; its caller still gets an answer.
 Async<HttpResponse> CallHandler(const HttpHandler& aHandler,
                                 HttpRequest aRequest,
@@ -149,14 +194,15 @@
 
 Async<void> HttpServer::State::Serve(tcp::socket aSocket)
 {
-  const CountGuard connection(mConnections);
   auto self = shared_from_this();
+  const CountGuard connection(mConnections);
   boost::system::error_code ignored;
   const auto remote = aSocket.remote_endpoint(ignored);
   const std::string peerAddress = ignored ? std::string() : remote.address().to_string();
   aSocket.set_option(tcp::no_delay(true), ignored);
   beast::tcp_stream stream(std::move(aSocket));
   beast::flat_buffer buf;
+  ReadDeadline deadline(stream);
 
   while (!mStopping) {
     http::request_parser<http::string_body> parser;
@@ -173,9 +219,13 @@
         break;
       buf.commit(n);
     }
-    stream.expires_after(mLimits.mReadTimeout);
+    stream.expires_never();
+    deadline.Start(mLimits.mReadTimeout);
     auto [ec, n] = co_await http::async_read(stream, buf, parser, kNoThrow);
+    deadline.End();
     if (ec) {
+      if (deadline.HasPassed())
+        ec = beast::error::timeout;
       if (auto answer = MakeParseAnswer(ec)) {
         Log(
           LogPart::Http,
@@ -197,9 +247,8 @@
     const bool keepAlive = request.keep_alive();
     const unsigned version = request.version();
     HttpResponse response = co_await CallHandler(mHandler, std::move(request), peerAddress);
-    if (response.result() == kNoAnswer) {
+    if (response.result() == kNoAnswer)
       break;
-    }
     if (response.result() == kHalfAnswer) {
       co_await WriteHalf(stream, std::move(response));
       break;
