Log each routing, placement, ownership and task decision; suspect sooner

Cause: decisions were silent; and a kill was followed by 5.1 s without the victim's workers at a lease of 3 s, above the stated lease plus 2 s, as the default of suspect_after (2 s) comes before the lease is waited out.

Change: a log line with what was picked and what was passed over for slots, room for tasks, task starts and ends, takeovers, configuration in force and exclusions. suspect_after 700 ms and heartbeat 200 ms, as membership was designed: a false suspicion costs some store reads, nothing else.

--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -7,6 +7,7 @@
 #include "controllers/ownership.h"
 #include "controllers/session_driver.h"
 #include "journal/journal.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
@@ -133,6 +134,7 @@
   bool Watches() const;
   Async<void> FollowVms();
   Async<void> FollowConfiguration();
+  static void LogExclusions(const std::vector<ExclusionChange>& aChanges);
   void TellFleet();
   [[nodiscard]] std::vector<WorkerSpec> CopyWorkers() const
   {
@@ -165,6 +167,15 @@
   return before < kConfigurationWatchers;
 }
 
+void ControlPlane::State::LogExclusions(const std::vector<ExclusionChange>& aChanges)
+{
+  for (const ExclusionChange& it : aChanges)
+    Log(LogPart::Drain,
+        LogLevel::Info,
+        it.mExcluded ? "takes no new work" : "takes new work again",
+        { { "worker", it.mWorker } });
+}
+
 void ControlPlane::State::TellFleet()
 {
   const std::vector<WorkerSpec> workers = CopyWorkers();
@@ -181,7 +192,7 @@
   while (!mStopped) {
     auto workers = co_await mStore.ListWorkers();
     if (workers) {
-      mExclusion.UpdateWorkers(*workers);
+      LogExclusions(mExclusion.UpdateWorkers(*workers));
       {
         std::lock_guard lock(mFleetLock);
         mWorkers = std::move(*workers);
@@ -201,7 +212,10 @@
     const auto configuration = mConfiguration.GetConfiguration();
     if (configuration && configuration->mRevision != seen) {
       seen = configuration->mRevision;
-      if (!mExclusion.UpdateConfiguration(*configuration).empty())
+      Log(LogPart::Config, LogLevel::Info, "in force", { { "revision", seen } });
+      const auto changes = mExclusion.UpdateConfiguration(*configuration);
+      LogExclusions(changes);
+      if (!changes.empty())
         TellFleet();
     }
     co_await Sleep(kLookEvery);
@@ -227,7 +241,13 @@
     state.mOwnership.OnHeartbeat(aHeartbeat, aNow);
     state.mConfiguration.OnHeartbeat(aHeartbeat, aNow);
   });
-  state.mOwnership.SetObserver([&state](const OwnershipNews&) {
+  state.mOwnership.SetObserver([&state](const OwnershipNews& aNews) {
+    Log(LogPart::Ownership,
+        LogLevel::Info,
+        aNews.mGained ? "gained" : "lost",
+        { { aNews.mIsShard ? "shard" : "worker",
+            aNews.mIsShard ? std::to_string(aNews.mShard) : aNews.mWorker },
+          { "epoch", aNews.mEpoch } });
     if (state.mHooks.mOnOwnership)
       state.mHooks.mOnOwnership();
   });
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -51,8 +51,8 @@
   Duration mRenewEvery = seconds(3);
   Duration mMargin = seconds(1);        // stop acting this long before the lapse
   Duration mDrift = milliseconds(500);  // clocks of two VMs may differ in rate by this per lease
-  Duration mHeartbeat = milliseconds(250);
-  Duration mSuspectAfter = seconds(2);   // without a heartbeat
+  Duration mHeartbeat = milliseconds(200);
+  Duration mSuspectAfter = milliseconds(700);  // without a heartbeat
   Duration mConfirmWithin = seconds(5);  // configuration head; else no new work
 };
 
--- a/src/controllers/jobs.h
+++ b/src/controllers/jobs.h
@@ -19,6 +19,7 @@
 #include "controllers/supervision_parallel.h"
 #include "controllers/views.h"
 #include "journal/journal_types.h"
+#include "observe/log.h"
 #include "policy/placement.h"
 
 namespace monsoon {
--- a/src/controllers/jobs_place_impl.h
+++ b/src/controllers/jobs_place_impl.h
@@ -56,7 +56,27 @@
     co_await ReleaseAll(std::move(held));
     co_return false;
   }
+  for (const HeldRoom& room : held)
+    Log(LogPart::Place,
+        LogLevel::Info,
+        "room held",
+        { { "job", shape.mJob },
+          { "tasks", room.mHold.mTasks.size() },
+          { "worker", room.mWorker },
+          { "offers", fit.mOffers.size() },
+          { "full", fit.mFullNow },
+          { "too_small", fit.mNeverFits },
+          { "excluded", fit.mExcluded } });
   if (held.empty()) {
+    Log(LogPart::Place,
+        LogLevel::Info,
+        "no room",
+        { { "job", shape.mJob },
+          { "tasks", count },
+          { "offers", fit.mOffers.size() },
+          { "full", fit.mFullNow },
+          { "too_small", fit.mNeverFits },
+          { "excluded", fit.mExcluded } });
     co_await ExplainNoRoom(aShard, aGroup, fit);
     co_return false;
   }
@@ -182,8 +202,8 @@
   std::vector<HeldRoom> held;
   for (const GangStep& step : PlanGang(aChosen, aGroup.mTasks)) {
     HeldRoom room{ step.mWorker, FindOwner(step.mWorker), {} };
-    HoldRequest request = MakeHold(aGroup, step);
-    auto reply = co_await mPeers.Call(room.mOwner, std::move(request), mSettings.mPeerDeadline);
+    const PeerRequest request(MakeHold(aGroup, step));
+    auto reply = co_await mPeers.Call(room.mOwner, request, mSettings.mPeerDeadline);
     const bool got = reply.has_value() && std::holds_alternative<HoldReply>(*reply);
     if (got) {
       room.mHold = std::move(std::get<HoldReply>(*reply));
--- a/src/controllers/supervision.h
+++ b/src/controllers/supervision.h
@@ -12,6 +12,7 @@
 #include "controllers/supervision_parallel.h"
 #include "controllers/supervision_state.h"
 #include "controllers/views.h"
+#include "observe/log.h"
 #include "policy/placement.h"
 #include "policy/quarantine.h"
 
--- a/src/controllers/supervision_impl.h
+++ b/src/controllers/supervision_impl.h
@@ -117,6 +117,7 @@
     return false;
   if (aWatched.mState)
     return true;
+  Log(LogPart::Ownership, LogLevel::Info, "took over", { { "worker", name }, { "epoch", *epoch } });
   aWatched.mState = std::make_unique<SupervisionState>(*epoch, now);
   mCapacity.With(name, [&](auto& aBook) {
     aBook.PutWorker(aWatched.mSpec, *epoch);
@@ -202,6 +203,14 @@
   for (const auto& attempt : aEnded) {
     const TaskEnd end = aWatched.mState->GetTasks().at(attempt).mEnd;
     mCapacity.With(name, [&](auto& aBook) { aBook.EndTask(name, attempt.first, attempt.second); });
+    Log(LogPart::Task,
+        LogLevel::Info,
+        "ended",
+        { { "job", attempt.first.mJob },
+          { "task", attempt.first.mIndex },
+          { "attempt", attempt.second },
+          { "worker", name },
+          { "end", GetName(end) } });
     if (end == TaskEnd::Succeeded || end == TaskEnd::Failed)
       mQuarantine.Record(name, attempt.first.mJob, end == TaskEnd::Failed, BootClock::now());
   }
@@ -382,6 +391,13 @@
   }
   if (!done)
     co_return done.error();
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "started",
+      { { "job", aStart.mTask.mJob },
+        { "task", aStart.mTask.mIndex },
+        { "attempt", aStart.mAttempt },
+        { "worker", aStart.mWorker } });
   watched->mExpectedEnds.insert(BootClock::now() + aStart.mExpectedRun);
   watched->mTimer.cancel();
   co_return PeerReply(Done{});
--- a/src/filters/answer.h
+++ b/src/filters/answer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "filters/context.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
@@ -23,6 +24,14 @@
   // Entered first and so left last: whatever decides the request, it is answered here.
   Async<void> Leave(RequestContext& aContext)
   {
+    Log(LogPart::Request,
+        LogLevel::Info,
+        "decided",
+        { { "request", aContext.mSpec.mId },
+          { "outcome", GetName(aContext.mMachine.GetOutcome()) },
+          { "reason", aContext.mFailure ? GetName(aContext.mFailure->mKind) : "" },
+          { "attempts", aContext.mAttempts },
+          { "took_ms", BootClock::now() - aContext.mArrivedAt } });
     aContext.mResponse = MakeAnswer(aContext);
     co_return;
   }
--- a/src/filters/placement.h
+++ b/src/filters/placement.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "filters/background.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
@@ -124,8 +125,10 @@
       hasOwner = !steps.empty();
       if (hasOwner) {
         auto grant = co_await RunRace(aContext, steps);
-        if (grant)
+        if (grant) {
+          LogRoute(aContext, *grant, steps);
           co_return std::move(*grant);
+        }
       }
       co_await Sleep(std::min(pause, aContext.GetTimeLeft(BootClock::now())));
       pause = std::min(pause * 2, kLongestPause);
@@ -136,6 +139,29 @@
     co_return MakeFailure(FailureKind::CapacityFull, "no slot was free before the deadline");
   }
 
+  // Owners are named in the order in which they were to be asked; all but the one that gave the
+  // slot were slower, full, or not asked any more.
+  void LogRoute(const RequestContext& aContext,
+                const Grant& aGrant,
+                const std::vector<RouteStep>& aSteps) const
+  {
+    if (!IsLogOn(LogPart::Route, LogLevel::Info))
+      return;
+    std::string others;
+    for (const RouteStep& step : aSteps)
+      for (const ProcessName& it : step.mOwners)
+        if (it != aGrant.mOwner)
+          others += (others.empty() ? "" : ",") + it;
+    Log(LogPart::Route,
+        LogLevel::Info,
+        "slot granted",
+        { { "request", aContext.mSpec.mId },
+          { "worker", aGrant.mWorker.mName },
+          { "owner", aGrant.mOwner },
+          { "waited_ms", BootClock::now() - aContext.mArrivedAt },
+          { "passed_over", others } });
+  }
+
   Async<std::optional<Grant>> RunRace(RequestContext& aContext,
                                       const std::vector<RouteStep>& aSteps)
   {
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -233,6 +233,27 @@
 
 }  // namespace
 
+const char* GetName(TaskEnd aEnd) noexcept
+{
+  switch (aEnd) {
+    case TaskEnd::Running:
+      return "running";
+    case TaskEnd::Succeeded:
+      return "succeeded";
+    case TaskEnd::Failed:
+      return "failed";
+    case TaskEnd::Stopped:
+      return "stopped";
+    case TaskEnd::Checkpointed:
+      return "checkpointed";
+    case TaskEnd::NeverStarted:
+      return "never_started";
+    case TaskEnd::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 std::string Encode(const Heartbeat& aHeartbeat)
 {
   return EncodeBytes(aHeartbeat);
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -216,6 +216,8 @@
   Unknown
 };
 
+[[nodiscard]] const char* GetName(TaskEnd aEnd) noexcept;
+
 struct TaskReport  // worker owner to shard owner; repeated until acknowledged
 {
   TaskKey mTask{};
--- a/standin/worker.cpp
+++ b/standin/worker.cpp
@@ -187,14 +187,12 @@
 {
   if (aTask.mTask.mEnd != TaskEnd::Running)
     return;
-  static constexpr const char* kNames[] = { "running",      "succeeded",     "failed", "stopped",
-                                            "checkpointed", "never_started", "unknown" };
   aTask.mTask.mEnd = aEnd;
   aTask.mTask.mRan = BootClock::now() - aTask.mStarted;
   mInUse = Subtract(mInUse, aTask.mTask.mNeed);
   mEvidence.Count(&WorkerEvidence::mTasksEnded);
   aTask.mTask.mUsed = ComputeUse(aTask.mBehaviour, aTask.mTask.mNeed, aTask.mTask.mRan);
-  mEvidence.EndLine(aTask.mEvidence, ReadNowMs(), kNames[static_cast<std::size_t>(aEnd)]);
+  mEvidence.EndLine(aTask.mEvidence, ReadNowMs(), GetName(aEnd));
 }
 
 HttpResponse Worker::State::Stop(const json::value& aBody)
