--- a/src/controllers/journal_follower.h
+++ b/src/controllers/journal_follower.h
@@ -155,8 +155,7 @@
   const auto entries = co_await mJournal.ReadNew();
   if (!entries) {
     const FailureKind kind = entries.error().mKind;
-    mReplayed = kind == FailureKind::StoreUnavailable || kind == FailureKind::Timeout ||
-                kind == FailureKind::BudgetExhausted;
+    mReplayed = kind != FailureKind::Fenced && kind != FailureKind::CorruptEntry;
     co_return entries.error();
   }
   Take(*entries);
@@ -188,7 +187,11 @@
     Confirm(sent);
     co_return *appended;
   }
-  if (appended.error().mKind == FailureKind::Conflict)
+  const FailureKind kind = appended.error().mKind;
+  // In doubt, or behind a snapshot: the journal takes nothing more until it has been replayed.
+  if (kind == FailureKind::WriteUnknown || kind == FailureKind::Fenced)
+    mReplayed = false;
+  if (kind == FailureKind::Conflict)
     co_await Refresh();
   co_return appended.error();
 }
@@ -197,7 +200,7 @@
 Async<void> JournalFollower<J, S, P, K>::Watch()
 {
   const auto batch =
-    co_await mStore.Watch("journal/" + mName + "/", mWatchRevision, mSettings.mWatchWait);
+    co_await mStore.Watch("journal/" + mName + "/0", mWatchRevision, mSettings.mWatchWait);
   if (!batch) {
     co_await Sleep(mSettings.mRetryAfter);
     co_return;
--- a/tests/unit/test_configuration_drivers.cpp
+++ b/tests/unit/test_configuration_drivers.cpp
@@ -3,13 +3,14 @@
 
 #include "control_mocks.h"
 #include "controllers/configuration.h"
+#include "journal/journal.h"
 
 using namespace monsoon;
 using namespace monsoon::mocks;
 
 namespace {
 
-using TestConfiguration = ConfigurationController<MemoryJournal, AsyncStore, MemoryPeers>;
+using TestConfiguration = ConfigurationController<Journal<AsyncStore>, AsyncStore, MemoryPeers>;
 
 struct Process
 {
@@ -25,14 +26,14 @@
     settings.mFollower.mWatchWait = milliseconds(50);
     settings.mFollower.mRetryAfter = milliseconds(5);
     settings.mFollower.mPoll = milliseconds(5);
-    mConfiguration = std::make_unique<TestConfiguration>(
-      aContext.get_executor(),
-      mStore,
-      std::make_unique<MemoryJournal>(MemoryJournal{ aMemory, "config" }),
-      mPeers,
-      aName,
-      1,
-      settings);
+    mConfiguration =
+      std::make_unique<TestConfiguration>(aContext.get_executor(),
+                                          mStore,
+                                          std::make_unique<Journal<AsyncStore>>(mStore, "config"),
+                                          mPeers,
+                                          aName,
+                                          1,
+                                          settings);
     aHandlers[aName] = [this](ProcessName, PeerRequest aRequest) -> Result<PeerReply> {
       return PeerReply(mConfiguration->OnFetch(std::get<JournalFetch>(aRequest)));
     };
@@ -117,7 +118,9 @@
   std::map<std::string, Revision> standing;
   Revision at = 0;
   for (const auto& [key, value] : memory.mValues) {
-    const auto change = DecodeConfigurationChange(value.mValue);
+    const auto carried = DecodeValue(value.mValue);
+    REQUIRE(carried.has_value());
+    const auto change = DecodeConfigurationChange(carried->mEntries.front());
     REQUIRE(change.has_value());
     const auto& setting = std::get<CellSettingSet>(change->mEntries.front());
     CHECK(standing.emplace(setting.mValue, ++at).second);  // nothing twice
--- a/tests/unit/test_ownership_drivers.cpp
+++ b/tests/unit/test_ownership_drivers.cpp
@@ -6,6 +6,7 @@
 #include "controllers/membership_driver.h"
 #include "controllers/ownership.h"
 #include "controllers/session_driver.h"
+#include "journal/journal.h"
 
 using namespace monsoon;
 using namespace monsoon::mocks;
@@ -14,7 +15,7 @@
 
 using TestSession = Session<AsyncStore, MemoryPeers>;
 using TestOwnership =
-  OwnershipController<MemoryJournal, AsyncStore, MemoryPeers, TestSession, Membership>;
+  OwnershipController<Journal<AsyncStore>, AsyncStore, MemoryPeers, TestSession, Membership>;
 
 struct Cell;
 
@@ -121,8 +122,8 @@
   settings.mFollower.mWatchWait = milliseconds(200);
   settings.mFollower.mPoll = milliseconds(5);
   mOwnership = std::make_unique<TestOwnership>(
-    mStore, mPeers, *mSession, *mMembers, aName, aZone, settings, [&aCell](std::string aJournal) {
-      return std::make_unique<MemoryJournal>(MemoryJournal{ aCell.mMemory, std::move(aJournal) });
+    mStore, mPeers, *mSession, *mMembers, aName, aZone, settings, [this](std::string aJournal) {
+      return std::make_unique<Journal<AsyncStore>>(mStore, std::move(aJournal));
     });
   mOwnership->SetWorkers(aCell.mWorkers);
   mOwnership->SetObserver([this](const OwnershipNews& aNews) { mNews.push_back(aNews); });
