--- a/src/controllers/job_table_plan.cpp
+++ b/src/controllers/job_table_plan.cpp
@@ -115,6 +115,9 @@
   }
   if (group.mTasks.empty())
     return std::nullopt;
+  // Avoiding is a wish: when the others had no room, a worker is tried again.
+  if (aJob.mTries > 0)
+    group.mShape.mAvoid.clear();
 
   const TeamName& team = aJob.mSpec.mTeam;
   const std::size_t first = group.mAllOrNone ? group.mTasks.size() : 1;
