Split the settings' value readers and the server's deadline into files of their own

Change: settings_values.h, settings_reference.cpp, read_deadline.h; dev counts store calls from the stand-in's new statistics.

--- a/src/app/dev_cell.cpp
+++ b/src/app/dev_cell.cpp
@@ -261,9 +261,9 @@
     counts.mSlotsBusy = static_cast<double>(busy) / static_cast<double>(mState->mSlots) /
                         static_cast<double>(last - first);
   if (const auto stats = GetBlocking(mState->mPlatformAddress, "/v1/stats"))
-    if (const auto body = ParseJson(stats->body()); body && body->is_object())
-      for (const auto& [name, value] : body->get_object())
-        counts.mStoreCalls += value.is_int64() ? GetUnsigned(*body, name) : 0;
+    if (const auto body = ParseJson(stats->body()); body && GetMember(*body, "calls").is_object())
+      for (const auto& [name, value] : GetMember(*body, "calls").get_object())
+        counts.mStoreCalls += GetUnsigned(GetMember(*body, "calls"), name);
   for (const HttpAddress& it : ListAddresses())
     if (const auto metrics = GetBlocking(it, "/metrics"))
       counts.mCrossZoneBytes += SumMetric(metrics->body(), "monsoonstage_cross_zone_bytes_total");
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -1,7 +1,6 @@
 #include "app/settings.h"
 
 #include <boost/leaf/handle_errors.hpp>
-#include <boost/leaf/result.hpp>
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -10,7 +9,7 @@
 #include <sstream>
 
 #include "app/settings_keys.h"
-#include "http/client.h"
+#include "app/settings_values.h"
 
 namespace monsoon {
 
@@ -18,148 +17,6 @@
 
 namespace {
 
-struct ValueProblem  // LEAF error object of one value
-{
-  std::string mProblem{};
-  std::string mAllowed{};
-};
-
-std::string FormatRange(const std::string& aMin, const std::string& aMax)
-{
-  return aMin + " to " + aMax;
-}
-
-std::string FormatChoices(std::string_view aChoices)
-{
-  std::string out;
-  for (const char c : aChoices) {
-    if (c == '|')
-      out += "\", \"";
-    else
-      out += c;
-  }
-  return "one of \"" + out + "\"";
-}
-
-bool HasChoice(std::string_view aChoices, std::string_view aText)
-{
-  const std::string bars = "|" + std::string(aChoices) + "|";
-  return bars.find("|" + std::string(aText) + "|") != std::string::npos;
-}
-
-// What one kind of value allows, and how it is read. One overload per alternative of
-// SettingsTarget.
-template<class T>
-struct ValueReader
-{
-  const SettingsKey<T>& mKey;
-  const toml::node* mNode = nullptr;  // null: only Describe is called
-
-  std::string Describe(std::string*) const
-  {
-    if (!mKey.mChoices.empty())
-      return FormatChoices(mKey.mChoices);
-    return "text of " + FormatRange(std::to_string(mKey.mMin), std::to_string(mKey.mMax)) +
-           " bytes";
-  }
-  std::string Describe(std::uint32_t*) const
-  {
-    return "a whole number, " + FormatRange(std::to_string(mKey.mMin), std::to_string(mKey.mMax));
-  }
-  std::string Describe(Duration*) const
-  {
-    return "a time in quotes, " + FormatRange(FormatDuration(milliseconds(mKey.mMin)),
-                                              FormatDuration(milliseconds(mKey.mMax)));
-  }
-  std::string Describe(std::size_t*) const
-  {
-    return "a size in quotes, " + FormatRange(FormatBytes(static_cast<std::size_t>(mKey.mMin)),
-                                              FormatBytes(static_cast<std::size_t>(mKey.mMax)));
-  }
-  std::string Describe(LogLevel*) const { return FormatChoices(mKey.mChoices); }
-  std::string Describe(AddressTarget) const { return "\"IP:PORT\""; }
-
-  leaf::result<std::string> ReadText() const
-  {
-    if (auto text = mNode->value_exact<std::string>())
-      return *text;
-    return leaf::new_error(ValueProblem{ "not text in quotes", {} });
-  }
-
-  leaf::result<void> Read(std::string* aOut) const
-  {
-    BOOST_LEAF_AUTO(text, ReadText());
-    const auto size = static_cast<std::int64_t>(text.size());
-    if (!mKey.mChoices.empty() && !HasChoice(mKey.mChoices, text))
-      return leaf::new_error(ValueProblem{ "unknown value \"" + text + "\"", {} });
-    if (mKey.mChoices.empty() && (size < mKey.mMin || size > mKey.mMax))
-      return leaf::new_error(ValueProblem{ "has " + std::to_string(size) + " bytes", {} });
-    *aOut = std::move(text);
-    return {};
-  }
-
-  leaf::result<void> Read(std::uint32_t* aOut) const
-  {
-    const auto n = mNode->value_exact<std::int64_t>();
-    if (!n)
-      return leaf::new_error(ValueProblem{ "not a whole number", {} });
-    if (*n < mKey.mMin || *n > mKey.mMax)
-      return leaf::new_error(ValueProblem{ std::to_string(*n) + " is out of range", {} });
-    *aOut = static_cast<std::uint32_t>(*n);
-    return {};
-  }
-
-  leaf::result<void> Read(Duration* aOut) const
-  {
-    BOOST_LEAF_AUTO(text, ReadText());
-    const auto value = ParseDuration(text);
-    if (!value)
-      return leaf::new_error(ValueProblem{ "not a time: \"" + text + "\"", value.error().mDetail });
-    if (*value < milliseconds(mKey.mMin) || *value > milliseconds(mKey.mMax))
-      return leaf::new_error(ValueProblem{ text + " is out of range", {} });
-    *aOut = *value;
-    return {};
-  }
-
-  leaf::result<void> Read(std::size_t* aOut) const
-  {
-    BOOST_LEAF_AUTO(text, ReadText());
-    const auto value = ParseBytes(text);
-    if (!value)
-      return leaf::new_error(ValueProblem{ "not a size: \"" + text + "\"", value.error().mDetail });
-    if (*value < static_cast<std::size_t>(mKey.mMin) ||
-        *value > static_cast<std::size_t>(mKey.mMax))
-      return leaf::new_error(ValueProblem{ text + " is out of range", {} });
-    *aOut = *value;
-    return {};
-  }
-
-  leaf::result<void> Read(LogLevel* aOut) const
-  {
-    BOOST_LEAF_AUTO(text, ReadText());
-    for (int i = 0; i <= static_cast<int>(LogLevel::Off); ++i) {
-      const auto level = static_cast<LogLevel>(i);
-      if (GetName(level) != text)
-        continue;
-      *aOut = level;
-      return {};
-    }
-    return leaf::new_error(ValueProblem{ "unknown value \"" + text + "\"", {} });
-  }
-
-  leaf::result<void> Read(AddressTarget aOut) const
-  {
-    BOOST_LEAF_AUTO(text, ReadText());
-    auto address = ParseAddress(text);
-    if (!address)
-      return leaf::new_error(ValueProblem{ "not an address: \"" + text + "\"",
-                                           "\"IP:PORT\"; " + address.error().mDetail });
-    *aOut.mHost = address->mHost;
-    *aOut.mPort = address->mPort;
-    return {};
-  }
-};
-
 std::size_t MeasureEditDistance(std::string_view aLeft, std::string_view aRight)
 {
   std::vector<std::size_t> row(aRight.size() + 1);
@@ -354,63 +211,4 @@
   return std::move(out).str();
 }
 
-namespace {
-
-std::string FormatDefault(const SettingsTarget& aTarget)
-{
-  struct Formatter
-  {
-    std::string operator()(const std::string* aText) const { return '"' + *aText + '"'; }
-    std::string operator()(const std::uint32_t* aNumber) const { return std::to_string(*aNumber); }
-    std::string operator()(const Duration* aTime) const
-    {
-      return '"' + FormatDuration(*aTime) + '"';
-    }
-    std::string operator()(const std::size_t* aSize) const
-    {
-      return '"' + FormatBytes(*aSize) + '"';
-    }
-    std::string operator()(const LogLevel* aLevel) const
-    {
-      return '"' + std::string(GetName(*aLevel)) + '"';
-    }
-    std::string operator()(const AddressTarget& aAt) const
-    {
-      return aAt.mHost->empty() ? std::string()
-                                : '"' + *aAt.mHost + ':' + std::to_string(*aAt.mPort) + '"';
-    }
-  };
-  return std::visit(Formatter{}, aTarget);
-}
-
-template<class T>
-void AppendReference(std::ostream& aOut, std::span<const SettingsKey<T>> aKeys)
-{
-  T defaults;
-  std::string_view section;
-  for (const SettingsKey<T>& it : aKeys) {
-    if (it.mSection != section) {
-      section = it.mSection;
-      const bool list = section == "peer";
-      aOut << "\n### " << (list ? "[[" : "[") << section << (list ? "]]" : "]")
-           << "\n\n| key | default | allowed | meaning |\n|---|---|---|---|\n";
-    }
-    const SettingsTarget target = it.mTarget(defaults);
-    const ValueReader<T> reader{ it };
-    aOut << "| `" << it.mName << "` | `" << FormatDefault(target) << "` | "
-         << std::visit([&](auto aTarget) { return reader.Describe(aTarget); }, target) << " | "
-         << it.mHelp << " |\n";
-  }
-}
-
-}  // namespace
-
-std::string FormatReference()
-{
-  std::ostringstream out;
-  AppendReference(out, ListSettingsKeys());
-  AppendReference(out, ListPeerKeys());
-  return std::move(out).str();
-}
-
 }  // namespace monsoon
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <set>
 
+#include "http/read_deadline.h"
 #include "observe/log.h"
 #include <sstream>
 
@@ -116,51 +117,6 @@
   std::atomic<std::size_t>& mCount;
 };
 
-// Bounds the reading of one request. tcp_stream's own timeout closes the socket, and then the
-// caller could not be told; this one only cancels.
-class ReadDeadline
-{
-public:
-  explicit ReadDeadline(beast::tcp_stream& aStream)
-    : mTimer(aStream.get_executor())
-    , mShared(std::make_shared<Shared>(Shared{ &aStream }))
-  {
-  }
-  ~ReadDeadline() { mShared->mStream = nullptr; }
-  ReadDeadline(const ReadDeadline&) = delete;
-  ReadDeadline& operator=(const ReadDeadline&) = delete;
-
-  void Start(Duration aTimeout)
-  {
-    mShared->mPassed = false;
-    const std::uint64_t round = ++mShared->mRound;
-    mTimer.expires_after(aTimeout);
-    mTimer.async_wait([shared = mShared, round](boost::system::error_code aError) {
-      if (aError || !shared->mStream || shared->mRound != round)
-        return;
-      shared->mPassed = true;
-      shared->mStream->cancel();
-    });
-  }
-  void End()
-  {
-    ++mShared->mRound;
-    mTimer.cancel();
-  }
-  [[nodiscard]] bool HasPassed() const { return mShared->mPassed; }
-
-private:
-  struct Shared  // outlives the connection while a handler is queued
-  {
-    beast::tcp_stream* mStream = nullptr;
-    std::uint64_t mRound = 0;
-    bool mPassed = false;
-  };
-
-  asio::steady_timer mTimer;
-  std::shared_ptr<Shared> mShared;
-};
-
 // A handler that throws is a fault of ours; its caller still gets an answer.
 Async<HttpResponse> CallHandler(const HttpHandler& aHandler,
                                 HttpRequest aRequest,
