--- a/src/app/dev.cpp
+++ b/src/app/dev.cpp
@@ -130,7 +130,6 @@
 
 DevReport RunSample(const DevCell& aCell, double aSeconds, std::ostream& aOut)
 {
-  // A fifth at the end is for jobs that still run.
   LoadOptions options;
   options.mProfile = MakeDevProfile();
   options.mRate = kRate;
@@ -139,8 +138,8 @@
        << " s: requests, batch, gang, service and watch\n"
        << std::flush;
   constexpr Duration kPatience = seconds(30);
-  return MakeReport(RunLoad(options, aCell.ListAddresses(), kPatience, nullptr),
-                    aCell.ReadCounts());
+  LoadReport load = RunLoad(options, aCell.ListAddresses(), kPatience, nullptr);
+  return MakeReport(std::move(load), aCell.ReadCounts());
 }
 
 }  // namespace
--- a/src/app/dev_cell.cpp
+++ b/src/app/dev_cell.cpp
@@ -61,22 +61,26 @@
   }
 }
 
-struct Interval
+std::uint64_t SumMetric(const std::string& aText, std::string_view aName)
 {
-  std::string mId{};
-  std::int64_t mStart = 0;
-  std::int64_t mEnd = 0;
-};
+  std::uint64_t sum = 0;
+  std::istringstream in(aText);
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with(aName))
+      sum += std::strtoull(line.c_str() + line.rfind(' '), nullptr, 10);
+  return sum;
+}
 
-// Requests count when one id ran twice at all, tasks when two runs overlapped.
-std::uint64_t CountTwice(std::vector<Interval>& aRuns, bool aOnlyOverlaps)
+}  // namespace
+
+std::uint64_t CountDoubled(std::vector<RunInterval>& aRuns, bool aOnlyOverlaps)
 {
-  std::sort(aRuns.begin(), aRuns.end(), [](const Interval& aLeft, const Interval& aRight) {
+  std::sort(aRuns.begin(), aRuns.end(), [](const RunInterval& aLeft, const RunInterval& aRight) {
     return std::tie(aLeft.mId, aLeft.mStart) < std::tie(aRight.mId, aRight.mStart);
   });
   std::uint64_t n = 0;
   for (std::size_t i = 1; i < aRuns.size(); ++i) {
-    const Interval& before = aRuns[i - 1];
+    const RunInterval& before = aRuns[i - 1];
     const bool overlap = before.mEnd == 0 || aRuns[i].mStart < before.mEnd;
     if (before.mId == aRuns[i].mId && (overlap || !aOnlyOverlaps))
       ++n;
@@ -84,18 +88,6 @@
   return n;
 }
 
-std::uint64_t SumMetric(const std::string& aText, std::string_view aName)
-{
-  std::uint64_t sum = 0;
-  std::istringstream in(aText);
-  for (std::string line; std::getline(in, line);)
-    if (line.starts_with(aName))
-      sum += std::strtoull(line.c_str() + line.rfind(' '), nullptr, 10);
-  return sum;
-}
-
-}  // namespace
-
 struct DevCell::State
 {
   asio::io_context mContext{ 1 };  // all stand-ins
@@ -231,8 +223,8 @@
 DevCounts DevCell::ReadCounts() const
 {
   DevCounts counts;
-  std::vector<Interval> requests;
-  std::vector<Interval> tasks;
+  std::vector<RunInterval> requests;
+  std::vector<RunInterval> tasks;
   std::int64_t first = INT64_MAX;
   std::int64_t last = 0;
   std::int64_t busy = 0;
@@ -247,16 +239,17 @@
     if (!body)
       continue;
     for (const json::value& it : GetArray(*body, "lines")) {
-      Interval run{ GetString(it, "id"), GetSigned(it, "start_ms"), GetSigned(it, "end_ms") };
+      RunInterval run{ GetString(it, "id"), GetSigned(it, "start_ms"), GetSigned(it, "end_ms") };
       const bool request = GetString(it, "what") == "request";
       first = std::min(first, run.mStart);
       last = std::max(last, run.mEnd);
       if (request && run.mEnd > 0)
         busy += run.mEnd - run.mStart;
+      ++counts.mEvidence;
       (request ? requests : tasks).push_back(std::move(run));
     }
   }
-  counts.mDoubled = CountTwice(requests, false) + CountTwice(tasks, true);
+  counts.mDoubled = CountDoubled(requests, false) + CountDoubled(tasks, true);
   if (last > first)
     counts.mSlotsBusy = static_cast<double>(busy) / static_cast<double>(mState->mSlots) /
                         static_cast<double>(last - first);
@@ -266,7 +259,7 @@
         counts.mStoreCalls += GetUnsigned(GetMember(*body, "calls"), name);
   for (const HttpAddress& it : ListAddresses())
     if (const auto metrics = GetBlocking(it, "/metrics"))
-      counts.mCrossZoneBytes += SumMetric(metrics->body(), "monsoonstage_cross_zone_bytes_total");
+      counts.mCrossZoneBytes += SumMetric(metrics->body(), "monsoonstage_cross_zone_bytes");
   return counts;
 }
 
--- a/src/app/dev_cell.h
+++ b/src/app/dev_cell.h
@@ -10,10 +10,21 @@
 
 namespace monsoon {
 
+struct RunInterval  // one run of a request or task on a worker
+{
+  std::string mId{};
+  std::int64_t mStart = 0;  // ms
+  std::int64_t mEnd = 0;    // ms; 0 while it runs
+};
+
+// Runs of an id that ran before; with aOnlyOverlaps only those that began while another went on.
+[[nodiscard]] std::uint64_t CountDoubled(std::vector<RunInterval>& aRuns, bool aOnlyOverlaps);
+
 struct DevCounts  // as the stand-ins saw it
 {
   std::uint64_t mRequestsRun = 0;
   std::uint64_t mTasksStarted = 0;
+  std::uint64_t mEvidence = 0;     // runs that could be checked for doubling
   std::uint64_t mDoubled = 0;      // a request or task that ran twice, on one worker or on two
   std::uint64_t mOvercommits = 0;  // starts beyond a worker's capacity
   std::uint64_t mStoreCalls = 0;
