Log what membership, ownership, configuration and the planned stop decide

Change: lines for member states, freezes, gained and lost resources, journaled decisions, ended sessions, accepted and refused changes, stop states. Conclusion: decisions are visible; the pure classes still log nothing.

--- a/src/controllers/configuration.h
+++ b/src/controllers/configuration.h
@@ -7,6 +7,7 @@
 
 #include "controllers/configuration_table.h"
 #include "controllers/journal_follower.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
@@ -57,8 +58,16 @@
   Async<Result<Revision>> Change(std::optional<Revision> aExpected,
                                  std::vector<ConfigurationEntry> aEntries)
   {
-    co_return co_await asio::co_spawn(
+    auto answer = co_await asio::co_spawn(
       mExecutor, ChangeHere(aExpected, std::move(aEntries)), asio::use_awaitable);
+    if (answer)
+      Log(LogPart::Config, LogLevel::Info, "accepted a change", { { "revision", *answer } });
+    else
+      Log(LogPart::Config,
+          LogLevel::Warn,
+          "did not accept a change",
+          { { "reason", GetName(answer.error().mKind) }, { "detail", answer.error().mDetail } });
+    co_return answer;
   }
 
   void OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow)
--- a/src/controllers/drain.cpp
+++ b/src/controllers/drain.cpp
@@ -1,10 +1,13 @@
 #include "controllers/drain.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "observe/log.h"
+
 namespace monsoon {
 
 // Exclusion
@@ -175,8 +178,16 @@
 
 void StopDriver::Process(StopEvent aEvent)
 {
+  static constexpr std::array<std::string_view, 5> kNames = {
+    "ready", "announced", "draining", "handed_over", "stopped"
+  };
   mMachine.Process(aEvent);
-  mState = mMachine.GetState();
+  const StopState before = mState.exchange(mMachine.GetState());
+  if (before != GetState())
+    Log(LogPart::Drain,
+        LogLevel::Info,
+        "planned stop goes on",
+        { { "state", kNames[static_cast<std::size_t>(GetState())] } });
 }
 
 Async<StopReport> StopDriver::Run()
--- a/src/controllers/membership.cpp
+++ b/src/controllers/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "controllers/rendezvous.h"
 
@@ -130,6 +131,7 @@
   aMember.mMachine.Process(aEvent);
   if (aMember.mMachine.GetState() == before)
     return;
+  mChanges.push_back({ aMember.mLast.mName, before, aMember.mMachine.GetState() });
   aMember.mSince = aNow;
   aMember.mTold = kTellTimes;
   if (before == MemberState::Alive)
@@ -157,6 +159,11 @@
   }
 }
 
+std::vector<MemberChange> MembershipTable::TakeChanges()
+{
+  return std::exchange(mChanges, {});
+}
+
 TickResult MembershipTable::Tick(TimePoint aNow)
 {
   TickResult result;
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -60,6 +60,13 @@
   std::vector<JournalHead> mHeads{};
 };
 
+struct MemberChange
+{
+  ProcessName mName{};
+  MemberState mBefore = MemberState::Dead;
+  MemberState mAfter = MemberState::Dead;
+};
+
 struct HeartbeatSend
 {
   ProcessName mTo{};
@@ -85,6 +92,7 @@
   // False: ignored, since it is old, unknown, or was queued while this process was frozen.
   bool Handle(const Heartbeat& aHeartbeat, TimePoint aNow);
   TickResult Tick(TimePoint aNow);
+  [[nodiscard]] std::vector<MemberChange> TakeChanges();  // since the last call; for the log
 
   // False from the moment a freeze could have begun until the tick that noticed it has run.
   [[nodiscard]] bool IsAwake(TimePoint aNow) const noexcept;
@@ -119,6 +127,7 @@
   ZoneName mZone;
   MembershipSettings mSettings;
   std::map<ProcessName, Member> mMembers{};
+  std::vector<MemberChange> mChanges{};
   OwnFacts mOwn{};
   std::uint64_t mIncarnation = 1;
   std::uint64_t mCount = 0;
--- a/src/controllers/membership_driver.cpp
+++ b/src/controllers/membership_driver.cpp
@@ -1,7 +1,34 @@
 #include "controllers/membership_driver.h"
 
+#include <array>
+
+#include "observe/log.h"
+
 namespace monsoon {
 
+namespace {
+
+std::string_view GetStateName(MemberState aState) noexcept
+{
+  static constexpr std::array<std::string_view, 4> kNames = {
+    "alive", "suspect", "dead", "leaving"
+  };
+  return kNames[static_cast<std::size_t>(aState)];
+}
+
+void LogChanges(const std::vector<MemberChange>& aChanges)
+{
+  for (const MemberChange& it : aChanges)
+    Log(LogPart::Membership,
+        LogLevel::Info,
+        "a process changed state",
+        { { "process", it.mName },
+          { "from", GetStateName(it.mBefore) },
+          { "to", GetStateName(it.mAfter) } });
+}
+
+}  // namespace
+
 Membership::Membership(ProcessName aSelf,
                        ZoneName aZone,
                        std::vector<MemberAddress> aPeers,
@@ -34,13 +61,18 @@
   while (!mStopped) {
     const OwnFacts facts = mOwnFacts ? mOwnFacts() : OwnFacts{};
     TickResult result;
+    std::vector<MemberChange> changes;
     {
       std::lock_guard lock(mLock);
       const TimePoint now = BootClock::now();
       mTable.SetOwnFacts(facts);
       result = mTable.Tick(now);
       mLastTick = now.time_since_epoch().count();
+      changes = mTable.TakeChanges();
     }
+    LogChanges(changes);
+    if (result.mFroze)
+      Log(LogPart::Membership, LogLevel::Warn, "this process stood still");
     if (result.mFroze && mOnFreeze)
       mOnFreeze();
     for (const HeartbeatSend& send : result.mSends)
--- a/src/controllers/ownership.h
+++ b/src/controllers/ownership.h
@@ -15,6 +15,7 @@
 #include "controllers/ownership_plan.h"
 #include "controllers/rendezvous.h"
 #include "controllers/takeover.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
--- a/src/controllers/ownership_inl.h
+++ b/src/controllers/ownership_inl.h
@@ -35,6 +35,10 @@
                               Epoch aEpoch,
                               Duration aQuietFor)
 {
+  Log(LogPart::Ownership,
+      LogLevel::Info,
+      aGained ? "gained" : "lost",
+      { { "resource", aResource }, { "epoch", aEpoch }, { "quiet_for", aQuietFor } });
   if (!mObserver)
     return;
   OwnershipNews news = MakeNews(aResource, aGained);
@@ -65,6 +69,10 @@
   const std::uint64_t session = mSession.GetIncarnation();
   if (session == mIncarnation)
     return;
+  Log(LogPart::Ownership,
+      LogLevel::Info,
+      session == 0 ? "session is over" : "session begins",
+      { { "incarnation", session }, { "former", mIncarnation } });
   for (const ResourceKey& key : mIndex.ChangeSession(session))
     Tell(key, false, 0, {});
   mIncarnation = session;
@@ -168,6 +176,12 @@
   const Sequence before = aZone.mSink.GetApplied();
   const auto appended = co_await aZone.mFollower->Append(Encode(aZone.mUnresolved));
   const bool taken = aZone.mSink.GetApplied() > before;
+  Log(LogPart::Ownership,
+      LogLevel::Info,
+      appended ? "decision stands" : "decision refused",
+      { { "zone", aZone.mName },
+        { "entries", aZone.mUnresolved.size() },
+        { "reason", appended ? std::string_view("none") : GetName(appended.error().mKind) } });
   const bool refused = !appended && (appended.error().mKind == FailureKind::StoreUnavailable ||
                                      appended.error().mKind == FailureKind::BudgetExhausted);
   if (appended || taken || refused)
@@ -325,6 +339,10 @@
       co_await Sleep(milliseconds(20));
     }
   }
+  Log(LogPart::Ownership,
+      LogLevel::Info,
+      takeover.GetEnded() != 0 ? "ended a session" : "gave up a takeover",
+      { { "process", aVictim }, { "incarnation", takeover.GetEnded() } });
   if (takeover.GetEnded() != 0)
     mEnded[aVictim] = { takeover.GetEnded(), takeover.GetSilentSince() };
   mTakeovers.erase(aVictim);
--- a/tests/unit/control_mocks.h
+++ b/tests/unit/control_mocks.h
@@ -1,4 +1,4 @@
-// A store, journals over it and peers in memory, for tests of the control layer.
+// A store and peers in memory, for tests of the control layer.
 #pragma once
 
 #include <functional>
@@ -7,7 +7,6 @@
 #include <string>
 
 #include "core/concepts.h"
-#include "journal/journal_types.h"
 
 namespace monsoon::mocks {
 
@@ -122,65 +121,6 @@
   }
 };
 
-// Satisfies JournalLike: one entry per sequence. A lost answer is resolved by reading, or else
-// stays WriteUnknown.
-struct MemoryJournal
-{
-  MemoryStore& mMemory;
-  std::string mName;
-  Sequence mHead = 0;
-
-  std::string Key(Sequence aSequence) const
-  {
-    std::string digits = std::to_string(aSequence);
-    return "journal/" + mName + "/" + std::string(12 - digits.size(), '0') + digits;
-  }
-
-  Async<Result<JournalState>> Replay()
-  {
-    mHead = 0;
-    auto entries = co_await ReadNew();
-    if (!entries)
-      co_return entries.error();
-    JournalState state;
-    state.mEntries = std::move(*entries);
-    state.mHead = mHead;
-    co_return state;
-  }
-
-  Async<Result<std::vector<JournalEntry>>> ReadNew()
-  {
-    ++mMemory.mCalls;
-    if (mMemory.mDown)
-      co_return MakeFailure(FailureKind::StoreUnavailable);
-    std::vector<JournalEntry> entries;
-    for (auto it = mMemory.mValues.find(Key(mHead + 1)); it != mMemory.mValues.end();
-         it = mMemory.mValues.find(Key(mHead + 1)))
-      entries.push_back({ ++mHead, it->second.mValue });
-    co_return entries;
-  }
-
-  Async<Result<Sequence>> Append(std::string aBytes)
-  {
-    co_return co_await AppendAt(mHead + 1, std::move(aBytes));
-  }
-
-  Async<Result<Sequence>> AppendAt(Sequence aSequence, std::string aBytes)
-  {
-    const auto created = mMemory.Create(Key(aSequence), aBytes);
-    if (created) {
-      mHead = std::max(mHead, aSequence);
-      co_return aSequence;
-    }
-    if (created.error().mKind == FailureKind::AlreadyExists)
-      co_return MakeFailure(FailureKind::Conflict);
-    co_return created.error();
-  }
-
-  Async<Result<void>> WriteSnapshot(Sequence, std::string) { co_return Result<void>(); }
-  Sequence GetHead() { return mHead; }
-};
-
 // Satisfies PeerCaller: calls go straight to the other's handler.
 struct MemoryPeers
 {
