Feed the metrics that the operators' page lists

Cause: waiting times, decisions, outcomes, refusals and packing were named in docs/OPERATING.md but never recorded.

Change: requests are recorded when decided, tasks when placed, packing from the books at each scrape; totals of store calls and bytes are counters now.

Result: unit and path tests pass.

--- a/bench/bench_cell.cpp
+++ b/bench/bench_cell.cpp
@@ -96,9 +96,9 @@
     const Usage usage = ReadUsage(aCell.GetProcess(i).GetPid());
     snapshot.mCpuSeconds += usage.mCpuSeconds;
     snapshot.mResidentMiB = std::max(snapshot.mResidentMiB, usage.mResidentMiB);
-    snapshot.mPeerBytes += ReadMetric(aCell.GetHttpPort(i), "monsoonstage_peer_bytes");
+    snapshot.mPeerBytes += ReadMetric(aCell.GetHttpPort(i), "monsoonstage_peer_bytes_total");
     snapshot.mCrossZoneBytes +=
-      ReadMetric(aCell.GetHttpPort(i), "monsoonstage_cross_zone_bytes");
+      ReadMetric(aCell.GetHttpPort(i), "monsoonstage_cross_zone_bytes_total");
   }
   snapshot.mStoreCalls = CountStoreCalls(aCell, aCell.GetPlatform().GetPort());
   return snapshot;
--- a/src/app/dev_cell.cpp
+++ b/src/app/dev_cell.cpp
@@ -259,7 +259,7 @@
         counts.mStoreCalls += GetUnsigned(GetMember(*body, "calls"), name);
   for (const HttpAddress& it : ListAddresses())
     if (const auto metrics = GetBlocking(it, "/metrics"))
-      counts.mCrossZoneBytes += SumMetric(metrics->body(), "monsoonstage_cross_zone_bytes");
+      counts.mCrossZoneBytes += SumMetric(metrics->body(), "monsoonstage_cross_zone_bytes_total");
   return counts;
 }
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -114,7 +114,11 @@
   };
   hooks.mCountFreeSlots = [this] { return mWork->CountFreeSlots(); };
   mControl->Start(std::move(hooks));
-  mWork->Start();
+  mShared.mOnDecided = [this](const RequestContext& aContext) { RecordRequest(aContext); };
+  mWork->Start(
+    [this](const TaskShape& aShape, std::size_t aTasks, Duration aWaited, Duration aTook) {
+      RecordPlaced(aShape, aTasks, aWaited, aTook);
+    });
   asio::co_spawn(first, KeepDeclaredJobs(), asio::detached);
   for (const auto& context : mContexts)
     mThreads.emplace_back([&context] {
--- a/src/app/node_http.cpp
+++ b/src/app/node_http.cpp
@@ -171,26 +171,6 @@
                           json::serialize(object));
 }
 
-HttpResponse Node::State::ShowMetrics()
-{
-  static constexpr const char* kPurposes[kCallPurposes] = { "journal", "snapshot", "session",
-                                                            "watch",   "recovery", "vms" };
-  const StoreCounts counts = mStore.GetCounts();
-  for (std::size_t i = 0; i < kCallPurposes; ++i)
-    mMetrics.GetGauge("monsoonstage_store_calls", std::string("purpose=\"") + kPurposes[i] + "\"")
-      .Set(static_cast<double>(counts.mCalls[i]));
-  mMetrics.GetGauge("monsoonstage_peer_bytes").Set(static_cast<double>(mLink->CountSentBytes()));
-  mMetrics.GetGauge("monsoonstage_cross_zone_bytes")
-    .Set(static_cast<double>(mLink->CountCrossZoneBytes()));
-  mMetrics.GetGauge("monsoonstage_free_slots").Set(mWork->CountFreeSlots());
-  mMetrics.GetGauge("monsoonstage_configuration_revision")
-    .Set(static_cast<double>(mControl->GetConfiguration()->mRevision));
-  HttpResponse response(http::status::ok, 11);
-  response.set(http::field::content_type, "text/plain; version=0.0.4");
-  response.body() = mMetrics.Render();
-  return response;
-}
-
 Async<HttpResponse> Node::State::OnHttp(HttpRequest aRequest, std::string aPeerAddress)
 {
   static constexpr std::string_view kJobs = "/v1/jobs/";
--- a/src/app/node_state.h
+++ b/src/app/node_state.h
@@ -29,6 +29,13 @@
   void DropWaiting() { shutdown(); }  // after its threads have ended
 };
 
+struct ScrapedTotals  // as the last scrape saw them
+{
+  StoreCounts mStoreCalls{};
+  std::uint64_t mCrossZoneBytes = 0;
+  std::uint64_t mPeerBytes = 0;
+};
+
 struct Node::State
 {
   explicit State(Settings aSettings);
@@ -46,6 +53,11 @@
   Async<HttpResponse> ShowJob(JobId aId, Duration aWait);
   Async<HttpResponse> CancelJob(JobId aId);
   HttpResponse ShowReadiness() const;
+
+  // Metrics (node_metrics.cpp)
+  void RecordRequest(const RequestContext& aContext);
+  void RecordPlaced(const TaskShape& aShape, std::size_t aTasks, Duration aWaited, Duration aTook);
+  void ReadGauges();
   HttpResponse ShowMetrics();
 
   // Commands (node_commands.cpp)
@@ -59,6 +71,8 @@
   RequestSettings mRequestSettings;
   Metrics mMetrics{};
   NodeMetrics mNodeMetrics{ mMetrics };
+  std::mutex mScrapeLock{};
+  ScrapedTotals mScraped{};
   std::vector<std::unique_ptr<NodeContext>> mContexts{};
   std::vector<std::thread> mThreads{};
   std::atomic<bool> mStopping = false;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -53,7 +53,7 @@
   Duration mDrift = milliseconds(500);  // clocks of two VMs may differ in rate by this per lease
   Duration mHeartbeat = milliseconds(200);
   Duration mSuspectAfter = milliseconds(700);  // without a heartbeat
-  Duration mConfirmWithin = seconds(5);  // configuration head; else no new work
+  Duration mConfirmWithin = seconds(5);        // configuration head; else no new work
 };
 
 struct LimitsSection  // HTTP towards callers and operators
--- a/src/app/work_plane.cpp
+++ b/src/app/work_plane.cpp
@@ -109,8 +109,9 @@
 
 WorkPlane::~WorkPlane() = default;
 
-void WorkPlane::Start()
+void WorkPlane::Start(PlacedHandler aOnPlaced)
 {
+  mState->mJobs.SetPlacedHandler(std::move(aOnPlaced));
   mState->mJobs.Start();
   asio::co_spawn(mState->mContext, mState->ExpireGrants(), asio::detached);
 }
--- a/src/app/work_plane.h
+++ b/src/app/work_plane.h
@@ -23,7 +23,11 @@
             ControlPlane& aControl);
   ~WorkPlane();
 
-  void Start();
+  // Tasks that were placed by this process's job shards; called on aContext's thread.
+  using PlacedHandler = std::function<
+    void(const TaskShape& aShape, std::size_t aTasks, Duration aWaited, Duration aTook)>;
+
+  void Start(PlacedHandler aOnPlaced);
   void Stop();
   void Drain();        // no new grants to others
   void OnOwnership();  // something was gained or lost
--- a/src/controllers/jobs.h
+++ b/src/controllers/jobs.h
@@ -43,6 +43,10 @@
 class JobsController
 {
 public:
+  // Tasks that were placed: how long they waited for room, and how long the decision took.
+  using PlacedHandler = std::function<
+    void(const TaskShape& aShape, std::size_t aTasks, Duration aWaited, Duration aTook)>;
+
   using JournalFactory = std::function<std::shared_ptr<Journal>(ShardIndex aShard)>;
 
   JobsController(asio::any_io_executor aExecutor,
@@ -60,6 +64,10 @@
   Async<Result<PeerReply>> Handle(TaskReports aRequest);  // Done once all of it is journaled
 
   // Events
+  void SetPlacedHandler(PlacedHandler aHandler)
+  {
+    mOnPlaced = std::move(aHandler);
+  }  // before Start
   void Start();
   void Stop();
   void Wake();                                           // ownership changed
@@ -146,6 +154,7 @@
   JobsSettings mSettings{};
   std::vector<ShardPtr> mShards{};
   std::set<WorkerName> mLeaving{};
+  PlacedHandler mOnPlaced{};
   bool mStopped = false;
 };
 
--- a/src/controllers/jobs_place_impl.h
+++ b/src/controllers/jobs_place_impl.h
@@ -29,6 +29,7 @@
 Async<bool> MONSOON_JOBS::PlaceGroup(ShardPtr aShard, PlannedGroup& aGroup)
 {
   const Epoch epoch = aShard->mEpoch;
+  const TimePoint began = BootClock::now();
   const auto count = static_cast<std::uint32_t>(aGroup.mTasks.size());
   const TaskShape& shape = aGroup.mShape;
   const bool everywhere = aGroup.mAllOrNone || shape.mSpreadZones || shape.mSpreadRacks;
@@ -95,6 +96,11 @@
     co_await ReleaseAll(std::move(held));
     co_return false;
   }
+  std::size_t placed = 0;
+  for (const HeldRoom& room : held)
+    placed += room.mHold.mTasks.size();
+  if (mOnPlaced)
+    mOnPlaced(shape, placed, aGroup.mWaited, BootClock::now() - began);
   co_await StartAll(aShard, aGroup, std::move(held), commit);
   co_return true;
 }
--- a/src/filters/answer.h
+++ b/src/filters/answer.h
@@ -32,6 +32,8 @@
           { "reason", aContext.mFailure ? GetName(aContext.mFailure->mKind) : "" },
           { "attempts", aContext.mAttempts },
           { "took_ms", BootClock::now() - aContext.mArrivedAt } });
+    if (mEnvironment.mShared.mOnDecided)
+      mEnvironment.mShared.mOnDecided(aContext);
     aContext.mResponse = MakeAnswer(aContext);
     co_return;
   }
--- a/src/filters/context.h
+++ b/src/filters/context.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
 #include <mutex>
 #include <random>
 #include <span>
@@ -48,6 +49,7 @@
   TimePoint mArrivedAt{};
   TimePoint mDeadline{};
   RequestMachine mMachine{};
+  TimePoint mFirstSentAt{};     // of the first attempt; the epoch while there was none
   std::uint32_t mAttempts = 0;  // at endpoints
   std::optional<Grant> mGrant{};
   std::optional<RunAnswer> mAnswer{};
@@ -99,6 +101,8 @@
   [[nodiscard]] std::uint64_t MakeSeed();
   [[nodiscard]] std::uint32_t CountInFlight() const noexcept;
 
+  // Called once per request when it is decided. Set before the first request; any thread calls it.
+  std::function<void(const RequestContext& aContext)> mOnDecided{};
   std::atomic<bool> mDraining = false;
   std::atomic<std::uint32_t> mBackground = 0;  // returns of grants and records under way
 
--- a/src/filters/dispatch.h
+++ b/src/filters/dispatch.h
@@ -36,6 +36,8 @@
       asio::co_spawn(executor, ReturnGrant(mEnvironment, grant, GrantEnd::Unused), asio::detached);
       co_return StopRequest(aContext, FailureKind::Timeout, "the deadline passed before the start");
     }
+    if (aContext.mAttempts == 0)
+      aContext.mFirstSentAt = BootClock::now();
     ++aContext.mAttempts;
     aContext.mMachine.Send();
     auto answer = co_await mEnvironment.mWorkers.Run(grant.mWorker, aContext.mSpec, grant, left);
