--- a/src/controllers/grant_core.cpp
+++ b/src/controllers/grant_core.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration kForgetInterval = seconds(10);
-constexpr std::size_t kServeBatch = 64;  // waiters looked at per turn
+constexpr std::size_t kMaxPassed = 64;  // waiters passed over in one turn
 
 }  // namespace
 
@@ -78,7 +78,8 @@
       return aView.mSpec.mName == name;
     });
     if (grant) {
-      --view->mFree.mSlots;
+      if (--view->mFree.mSlots <= 0)
+        aViews.erase(view);
       mOutliers.BeginProbe(name, aNow);
       grant->mOwner = mSelf;
       return *grant;
@@ -98,8 +99,8 @@
   ForgetOld(aNow);
   std::vector<WorkerView> views = ListUsable(aMayAct, aNow);
   std::set<Ticket> passed;  // nothing here suits them now
-  while (!views.empty()) {
-    const std::vector<Ticket> next = mQueue.ListNext(kServeBatch + passed.size());
+  while (!views.empty() && passed.size() < kMaxPassed) {
+    const std::vector<Ticket> next = mQueue.ListNext(passed.size() + 1);
     const auto it = std::find_if(
       next.begin(), next.end(), [&](Ticket aTicket) { return !passed.contains(aTicket); });
     if (it == next.end())
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -107,11 +107,19 @@
   }
   Arrange(near, aRandom);
   Arrange(far, aRandom);
+  const auto full =
+    std::find_if(far.begin(), far.end(), [](const auto& aOwner) { return aOwner.mFreeSlots <= 0; });
+  const std::vector<OwnerView> farFull(full, far.end());
+  far.erase(full, far.end());
   Duration at = steps.empty() ? Duration::zero() : aSettings.mZoneStep;
   AddSteps(steps, near, at, aSettings.mZoneStep, aSettings.mZoneFanOut);
   // With nobody to wait for in the own zone there is nothing to price the step against.
   at = steps.empty() ? Duration::zero() : steps.back().mAfter + aSettings.mCrossZonePrice;
   AddSteps(steps, far, at, aSettings.mCrossZonePrice, aSettings.mCrossFanOut);
+  // A slot between two zones stands idle for four one-way delays per request. Two full zones that
+  // swap requests lose that capacity and gain nothing.
+  at = steps.empty() ? Duration::zero() : steps.back().mAfter + aSettings.mFullZonePrice;
+  AddSteps(steps, farFull, at, aSettings.mFullZonePrice, aSettings.mCrossFanOut);
   return steps;
 }
 
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -38,9 +38,10 @@
 {
   Routing mRouting = Routing::LateBinding;
   Duration mZoneStep = milliseconds(1);  // own process alone for this long, if it owns workers
-  Duration mCrossZonePrice = milliseconds(10);  // waiting time that one cross-zone request is worth
+  Duration mCrossZonePrice = milliseconds(2);   // waiting time that one cross-zone request is worth
+  Duration mFullZonePrice = milliseconds(250);  // the same for an owner that says it is full
   std::uint32_t mZoneFanOut = 4;                // owners asked at once in the own zone
-  std::uint32_t mCrossFanOut = 2;               // owners of other zones added per step
+  std::uint32_t mCrossFanOut = 1;               // owners of other zones added per step
 };
 
 struct RouteStep
