Name captured bindings so that clang accepts them

Cause: clang-tidy found structured bindings captured by reference, and a use after a move. Change: explicit captures; the mock request is copied.

--- a/tests/unit/test_grants.cpp
+++ b/tests/unit/test_grants.cpp
@@ -61,7 +61,7 @@
     asio::co_spawn(
       mContext,
       [](auto aDesk, GrantRequest aWant, auto aOut) -> Async<void> {
-        aOut->emplace(co_await aDesk->Request(std::move(aWant)));
+        aOut->emplace(co_await aDesk->Request(aWant));
       }(mDesk, want, result),
       asio::detached);
     Poll();
--- a/tests/unit/test_grants_faults.cpp
+++ b/tests/unit/test_grants_faults.cpp
@@ -104,7 +104,7 @@
     ++mEpoch;
     mOwner->mLeaseUntil = mNow + Pick(seconds(2), seconds(8));
     for (auto& [name, endpoint] : mEndpoints)
-      mOwner->mCapacity.With(name, [&](CapacityBook& aBook) {
+      mOwner->mCapacity.With(name, [&, &name = name](CapacityBook& aBook) {
         WorkerSpec spec{ .mName = name };
         spec.mCapacity.mSlots = kSlots;
         aBook.PutWorker(spec, mEpoch);
