--- a/src/filters/placement.h
+++ b/src/filters/placement.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "filters/background.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
@@ -89,7 +90,8 @@
         if (member.mName != it)
           continue;
         view.mZone = member.mZone;
-        view.mUsable = view.mUsable || (member.mAlive && !member.mLeaving);
+        // A process that is leaving serves grants until it has handed its workers over.
+        view.mUsable = view.mUsable || member.mAlive;
         view.mFreeSlots = member.mFreeSlots;
       }
       views.push_back(std::move(view));
@@ -112,24 +114,54 @@
       owners, mEnvironment.mSettings.mSelf, mEnvironment.mSettings.mZone, routing, random);
   }
 
-  // Waits and re-reservations alike end at the deadline; a refusal by all owners is met by a pause
-  // and a new look at who owns what.
+  // Waits and re-reservations alike end at the deadline; a refusal by all owners, or a takeover
+  // under way, is met by a pause and a new look at who owns what.
   Async<Result<Grant>> Place(RequestContext& aContext)
   {
     Duration pause = kFirstPause;
+    bool hasOwner = false;
     while (aContext.GetTimeLeft(BootClock::now()) > mEnvironment.mSettings.mRetry.mLeastTime) {
       const std::vector<RouteStep> steps = ListSteps();
-      if (steps.empty())
-        co_return MakeFailure(FailureKind::NotReady, "no process owns a worker");
-      auto grant = co_await RunRace(aContext, steps);
-      if (grant)
-        co_return std::move(*grant);
+      hasOwner = !steps.empty();
+      if (hasOwner) {
+        auto grant = co_await RunRace(aContext, steps);
+        if (grant) {
+          LogRoute(aContext, *grant, steps);
+          co_return std::move(*grant);
+        }
+      }
       co_await Sleep(std::min(pause, aContext.GetTimeLeft(BootClock::now())));
       pause = std::min(pause * 2, kLongestPause);
     }
+    if (!hasOwner)
+      co_return MakeFailure(FailureKind::NotReady,
+                            "no live process owned a worker before the deadline");
     co_return MakeFailure(FailureKind::CapacityFull, "no slot was free before the deadline");
   }
 
+  // Owners are named in the order in which they were to be asked; all but the one that gave the
+  // slot were slower, full, or not asked any more.
+  void LogRoute(const RequestContext& aContext,
+                const Grant& aGrant,
+                const std::vector<RouteStep>& aSteps) const
+  {
+    if (!IsLogOn(LogPart::Route, LogLevel::Info))
+      return;
+    std::string others;
+    for (const RouteStep& step : aSteps)
+      for (const ProcessName& it : step.mOwners)
+        if (it != aGrant.mOwner)
+          others += (others.empty() ? "" : ",") + it;
+    Log(LogPart::Route,
+        LogLevel::Info,
+        "slot granted",
+        { { "request", aContext.mSpec.mId },
+          { "worker", aGrant.mWorker.mName },
+          { "owner", aGrant.mOwner },
+          { "waited_ms", BootClock::now() - aContext.mArrivedAt },
+          { "passed_over", others } });
+  }
+
   Async<std::optional<Grant>> RunRace(RequestContext& aContext,
                                       const std::vector<RouteStep>& aSteps)
   {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,13 +1,19 @@
 #include "http/server.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <array>
 #include <mutex>
 #include <set>
 
+#include "http/read_deadline.h"
+#include "observe/log.h"
+#include <sstream>
+
 namespace monsoon {
 
 namespace beast = boost::beast;
@@ -76,17 +82,83 @@
   return std::nullopt;
 }
 
+constexpr Duration kLingerFor = seconds(1);
+constexpr std::size_t kLingerBytes = 1024 * 1024;
+
+// Closing with unread bytes resets the connection, and the caller might never see the answer: reads
+// on for a while.
+Async<void> Linger(beast::tcp_stream& aStream)
+{
+  boost::system::error_code ignored;
+  aStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  aStream.expires_after(kLingerFor);
+  std::array<char, 4096> buf{};
+  for (std::size_t total = 0; total < kLingerBytes;) {
+    auto [ec, n] = co_await aStream.async_read_some(asio::buffer(buf), kNoThrow);
+    if (ec)
+      break;
+    total += n;
+  }
+}
+
+// Counts down on every way out, also when a handler throws.
+class CountGuard
+{
+public:
+  explicit CountGuard(std::atomic<std::size_t>& aCount)
+    : mCount(aCount)
+  {
+  }
+  ~CountGuard() { --mCount; }
+  CountGuard(const CountGuard&) = delete;
+  CountGuard& operator=(const CountGuard&) = delete;
+
+private:
+  std::atomic<std::size_t>& mCount;
+};
+
+// A handler that throws is a fault of ours; its caller still gets an answer.
+Async<HttpResponse> CallHandler(const HttpHandler& aHandler,
+                                HttpRequest aRequest,
+                                const std::string& aPeerAddress)
+{
+  std::string what;
+  try {
+    co_return co_await aHandler(std::move(aRequest), aPeerAddress);
+  } catch (const std::exception& error) {
+    what = error.what();
+  }
+  Log(LogPart::Http, LogLevel::Error, "a handler failed", { { "what", what } });
+  co_return MakeProblem(http::status::internal_server_error,
+                        Outcome::Unknown,
+                        MakeFailure(FailureKind::Internal, "the handler failed"));
+}
+
 }  // namespace
 
+// The head promises more than follows, as an endpoint that dies while it answers.
+Async<void> WriteHalf(beast::tcp_stream& aStream, HttpResponse aResponse)
+{
+  aResponse.result(http::status::ok);
+  aResponse.prepare_payload();
+  std::ostringstream buf;
+  buf << aResponse;
+  const std::string text = buf.str();
+  const asio::const_buffer half(text.data(), text.size() / 2);
+  [[maybe_unused]] auto [ec, n] = co_await asio::async_write(aStream, half, kNoThrow);
+}
+
 Async<void> HttpServer::State::Serve(tcp::socket aSocket)
 {
   auto self = shared_from_this();
+  const CountGuard connection(mConnections);
   boost::system::error_code ignored;
   const auto remote = aSocket.remote_endpoint(ignored);
   const std::string peerAddress = ignored ? std::string() : remote.address().to_string();
   aSocket.set_option(tcp::no_delay(true), ignored);
   beast::tcp_stream stream(std::move(aSocket));
   beast::flat_buffer buf;
+  ReadDeadline deadline(stream);
 
   while (!mStopping) {
     http::request_parser<http::string_body> parser;
@@ -103,34 +175,49 @@
         break;
       buf.commit(n);
     }
-    stream.expires_after(mLimits.mReadTimeout);
+    stream.expires_never();
+    deadline.Start(mLimits.mReadTimeout);
     auto [ec, n] = co_await http::async_read(stream, buf, parser, kNoThrow);
+    deadline.End();
     if (ec) {
+      if (deadline.HasPassed())
+        ec = beast::error::timeout;
       if (auto answer = MakeParseAnswer(ec)) {
+        Log(
+          LogPart::Http,
+          LogLevel::Info,
+          "refused malformed input",
+          { { "peer", peerAddress }, { "status", answer->result_int() }, { "why", ec.message() } });
         answer->keep_alive(false);
         stream.expires_after(mLimits.mReadTimeout);
         co_await http::async_write(stream, *answer, kNoThrow);
+        co_await Linger(stream);
       }
       break;
     }
 
     ++mInFlight;
+    const CountGuard inFlight(mInFlight);
     stream.expires_never();
     HttpRequest request = parser.release();
     const bool keepAlive = request.keep_alive();
     const unsigned version = request.version();
-    HttpResponse response = co_await mHandler(std::move(request), peerAddress);
+    HttpResponse response = co_await CallHandler(mHandler, std::move(request), peerAddress);
+    if (response.result() == kNoAnswer)
+      break;
+    if (response.result() == kHalfAnswer) {
+      co_await WriteHalf(stream, std::move(response));
+      break;
+    }
     response.version(version);
     response.keep_alive(keepAlive && !mStopping);
     response.prepare_payload();
     stream.expires_after(mLimits.mReadTimeout);
     auto [writeError, written] = co_await http::async_write(stream, response, kNoThrow);
-    --mInFlight;
     if (writeError || !response.keep_alive())
       break;
   }
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  --mConnections;
 }
 
 Async<void> HttpServer::State::Accept()
@@ -145,8 +232,13 @@
       co_await Sleep(milliseconds(10));  // out of descriptors, most often: don't spin
       continue;
     }
-    if (mConnections >= mLimits.mMaxConnections)
+    if (mConnections >= mLimits.mMaxConnections) {
+      Log(LogPart::Http,
+          LogLevel::Warn,
+          "closed a connection above the limit",
+          { { "limit", mLimits.mMaxConnections } });
       continue;
+    }
     ++mConnections;
     asio::co_spawn(context, Serve(std::move(socket)), asio::detached);
   }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -22,6 +22,7 @@
 
 #include "core/errors.h"
 #include "core/model.h"
+#include "policy/worker_view.h"
 
 namespace monsoon {
 
@@ -40,13 +41,19 @@
 {
   ProcessName mName{};
   std::uint64_t mIncarnation = 0;  // grows with every start, and when a suspicion is refuted
+  std::uint64_t mCount = 0;        // latest heartbeat known of that incarnation
   MemberState mState = MemberState::Alive;
+  std::uint64_t mSession = 0;  // incarnation of its session lease; 0: none
+  bool mReady = true;
+  bool mStoreReachable = true;
+  std::uint32_t mFreeSlots = 0;
 };
 
 struct JournalHead  // how far a process has applied a journal
 {
   std::string mJournal{};
   Sequence mHead = 0;
+  Duration mAge{};  // since the store confirmed that this is the head
 };
 
 struct Heartbeat
@@ -55,7 +62,8 @@
   ProcessName mFrom{};
   ZoneName mZone{};
   std::uint64_t mIncarnation = 0;
-  std::uint64_t mCount = 0;              // grows by one with each heartbeat of an incarnation
+  std::uint64_t mCount = 0;              // grows by one with each round of heartbeats
+  std::uint64_t mSession = 0;            // incarnation of the sender's session lease; 0: none
   bool mLeaving = false;                 // planned stop announced
   bool mReady = true;                    // takes new work
   bool mStoreReachable = true;           // the sender's view of the platform's store
@@ -208,6 +216,8 @@
   Unknown
 };
 
+[[nodiscard]] const char* GetName(TaskEnd aEnd) noexcept;
+
 struct TaskReport  // worker owner to shard owner; repeated until acknowledged
 {
   TaskKey mTask{};
@@ -226,6 +236,7 @@
 struct TaskQuery  // a new shard owner asks what became of journaled attempts
 {
   WorkerName mWorker{};
+  Epoch mEpoch = 0;  // of the worker's ownership under which the attempts were assigned
   std::vector<std::pair<TaskKey, std::uint32_t>> mAttempts{};
 };
 
@@ -265,6 +276,14 @@
   Sequence mAt = 0;       // journal sequence of the last change
 };
 
+struct WorkerList  // the books of the workers that the asked process owns
+{};
+
+struct WorkerViews
+{
+  std::vector<WorkerView> mWorkers{};
+};
+
 struct JobStatuses
 {
   std::vector<JobStatus> mJobs{};
@@ -355,7 +374,8 @@
                                  KeyRecord,
                                  KeyOutcome,
                                  JournalFetch,
-                                 OutagePromiseRequest>;
+                                 OutagePromiseRequest,
+                                 WorkerList>;
 
 using PeerReply = std::variant<Done,
                                Grant,
@@ -366,7 +386,8 @@
                                JobStatuses,
                                KeyReply,
                                JournalSlice,
-                               OutagePromise>;
+                               OutagePromise,
+                               WorkerViews>;
 
 struct RequestFrame
 {
