Make settings and load clean for the linter

Cause: clang-tidy refused short parameter names, a captured binding and a move without effect. Ruled out: suppressions. Change: names and captures only.

--- a/src/app/load.cpp
+++ b/src/app/load.cpp
@@ -162,7 +162,7 @@
     co_return;
   }
   mJobs[aId] = aTarget;
-  co_await FollowJob(std::move(aItem), aId, aTarget, aDue);
+  co_await FollowJob(aItem, aId, aTarget, aDue);
   mJobs.erase(aId);
   --mUnderWay;
 }
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -67,10 +67,12 @@
                    T& aOut)
   {
     for (const auto& [name, node] : aTable) {
-      const std::string key = std::string(aSection) + "." + std::string(name.str());
-      const auto it = std::find_if(aKeys.begin(), aKeys.end(), [&](const SettingsKey<T>& aKey) {
-        return aKey.mSection == aSection && aKey.mName == name.str();
-      });
+      const std::string_view member = name.str();
+      const std::string key = std::string(aSection) + "." + std::string(member);
+      const auto it =
+        std::find_if(aKeys.begin(), aKeys.end(), [&, member](const SettingsKey<T>& aKey) {
+          return aKey.mSection == aSection && aKey.mName == member;
+        });
       if (it == aKeys.end())
         Add(
           name.source(), key, "unknown key", "did you mean " + FindNearest(key, ListNames(aKeys)));
@@ -184,9 +186,10 @@
       reader.Add(node.source(), section, "not a section", "[" + section + "]");
   }
   CheckTogether(parsed.table(), reader, result.mSettings);
-  std::stable_sort(result.mErrors.begin(), result.mErrors.end(), [](const auto& a, const auto& b) {
-    return std::pair(a.mLine, a.mColumn) < std::pair(b.mLine, b.mColumn);
-  });
+  std::stable_sort(
+    result.mErrors.begin(), result.mErrors.end(), [](const auto& aLeft, const auto& aRight) {
+      return std::pair(aLeft.mLine, aLeft.mColumn) < std::pair(aRight.mLine, aRight.mColumn);
+    });
   return result;
 }
 
