--- a/bench/bench_routing.cpp
+++ b/bench/bench_routing.cpp
@@ -166,8 +166,9 @@
       Inventory inventory{ .mNowMs = mNow.time_since_epoch() / milliseconds(1),
                            .mHighestEpoch = 1 };
       inventory.mRequests.assign(runner.mRunning.begin(), runner.mRunning.end());
-      mOwners[runner.mOwner]->mCapacity.With(
-        name, [&](CapacityBook& aBook) { aBook.ApplyInventory(name, inventory, mNow, mNow); });
+      mOwners[runner.mOwner]->mCapacity.With(name, [&, &name = name](CapacityBook& aBook) {
+        aBook.ApplyInventory(name, inventory, mNow, mNow);
+      });
     }
     At(kInventoryInterval, [this] { ReadInventories(); });
   }
--- a/src/app/cell_backend.cpp
+++ b/src/app/cell_backend.cpp
@@ -223,7 +223,7 @@
                    true,
                    mControl.GetStopState() != StopState::Ready,
                    owned[self],
-                   0 });
+                   mControl.CountFreeSlots() });
   for (const MemberView& it : mControl.ListMembers())
     if (it.mName != self)
       rows.push_back(
--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -21,6 +21,16 @@
 
 constexpr std::uint32_t kConfigurationWatchers = 2;  // processes of a zone that watch the store
 
+// An append in doubt must not hold up these journals for longer than a change may take.
+constexpr Duration kResolveFor = seconds(3);
+
+std::unique_ptr<CellJournal> MakeJournal(CellStore& aStore, std::string aName)
+{
+  JournalSettings settings;
+  settings.mResolveFor = kResolveFor;
+  return std::make_unique<CellJournal>(aStore, std::move(aName), settings);
+}
+
 std::uint64_t DrawNonce()
 {
   std::random_device random;
@@ -33,6 +43,7 @@
   session.mLease = aSettings.mLease.mSession;
   session.mRenewEvery = aSettings.mLease.mRenewEvery;
   session.mDrift = aSettings.mLease.mDrift;
+  session.mExtendByPromises = aSettings.mLease.mOutagePromises == "on";
   return session;
 }
 
@@ -101,12 +112,10 @@
                  aSettings.mProcess.mName,
                  aSettings.mProcess.mZone,
                  MakeOwnershipSettings(aSettings),
-                 [&aStore](std::string aName) {
-                   return std::make_unique<CellJournal>(aStore, std::move(aName));
-                 })
+                 [&aStore](std::string aName) { return MakeJournal(aStore, std::move(aName)); })
     , mConfiguration(aContext.get_executor(),
                      aStore,
-                     std::make_unique<CellJournal>(aStore, kConfigurationJournal),
+                     MakeJournal(aStore, kConfigurationJournal),
                      aLink,
                      aSettings.mProcess.mName,
                      mNonce,
@@ -396,6 +405,11 @@
   return mState->mConfiguration.Change(aExpected, std::move(aEntries));
 }
 
+std::uint32_t ControlPlane::CountFreeSlots() const
+{
+  return mState->mHooks.mCountFreeSlots ? mState->mHooks.mCountFreeSlots() : 0;
+}
+
 std::vector<WorkerSpec> ControlPlane::ListWorkers() const
 {
   return mState->CopyWorkers();
--- a/src/app/control_plane.h
+++ b/src/app/control_plane.h
@@ -72,6 +72,7 @@
                                  std::vector<ConfigurationEntry> aEntries);
 
   // Fleet
+  [[nodiscard]] std::uint32_t CountFreeSlots() const;         // of the owned workers
   [[nodiscard]] std::vector<WorkerSpec> ListWorkers() const;  // as the VM list last showed it
   [[nodiscard]] bool IsExcluded(const WorkerName& aWorker) const;
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -34,6 +34,8 @@
   requests.mSelf = aSettings.mProcess.mName;
   requests.mZone = aSettings.mProcess.mZone;
   requests.mJobShards = aSettings.mJobs.mShards;
+  requests.mRouting.mCrossZonePrice = aSettings.mRequests.mCrossZonePrice;
+  requests.mRetry.mRatio = aSettings.mRequests.mRetryPercent / 100.0;
   requests.mRouting.mRouting =
     ParseRouting(aSettings.mRequests.mRouting).value_or(Routing::LateBinding);
   return requests;
--- a/src/app/node_http.cpp
+++ b/src/app/node_http.cpp
@@ -67,8 +67,9 @@
 {
   if (aId.empty() || aId.size() > kMaxIdBytes)
     return false;
-  return std::all_of(
-    aId.begin(), aId.end(), [](unsigned char c) { return std::isgraph(c) && c != '"'; });
+  return std::all_of(aId.begin(), aId.end(), [](unsigned char aByte) {
+    return std::isgraph(aByte) && aByte != '"';
+  });
 }
 
 }  // namespace
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -152,11 +152,11 @@
 {
   const LeaseSettings& lease = aSettings.mLease;
   const toml::node* at = aTable.get("lease");
-  if (lease.mRenewEvery + lease.mMargin >= lease.mSession)
+  if (lease.mRenewEvery + lease.mDrift >= lease.mSession)
     aReader.Add(at ? at->source() : toml::source_region{},
                 "lease.renew_every",
                 "a renewal would come after the lease has lapsed",
-                "renew_every plus margin below session (" + FormatDuration(lease.mSession) + ")");
+                "renew_every plus drift below session (" + FormatDuration(lease.mSession) + ")");
 }
 
 }  // namespace
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -49,8 +49,8 @@
 {
   Duration mSession = seconds(10);  // lapses when not renewed; a taker waits this long plus mDrift
   Duration mRenewEvery = seconds(3);
-  Duration mMargin = seconds(1);        // stop acting this long before the lapse
   Duration mDrift = milliseconds(500);  // clocks of two VMs may differ in rate by this per lease
+  std::string mOutagePromises = "on";   // or "off"
   Duration mHeartbeat = milliseconds(200);
   Duration mSuspectAfter = milliseconds(700);  // without a heartbeat
   Duration mConfirmWithin = seconds(5);        // configuration head; else no new work
@@ -67,10 +67,10 @@
 
 struct RequestsSection
 {
-  Duration mTimeout = seconds(30);  // when the caller gives none
-  Duration mCrossZoneAfter = milliseconds(20);
-  std::uint32_t mRetryPercent = 10;  // retries per hundred requests
-  std::uint32_t mQueue = 10'000;     // waiting requests per process
+  Duration mTimeout = seconds(30);             // when the caller gives none
+  Duration mCrossZonePrice = milliseconds(2);  // wait that is worth a request to another zone
+  std::uint32_t mRetryPercent = 10;            // retries per hundred requests
+  std::uint32_t mQueue = 10'000;               // waiting requests per process
   std::string mRouting = "late_binding";
 };
 
@@ -78,8 +78,8 @@
 {
   std::uint32_t mShards = 16;  // same in every process of the cell
   Duration mTaskLease = seconds(30);
-  Duration mHold = seconds(2);
-  Duration mReportInterval = milliseconds(500);
+  Duration mHold = seconds(3);
+  Duration mReportInterval = seconds(1);
   Duration mStartWithin = seconds(2);
 };
 
--- a/src/app/work_plane.cpp
+++ b/src/app/work_plane.cpp
@@ -26,15 +26,25 @@
   for (const PeerSettings& it : aSettings.mPeers)
     jobs.mZones[it.mName] = it.mZone;
   jobs.mShards = aSettings.mJobs.mShards;
+  jobs.mHoldExpiry = aSettings.mJobs.mHold;
+  jobs.mStartWithin = aSettings.mJobs.mStartWithin;
   return jobs;
 }
 
+GrantSettings MakeGrantSettings(const Settings& aSettings)
+{
+  GrantSettings grants;
+  grants.mMaxWaiting = aSettings.mRequests.mQueue;
+  return grants;
+}
+
 SupervisionSettings MakeSupervisionSettings(const Settings& aSettings)
 {
   SupervisionSettings supervision;
   supervision.mSelf = aSettings.mProcess.mName;
   supervision.mShards = aSettings.mJobs.mShards;
   supervision.mLease = aSettings.mJobs.mTaskLease;
+  supervision.mInterval = aSettings.mJobs.mReportInterval;
   return supervision;
 }
 
@@ -53,7 +63,8 @@
     , mDesk(std::make_shared<CellDesk>(aContext.get_executor(),
                                        aSettings.mProcess.mName,
                                        mCapacity,
-                                       aControl))
+                                       aControl,
+                                       MakeGrantSettings(aSettings)))
     , mSupervision(aContext.get_executor(),
                    aWorkers,
                    aLink,
@@ -93,6 +104,7 @@
 {
   while (!mStopped) {
     mCapacity.Expire(BootClock::now());
+    mDesk->OnSlotsChanged();  // half-open probes of ejected workers come due with time alone
     co_await Sleep(kExpireEvery);
   }
 }
@@ -204,7 +216,7 @@
   Async<Result<PeerReply>> operator()(JobSubmit& aIt) { return ToJobs(std::move(aIt)); }
   Async<Result<PeerReply>> operator()(JobCancel& aIt) { return ToJobs(std::move(aIt)); }
   Async<Result<PeerReply>> operator()(JobQuery& aIt) { return ToJobs(std::move(aIt)); }
-  Async<Result<PeerReply>> operator()(JobList& aIt) { return ToJobs(std::move(aIt)); }
+  Async<Result<PeerReply>> operator()(JobList& aIt) { return ToJobs(aIt); }
   Async<Result<PeerReply>> operator()(KeyRecord& aIt) { return ToKeys(std::move(aIt)); }
   Async<Result<PeerReply>> operator()(KeyOutcome& aIt) { return ToKeys(std::move(aIt)); }
 
--- a/tests/unit/test_settings.cpp
+++ b/tests/unit/test_settings.cpp
@@ -62,7 +62,7 @@
   CHECK(ListErrors("[lease\n").size() == 1);
   CHECK(ListErrors("[requests]\nrouting = \"magic\"\n")[0].find("two_choices") !=
         std::string::npos);
-  CHECK(ListErrors("[lease]\nsession = \"2s\"\n")[0].find("renew_every plus margin") !=
+  CHECK(ListErrors("[lease]\nsession = \"2s\"\n")[0].find("renew_every plus drift") !=
         std::string::npos);
   CHECK(ListErrors("[[peer]]\nname = \"x\"\n").size() == 1);
   CHECK(ListErrors("peer = 3\n").size() == 1);
