Take the store down for real in the outage test, and show it without promises

Found by switching the mechanism off, which changed nothing. With the store really down the stand-in then crashed ("free(): invalid pointer"): g++ 12 frees twice when co_await stands in a branch of ?:.

Ruled out: the processes, by a run of them under the address sanitizer without a report; the crash was in the stand-in.

--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -200,9 +200,10 @@
     after = mData.GetRevision();
     const TimePoint now = BootClock::now();
     const DownMode down = mFaults.GetDownMode(now);
-    if (down != DownMode::Up)
-      co_return down == DownMode::Refuse ? MakeStatus(http::status::service_unavailable)
-                                         : co_await Hang();
+    if (down == DownMode::Refuse)
+      co_return MakeStatus(http::status::service_unavailable);
+    if (down == DownMode::Hang)
+      co_return co_await Hang();
     if (!changes.empty() || now >= until)
       break;
     asio::steady_timer timer(mContext, until - now);
--- a/tests/integration/cell.cpp
+++ b/tests/integration/cell.cpp
@@ -220,7 +220,8 @@
           "\npeer = " + address(mPeerPorts[aIndex]) + "\n";
   const std::uint16_t platform =
     mOptions.mProxied ? mPlatformProxies[aIndex]->GetPort() : mPlatform->GetPort();
-  text += "[lease]\nsession = \"3s\"\nrenew_every = \"1s\"\ndrift = \"300ms\"\n";
+  text += "[lease]\nsession = \"3s\"\nrenew_every = \"1s\"\ndrift = \"300ms\"\n" +
+          mOptions.mLeaseSettings + "\n";
   text += "[platform]\naddress = " + address(platform) + "\n" + mOptions.mExtraSettings + "\n";
   for (std::uint32_t i = 0; i < mOptions.mProcesses; ++i) {
     if (i == aIndex)
--- a/tests/integration/cell.h
+++ b/tests/integration/cell.h
@@ -52,6 +52,7 @@
   std::uint32_t mSlots = 8;      // per worker
   bool mProxied = false;         // proxies between processes, and to the platform
   std::uint64_t mSeed = 1;       // of the proxies
+  std::string mLeaseSettings{};  // TOML appended to the section [lease]
   std::string mExtraSettings{};  // TOML appended to each process's settings
   std::function<WorkerSpec(std::uint32_t)> mSpec{};  // overrides the standard worker, by index
 };
--- a/tests/integration/test_failures.cpp
+++ b/tests/integration/test_failures.cpp
@@ -184,8 +184,8 @@
   RequestLoad load({ .mPorts = ListPorts(cell, 3), .mThreads = 6 });
   REQUIRE(WaitFor([&] { return load.CountAnswered() > 100; }));
   REQUIRE(
-    Put(cell.GetPlatform().GetPort(), "/v1/faults", R"({"mode":"down","for_ms":10000})").mStatus ==
-    200);
+    Put(cell.GetPlatform().GetPort(), "/v1/faults", R"({"down":{"mode":"refuse","for_ms":10000}})")
+      .mStatus == 200);
   // Longer than the lease: requests are still being answered after it must have lapsed at the
   // store.
   std::this_thread::sleep_for(seconds(6));
@@ -198,6 +198,25 @@
   CHECK(cell.SumEvidence("lapsed") == 0);
 }
 
+// The mechanism above switched off: an owner past its lease gives no new work.
+TEST_CASE("without promises owners stop at the end of their lease", "[outage]")
+{
+  Cell cell({ .mProcesses = 3, .mWorkers = 3, .mLeaseSettings = "outage_promises = \"off\"" });
+  REQUIRE(cell.WaitUntilReady());
+  RequestLoad load({ .mPorts = ListPorts(cell, 3), .mThreads = 6 });
+  REQUIRE(WaitFor([&] { return load.CountAnswered() > 100; }));
+  REQUIRE(
+    Put(cell.GetPlatform().GetPort(), "/v1/faults", R"({"down":{"mode":"refuse","for_ms":9000}})")
+      .mStatus == 200);
+  std::this_thread::sleep_for(seconds(5));
+  const auto answered = load.CountAnswered();
+  std::this_thread::sleep_for(seconds(2));
+  CHECK(load.CountAnswered() == answered);
+  // Once the store answers again they go on.
+  CHECK(WaitFor([&] { return load.CountAnswered() > answered + 100; }));
+  CheckTold(load.Stop(), CollectRuns(cell.ReadEvidence(), "request"));
+}
+
 TEST_CASE("a rolling replacement fails no request in flight and loses no job", "[rolling]")
 {
   Cell cell({ .mProcesses = 3, .mWorkers = 3, .mSlots = 4 });
