--- a/tests/unit/job_model.h
+++ b/tests/unit/job_model.h
@@ -23,7 +23,7 @@
   StartOnLeaving,     // breaks: a leaving endpoint gets no new work
   ForgetEntry,        // breaks: accepted work is never lost
   IgnoreCancel,       // breaks: a cancellation is never outrun
-  ForgetPlacing,       // breaks: all work ends
+  ForgetPlacing,      // breaks: all work ends
 };
 
 struct ModelTask
