Break the stand-in worker's reference cycle

Cause: LeakSanitizer: 2,074 bytes after all 196 unit cases passed in the address+undefined build; the handler held the state that owns its server. Change: the handler holds it weakly.

--- a/standin/worker.cpp
+++ b/standin/worker.cpp
@@ -310,8 +310,13 @@
 
 Result<std::uint16_t> Worker::Listen()
 {
-  HttpHandler handler = [state = mState](HttpRequest aRequest, std::string) {
-    return state->Handle(std::move(aRequest));
+  // Weak: the state owns the server that owns this handler.
+  HttpHandler handler = [weak = std::weak_ptr(mState)](HttpRequest aRequest,
+                                                       std::string) -> Async<HttpResponse> {
+    const auto state = weak.lock();
+    if (!state)
+      co_return HttpResponse(kNoAnswer, 11);
+    co_return co_await state->Handle(std::move(aRequest));
   };
   mState->mServer = std::make_unique<HttpServer>(HttpLimits{}, std::move(handler));
   auto port =
