--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -13,6 +13,7 @@
 using Arguments = std::vector<std::string>;  // the subcommand's name, then its arguments
 
 int RunServe(Arguments aArguments);        // one process of the system
+int RunEntry(Arguments aArguments);        // one entry process on the users' platform
 int RunCheck(Arguments aArguments);        // reads settings, prints every error
 int RunCtl(Arguments aArguments);          // operators' commands
 int RunApply(Arguments aArguments);        // a cell's declarations from a file
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -18,6 +18,7 @@
 constexpr Subcommand kSubcommands[] = {
   { "dev", "run a whole cell in this process and show what it does", &monsoon::RunDev },
   { "serve", "run one process of the system", &monsoon::RunServe },
+  { "entry", "run one entry process on the users' platform", &monsoon::RunEntry },
   { "check", "read settings and print every error", &monsoon::RunCheck },
   { "ctl", "run operators' commands", &monsoon::RunCtl },
   { "apply", "bring a cell to the declarations in a file", &monsoon::RunApply },
--- /dev/null
+++ b/src/fleet/entry.h
@@ -0,0 +1,79 @@
+// One entry process: answers callers, keeps the configuration, takes part in the election of the
+// scheduler's holder, and makes policy calls for it.
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <random>
+
+#include "fleet/holder.h"
+#include "fleet/settings.h"
+#include "http/server.h"
+#include "observe/metrics.h"
+
+namespace monsoon::fleet {
+
+class Entry
+{
+public:
+  // aFile is read again when it changes; only addresses of the store and the policy service may.
+  Entry(EntrySettings aSettings, std::string aFile);
+
+  // Serves until SIGTERM. Fails with BadInput for an address that can't be bound.
+  Result<void> Run();
+
+private:
+  struct HolderView  // what the store says of the scheduler's lease
+  {
+    std::optional<HolderRecord> mRecord{};
+    std::uint64_t mRevision = 0;
+    bool mIsKnown = false;  // read at least once
+  };
+
+  // Callers
+  Async<HttpResponse> HandleCaller(HttpRequest aRequest);
+  Async<HttpResponse> Submit(const QueueConfig& aQueue, std::string aId, HttpRequest aRequest);
+  Async<HttpResponse> ShowState(std::string aId, Duration aBudget);
+  Async<HttpResponse> Cancel(std::string aId, Duration aBudget);
+  Async<HttpResponse> ShowPending(std::string aQueue);
+  Async<Result<bool>> StoreJob(std::string aId, const std::string& aValue, Duration aDeadline);
+  HttpResponse HandleReady(const HttpRequest& aRequest);
+  // Peers
+  Async<HttpResponse> HandlePeer(HttpRequest aRequest);
+  Async<Result<std::string>> AskHolder(const char* aPath, std::string aBody, Duration aDeadline);
+  Async<void> PollHolder();
+  // Store
+  Async<void> WatchConfig();
+  Async<void> WatchHolder();
+  Async<void> Campaign();
+  void TakeConfig(const platform::StoreItem& aItem);
+  void TakeHolder(const platform::StoreItem& aItem);
+  // Process
+  Async<void> WaitForSignals();
+  Async<void> WatchSettings();
+  Async<void> Stop();
+  void Reload(std::string_view aWhy);
+  [[nodiscard]] const QueueConfig* FindQueue(std::string_view aHost, std::string_view aPath) const;
+  [[nodiscard]] bool IsHolder() const { return mHolder && !mHolder->IsDeposed(); }
+
+  asio::io_context mContext{ 1 };
+  EntrySettings mSettings{};
+  std::string mFile{};
+  std::string mFileText{};
+  HttpClient mClient{};
+  platform::Store mStore;
+  FleetConfig mConfig{};
+  HolderView mView{};
+  std::shared_ptr<Holder> mHolder{};
+  bool mStopping = false;
+  bool mCampaigning = false;
+  std::mt19937_64 mRandom{ std::random_device{}() };
+  std::unique_ptr<HttpServer> mCallers{};
+  std::unique_ptr<HttpServer> mReady{};
+  std::unique_ptr<HttpServer> mPeers{};
+  asio::signal_set mSignals;
+  Metrics mMetrics{};
+};
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/holder.h
@@ -0,0 +1,140 @@
+// The process that holds the scheduler's lease: drives a Scheduler with the store, the workers and
+// the other processes. Everything runs on one thread; each loop is a coroutine that keeps the
+// Holder alive until it sees that the lease is lost.
+//
+// Index
+//   HolderGrant   what makes a process the holder
+//   Holder        the calls
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "fleet/peer_messages.h"
+#include "fleet/scheduler.h"
+#include "fleet/settings.h"
+#include "platform/store.h"
+#include "platform/workers.h"
+
+namespace monsoon::fleet {
+
+// HolderGrant
+struct HolderGrant
+{
+  HolderRecord mRecord{};
+  std::uint64_t mKeyRevision = 0;   // of the holder's key; a condition of every write
+  std::uint64_t mLease = 0;
+  TimePoint mRenewedAt{};           // sending time of the last renewal that was answered
+  std::optional<HolderRecord> mPredecessor{};
+};
+
+// Holder
+class Holder : public std::enable_shared_from_this<Holder>
+{
+public:
+  Holder(asio::io_context& aContext,
+         const EntrySettings& aSettings,
+         HttpClient& aClient,
+         platform::Store& aStore,
+         HolderGrant aGrant);
+
+  void Start(const FleetConfig& aConfig);
+  void SetConfig(const FleetConfig& aConfig);
+  void Depose(std::string_view aWhy);  // stops giving orders at once
+  Async<void> Resign();                // stores what is open, then ends the lease
+  [[nodiscard]] bool IsDeposed() const { return mDeposed; }
+  [[nodiscard]] std::uint64_t GetEpoch() const { return mGrant.mRecord.mEpoch; }
+
+  // Questions of this and other processes
+  Async<StateReply> GetState(std::string aId);
+  [[nodiscard]] std::optional<std::size_t> CountPending(const std::string& aQueue) const;
+  Async<PollReply> Poll(PollRequest aRequest);
+  void NoteCancel(const std::string& aId);
+  void NoteJob(const std::string& aId, std::string_view aValue);
+
+private:
+  struct Channel  // orders to one worker, a few at a time
+  {
+    std::deque<std::variant<StartOrder, StopOrder, PaceOrder>> mQueue{};
+    std::size_t mActive = 0;
+    std::int64_t mClockMs = 0;  // last reading of the worker's clock; 0: none
+    TimePoint mClockAt{};
+    TimePoint mReportSentAt{};  // of the newest report taken in
+    bool mLoopRuns = false;
+    std::unique_ptr<asio::steady_timer> mWake{};
+  };
+  struct Member  // another process, as its polls show it
+  {
+    std::unique_ptr<asio::steady_timer> mWaiting{};  // null: no poll waits
+    std::optional<AdviceOrder> mOrder{};             // handed out with the waiting poll
+  };
+  struct AdviceCall
+  {
+    AdviceOrder mOrder{};
+    TimePoint mAskedAt{};
+    std::string mMember{};  // empty: this process itself
+  };
+
+  Async<void> KeepLease();
+  Async<void> Load();
+  Async<void> AskPredecessor();
+  Async<void> WatchJobs(std::uint64_t aRevision);
+  Async<void> WatchWorkers(std::uint64_t aRevision);
+  Async<void> RunPlan();
+  Async<void> StoreProgress();
+  Async<bool> StoreProgressOnce();
+  Async<void> RecordWorkers();
+  Async<void> WatchWorker(std::string aId);
+  Async<bool> HoldOnce(std::string aId, Duration aWait);
+  Async<void> ProbeWorker(std::string aId);
+  Async<void> Execute(std::string aId);
+  Async<void> ExecuteStart(std::string aId, StartOrder aOrder);
+  Async<void> ExecuteStop(std::string aId, StopOrder aOrder);
+  Async<void> ExecutePace(std::string aId, PaceOrder aOrder);
+  Async<void> AskLocally(AdviceCall aCall);
+  Async<void> ForgetEndedJobs();
+
+  void TakeJobItem(const platform::StoreItem& aItem, bool aInherited);
+  void TakeWorkerItem(const platform::StoreItem& aItem);
+  void EnsureLoop(const std::string& aId);
+  void WakePlan();
+  void WakeWorker(const std::string& aId);
+  void NoteClock(Channel& aChannel, std::int64_t aClockMs, TimePoint aSentAt);
+  void FinishAdvice(const AdviceResult& aResult);
+  void HandOut(AdviceOrder aOrder);
+  void ExpireAdvice();
+  void Dispatch(Orders aOrders);
+  [[nodiscard]] std::size_t CountFreeAdvisors() const;
+  [[nodiscard]] bool MayStart() const;
+  [[nodiscard]] bool MayRenewTaskLeases() const;
+  [[nodiscard]] std::int64_t ReadWorkerClock(const Channel& aChannel) const;
+  [[nodiscard]] std::optional<platform::WorkerTarget> MakeTarget(const std::string& aId);
+
+  asio::io_context& mContext;
+  const EntrySettings& mSettings;
+  HttpClient& mClient;
+  platform::Store& mStore;
+  HolderGrant mGrant{};
+  Scheduler mScheduler;
+  FleetConfig mConfig{};
+  bool mDeposed = false;
+  bool mLoaded = false;
+  bool mPredecessorGone = false;  // it has confirmed that it gives no more orders
+  TimePoint mTakenAt{};
+  std::map<std::string, Channel> mChannels{};
+  std::map<std::string, Member> mMembers{};
+  std::map<std::uint64_t, AdviceCall> mAdvice{};  // under way
+  bool mLocalAdviceBusy = false;
+  std::map<std::string, std::uint64_t> mProgressRevisions{};
+  std::map<std::string, std::string> mEarlyProgress{};  // of jobs that are still to be read
+  std::set<std::string> mEarlyCancels{};
+  asio::steady_timer mPlanTimer;
+  bool mPlanWoken = false;
+  asio::steady_timer mStoreTimer;
+};
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/keys.h
@@ -0,0 +1,34 @@
+// The keys that lie in the store.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace monsoon::fleet {
+
+inline constexpr std::string_view kRoot = "monsoon/";
+inline constexpr std::string_view kHolderKey = "monsoon-holder";  // of the scheduler's lease
+inline constexpr std::string_view kEpochKey = "monsoon-epoch";    // the last holder, for good
+inline constexpr std::string_view kJobPrefix = "monsoon/j/";       // JobSpec; with /x: cancelled
+inline constexpr std::string_view kProgressPrefix = "monsoon/p/";  // of a job
+inline constexpr std::string_view kWorkerPrefix = "monsoon/w/";    // workers that may run tasks
+inline constexpr std::string_view kCancelSuffix = "/x";
+
+[[nodiscard]] inline std::string MakeJobKey(std::string_view aId)
+{
+  return std::string(kJobPrefix).append(aId);
+}
+[[nodiscard]] inline std::string MakeCancelKey(std::string_view aId)
+{
+  return MakeJobKey(aId).append(kCancelSuffix);
+}
+[[nodiscard]] inline std::string MakeProgressKey(std::string_view aId)
+{
+  return std::string(kProgressPrefix).append(aId);
+}
+[[nodiscard]] inline std::string MakeWorkerKey(std::string_view aId)
+{
+  return std::string(kWorkerPrefix).append(aId);
+}
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/peer_messages.h
@@ -0,0 +1,129 @@
+// What entry processes say to each other: HTTP POSTs with cereal bodies, to whoever holds the
+// scheduler's lease.
+//
+// Index
+//   Lease holder   how the holder is found
+//   Poll           members wait at the holder for policy calls to make
+//   Questions      about jobs
+#pragma once
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+
+#include "core/errors.h"
+#include "fleet/model.h"
+
+namespace monsoon::fleet {
+
+template<class T>
+std::string EncodeMessage(const T& aMessage)
+{
+  std::ostringstream out;
+  cereal::BinaryOutputArchive archive(out);
+  archive(aMessage);
+  return std::move(out).str();
+}
+
+// Fails with BadInput for bytes that are no such message.
+template<class T>
+Result<T> DecodeMessage(std::string_view aBytes)
+{
+  std::istringstream in{ std::string(aBytes) };
+  T message;
+  try {
+    cereal::BinaryInputArchive archive(in);
+    archive(message);
+  } catch (const std::exception& error) {
+    return MakeFailure(FailureKind::BadInput, error.what());
+  }
+  return message;
+}
+
+// Lease holder, as it stands in the store
+struct HolderRecord
+{
+  std::string mName{};
+  std::string mHost{};
+  std::uint16_t mPort = 0;  // of its peer interface
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mNonce = 0;  // tells a write of one's own from another's
+  bool operator==(const HolderRecord&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName, mHost, mPort, mEpoch, mNonce);
+  }
+};
+
+// Poll
+struct AdviceResult
+{
+  std::uint64_t mNumber = 0;
+  bool mAnswered = false;
+  std::vector<Admission> mAdmitted{};
+  std::int64_t mValidMs = 0;
+  std::int64_t mTookMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mNumber, mAnswered, mAdmitted, mValidMs, mTookMs);
+  }
+};
+
+struct PollRequest
+{
+  std::string mName{};
+  std::uint64_t mEpoch = 0;  // of the holder that is meant
+  std::vector<AdviceResult> mResults{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName, mEpoch, mResults);
+  }
+};
+
+struct PollReply
+{
+  std::vector<AdviceOrder> mOrders{};  // none or one
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mOrders);
+  }
+};
+
+// Questions
+struct StateReply
+{
+  bool mIsKnown = false;
+  std::uint8_t mState = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mIsKnown, mState);
+  }
+};
+
+struct SubmitRequest  // relayed by a process that the store turns away
+{
+  std::string mId{};
+  std::string mValue{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mId, mValue);
+  }
+};
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/progress.cpp
@@ -0,0 +1,169 @@
+// What is stored of a job's progress, so that a later holder starts nothing twice.
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+
+#include "fleet/scheduler.h"
+#include "observe/log.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+struct StageRecord
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStage = 0;
+  std::vector<std::uint32_t> mDone{};                                // task indexes
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> mFailures{};  // task index, failed runs
+  std::vector<std::uint64_t> mFailedGangRuns{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mOccurrence, mStage, mDone, mFailures, mFailedGangRuns);
+  }
+};
+
+struct JobRecord
+{
+  std::uint8_t mState = 0;
+  std::vector<StageRecord> mStages{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mState, mStages);
+  }
+};
+
+std::optional<JobRecord> ReadRecord(std::string_view aBytes)
+{
+  std::istringstream in{ std::string(aBytes) };
+  JobRecord record;
+  try {
+    cereal::BinaryInputArchive archive(in);
+    archive(record);
+  } catch (const cereal::Exception& error) {
+    Log(LogPart::Store,
+        LogLevel::Error,
+        "a stored progress record can't be read",
+        { { "what", error.what() }, { "bytes", aBytes.size() } });
+    return std::nullopt;
+  }
+  if (record.mState > static_cast<std::uint8_t>(JobState::Cancelled))
+    return std::nullopt;
+  return record;
+}
+
+}  // namespace
+
+std::string Scheduler::EncodeProgress(const Job& aJob) const
+{
+  JobRecord record;
+  record.mState = static_cast<std::uint8_t>(aJob.mState);
+  const bool isOver = aJob.mState != JobState::Queued && aJob.mState != JobState::Running;
+  for (std::uint32_t k = 0; k < aJob.mOccurrences.size() && !isOver; ++k) {
+    const Occurrence& occurrence = aJob.mOccurrences[k];
+    for (std::uint32_t n = 0; n < occurrence.mStages.size(); ++n) {
+      const StageRun& stage = occurrence.mStages[n];
+      StageRecord it;
+      it.mOccurrence = k;
+      it.mStage = n;
+      for (std::uint32_t index = 0; index < stage.mTasks.size(); ++index) {
+        if (stage.mTasks[index].mDone)
+          it.mDone.push_back(index);
+        if (stage.mTasks[index].mFailures != 0)
+          it.mFailures.emplace_back(index, stage.mTasks[index].mFailures);
+      }
+      it.mFailedGangRuns.assign(stage.mFailedGangRuns.begin(), stage.mFailedGangRuns.end());
+      if (!it.mDone.empty() || !it.mFailures.empty())
+        record.mStages.push_back(std::move(it));
+    }
+  }
+  std::ostringstream out;
+  cereal::BinaryOutputArchive archive(out);
+  archive(record);
+  return out.str();
+}
+
+void Scheduler::DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow)
+{
+  auto record = ReadRecord(aBytes);
+  if (!record)
+    return;
+  aJob.mState = static_cast<JobState>(record->mState);
+  for (const StageRecord& it : record->mStages) {
+    if (it.mOccurrence >= aJob.mOccurrences.size() || it.mStage >= aJob.mSpec.mStages.size())
+      continue;
+    Occurrence& occurrence = aJob.mOccurrences[it.mOccurrence];
+    if (!occurrence.mStarted)
+      MakeOccurrence(aJob, it.mOccurrence, aNow);
+    StageRun& stage = occurrence.mStages[it.mStage];
+    for (const std::uint32_t index : it.mDone) {
+      if (index >= stage.mTasks.size() || stage.mTasks[index].mDone)
+        continue;
+      stage.mTasks[index].mDone = true;
+      ++stage.mDone;
+      --stage.mWaiting;
+    }
+    for (const auto& [index, failures] : it.mFailures)
+      if (index < stage.mTasks.size())
+        stage.mTasks[index].mFailures = failures;
+    stage.mFailedGangRuns.insert(it.mFailedGangRuns.begin(), it.mFailedGangRuns.end());
+  }
+}
+
+std::optional<JobState> Scheduler::ReadState(std::string_view aProgress)
+{
+  auto record = ReadRecord(aProgress);
+  if (!record)
+    return std::nullopt;
+  return static_cast<JobState>(record->mState);
+}
+
+ProgressBatch Scheduler::CollectProgress(std::size_t aMostJobs)
+{
+  ProgressBatch batch;
+  while (!mDirtyJobs.empty() && batch.mJobs.size() < aMostJobs) {
+    const std::string id = *mDirtyJobs.begin();
+    mDirtyJobs.erase(mDirtyJobs.begin());
+    Job* job = FindJobMutable(id);
+    if (!job)
+      continue;
+    job->mDirty = false;
+    batch.mJobs.push_back({ id, EncodeProgress(*job), job->mState });
+  }
+  // An end may be taken note of only when the effects of all ends before it are stored.
+  if (mDirtyJobs.empty()) {
+    mHasEndedJob = false;
+    mHasNewEnds = false;
+    for (const auto& [id, worker] : mWorkers)
+      if (worker.mLastEnd > worker.mStoredEnd)
+        batch.mEnds.emplace_back(id, worker.mLastEnd);
+  }
+  return batch;
+}
+
+void Scheduler::OnProgressStored(const ProgressBatch& aBatch)
+{
+  for (const StoredProgress& it : aBatch.mJobs)
+    if (Job* job = FindJobMutable(it.mJob))
+      job->mStoredState = it.mState;
+  for (const auto& [id, end] : aBatch.mEnds)
+    if (Worker* worker = FindWorker(id); worker && worker->mLastEnd >= end)
+      worker->mStoredEnd = std::max(worker->mStoredEnd, end);
+}
+
+void Scheduler::OnProgressLost(const ProgressBatch& aBatch)
+{
+  for (const StoredProgress& it : aBatch.mJobs)
+    if (Job* job = FindJobMutable(it.mJob))
+      MarkDirty(*job);
+  mHasNewEnds = true;
+}
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/settings.cpp
@@ -0,0 +1,154 @@
+#include "fleet/settings.h"
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace monsoon::fleet {
+
+namespace {
+
+class Reader
+{
+public:
+  Reader(const toml::table& aRoot, std::string aFile, std::vector<std::string>& aErrors)
+    : mRoot(aRoot)
+    , mFile(std::move(aFile))
+    , mErrors(aErrors)
+  {
+  }
+
+  const toml::node* Find(const char* aSection, const char* aKey, bool aRequired)
+  {
+    mKnown.insert(std::string(aSection) + "." + aKey);
+    const toml::node* node = mRoot[aSection][aKey].node();
+    if (!node && aRequired)
+      mErrors.push_back(mFile + ": " + aSection + "." + aKey + " is missing");
+    return node;
+  }
+  void ReadText(const char* aSection, const char* aKey, bool aRequired, std::string& aOut)
+  {
+    const toml::node* node = Find(aSection, aKey, aRequired);
+    if (!node)
+      return;
+    if (const auto value = node->value<std::string>(); value && node->is_string())
+      aOut = *value;
+    else
+      Complain(*node, aSection, aKey, "expected text");
+  }
+  bool ReadAddress(const char* aSection, const char* aKey, bool aRequired, HttpAddress& aOut)
+  {
+    const toml::node* node = Find(aSection, aKey, aRequired);
+    if (!node)
+      return false;
+    auto address = ParseAddress(node->value<std::string>().value_or(""));
+    if (!address) {
+      Complain(*node, aSection, aKey, address.error().mDetail);
+      return false;
+    }
+    aOut = *address;
+    return true;
+  }
+  void ReadMillis(const char* aSection, const char* aKey, Duration& aOut)
+  {
+    const toml::node* node = Find(aSection, aKey, false);
+    if (!node)
+      return;
+    const double ms = node->value<double>().value_or(-1);
+    if (ms <= 0 || ms > 86'400'000)
+      Complain(*node, aSection, aKey, "expected milliseconds from 1 to 86400000");
+    else
+      aOut = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+  }
+  void ReadShare(const char* aSection, const char* aKey, double& aOut)
+  {
+    const toml::node* node = Find(aSection, aKey, false);
+    if (!node)
+      return;
+    const double value = node->value<double>().value_or(-1);
+    if (value <= 0 || value > 1024)
+      Complain(*node, aSection, aKey, "expected a number above 0, 1024 at most");
+    else
+      aOut = value;
+  }
+  void CheckUnknown()
+  {
+    for (const auto& [section, node] : mRoot) {
+      const toml::table* table = node.as_table();
+      if (!table) {
+        mErrors.push_back(mFile + ": " + std::string(section.str()) + ": expected a section");
+        continue;
+      }
+      for (const auto& [key, value] : *table) {
+        const std::string name = std::string(section.str()) + "." + std::string(key.str());
+        if (!mKnown.contains(name))
+          Complain(value, section.str().data(), key.str().data(), "unknown key");
+      }
+    }
+  }
+
+private:
+  void Complain(const toml::node& aNode,
+                const char* aSection,
+                const char* aKey,
+                const std::string& aWhat)
+  {
+    const auto& where = aNode.source().begin;
+    mErrors.push_back(mFile + ":" + std::to_string(where.line) + ":" +
+                      std::to_string(where.column) + ": " + aSection + "." + aKey + ": " + aWhat);
+  }
+
+  const toml::table& mRoot;
+  std::string mFile{};
+  std::vector<std::string>& mErrors;
+  std::set<std::string> mKnown{};
+};
+
+}  // namespace
+
+EntrySettingsResult ParseEntrySettings(std::string_view aText, const std::string& aFile)
+{
+  EntrySettingsResult result;
+  const toml::parse_result parsed = toml::parse(aText, aFile);
+  if (!parsed) {
+    const auto& where = parsed.error().source().begin;
+    result.mErrors.push_back(aFile + ":" + std::to_string(where.line) + ":" +
+                             std::to_string(where.column) + ": " +
+                             std::string(parsed.error().description()));
+    return result;
+  }
+  EntrySettings& out = result.mSettings;
+  Reader reader(parsed.table(), aFile, result.mErrors);
+  reader.ReadText("process", "name", true, out.mName);
+  reader.ReadText("process", "zone", true, out.mZone);
+  reader.ReadShare("process", "cores", out.mCores);
+  reader.ReadAddress("listen", "callers", true, out.mCallers);
+  reader.ReadAddress("listen", "ready", true, out.mReady);
+  reader.ReadAddress("listen", "peers", true, out.mPeers);
+  reader.ReadAddress("store", "address", true, out.mStore);
+  HttpAddress advice;
+  if (reader.ReadAddress("advice", "address", false, advice))
+    out.mAdvice = advice;
+  reader.ReadMillis("bounds", "task_lease_ms", out.mTaskLease);
+  reader.ReadMillis("bounds", "shutdown_ms", out.mShutdown);
+  reader.ReadMillis("bounds", "keep_ended_ms", out.mKeepEnded);
+  reader.CheckUnknown();
+  return result;
+}
+
+EntrySettingsResult LoadEntrySettings(const std::string& aFile)
+{
+  std::ifstream in(aFile);
+  if (!in) {
+    EntrySettingsResult result;
+    result.mErrors.push_back(aFile + ": can't be read");
+    return result;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseEntrySettings(text.str(), aFile);
+}
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/settings.h
@@ -0,0 +1,43 @@
+// Settings of an entry process on the users' platform, read from TOML.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/errors.h"
+#include "core/time.h"
+#include "http/client.h"
+
+namespace monsoon::fleet {
+
+struct EntrySettings
+{
+  // [process]
+  std::string mName = "entry-1";
+  std::string mZone{};
+  double mCores = 1;  // share of a processor core that this VM may use
+  // [listen]
+  HttpAddress mCallers{};  // jobs
+  HttpAddress mReady{};    // readiness and metrics
+  HttpAddress mPeers{};    // other entry processes
+  // [store], [advice]
+  HttpAddress mStore{};
+  std::optional<HttpAddress> mAdvice{};  // the policy service; none where no queue needs it
+  // [bounds], each in ms, from the deployment
+  Duration mTaskLease = seconds(6);    // longest lease of a task on a worker
+  Duration mShutdown = seconds(6);     // from SIGTERM to SIGKILL
+  Duration mKeepEnded = seconds(120);  // a job's state stays readable after its end
+};
+
+struct EntrySettingsResult
+{
+  EntrySettings mSettings{};
+  std::vector<std::string> mErrors{};  // all of them, each with file, line and column
+};
+
+[[nodiscard]] EntrySettingsResult LoadEntrySettings(const std::string& aFile);
+[[nodiscard]] EntrySettingsResult ParseEntrySettings(std::string_view aText,
+                                                     const std::string& aFile);
+
+}  // namespace monsoon::fleet
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -141,10 +141,17 @@
 }
 
 // Configuration
+enum class LogTarget : std::uint8_t
+{
+  StandardError,
+  StandardOutput
+};
+
 struct LogSettings
 {
   LogLevel mLevel = LogLevel::Info;
-  std::string mFile{};                 // appended to; empty: standard error
+  LogTarget mTarget = LogTarget::StandardError;  // where no file is named
+  std::string mFile{};                 // appended to; empty: mTarget
   std::uint32_t mQueueLines = 16'384;  // lines that may wait for the writer
 };
 
