--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -742,23 +742,24 @@
 
 void Holder::Dispatch(Orders aOrders)
 {
-  const auto push = [this](const std::string& aId, auto aOrder, bool aFirst) {
-    Channel& channel = mChannels[aId];
+  const auto push = [this](auto aOrder, bool aFirst) {
+    const std::string id = aOrder.mWorker;
+    Channel& channel = mChannels[id];
     if (aFirst)
       channel.mQueue.emplace_front(std::move(aOrder));
     else
       channel.mQueue.emplace_back(std::move(aOrder));
     if (channel.mActive < kOrdersAtOnce) {
       ++channel.mActive;
-      Spawn(mContext, Execute(aId));
+      Spawn(mContext, Execute(id));
     }
   };
   for (StopOrder& it : aOrders.mStops)
-    push(std::string(it.mWorker), std::move(it), true);
+    push(std::move(it), true);
   for (PaceOrder& it : aOrders.mPaces)
-    push(std::string(it.mWorker), std::move(it), true);
+    push(std::move(it), true);
   for (StartOrder& it : aOrders.mStarts)
-    push(std::string(it.mWorker), std::move(it), false);
+    push(std::move(it), false);
   for (AdviceOrder& it : aOrders.mAdvice)
     HandOut(std::move(it));
 }
@@ -854,6 +855,7 @@
         { "asked", call.mOrder.mWorkers.size() },
         { "admitted", aResult.mAdmitted.size() },
         { "by", call.mMember },
+        { "valid_ms", aResult.mValidMs },
         { "took_ms", now - call.mAskedAt } });
   mScheduler.OnAdvice(call.mOrder,
                       aResult.mAnswered ? &aResult.mAdmitted : nullptr,
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -683,6 +683,9 @@
     stage->mAskAgainAt = aNow + kRetryAdvice;
     return;
   }
+  if (aValid <= Duration::zero())  // the answer does not say
+    if (const QueueConfig* queue = FindQueue(FindJob(ref.mJob)->mSpec.mQueue))
+      aValid = queue->mAdviceValid;
   for (const std::string& id : aOrder.mWorkers)
     stage->mRefused.insert(id);
   for (const Admission& it : *aAdmitted) {
