Count a failed run once, mend incomplete gangs, give all members one checkpoint

(2) GANG: the start of one member got no connection, and the rest waited alone; the missing member is started elsewhere under the same run number, or all are stopped. (3) members of a gang carried different checkpoints. Also: a lost opening packet is repeated after 250 ms and not after the kernel's second.

--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -111,7 +111,12 @@
   auto self = shared_from_this();
   co_await StoreProgressOnce();
   Depose("it is stopping");
-  co_await mStore.EndLease(mGrant.mLease, kStoreDeadline);
+  auto ended = co_await mStore.EndLease(mGrant.mLease, kStoreDeadline);
+  if (!ended)
+    Log(LogPart::Ownership,
+        LogLevel::Warn,
+        "the lease could not be ended; its successor waits until it lapses",
+        { { "why", ended.error().mDetail } });
 }
 
 // Lease
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -17,14 +17,14 @@
 {
   std::uint32_t mOccurrence = 0;
   std::uint32_t mStage = 0;
-  std::vector<std::uint32_t> mDone{};                                // task indexes
-  std::vector<std::pair<std::uint32_t, std::uint32_t>> mFailures{};  // task index, failed runs
+  std::vector<std::uint32_t> mDone{};                                  // task indexes
+  std::vector<std::pair<std::uint32_t, std::uint64_t>> mFailedRuns{};  // task index, run number
   std::vector<std::uint64_t> mFailedGangRuns{};
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mOccurrence, mStage, mDone, mFailures, mFailedGangRuns);
+    aArchive(mOccurrence, mStage, mDone, mFailedRuns, mFailedGangRuns);
   }
 };
 
@@ -76,11 +76,11 @@
       for (std::uint32_t index = 0; index < stage.mTasks.size(); ++index) {
         if (stage.mTasks[index].mDone)
           it.mDone.push_back(index);
-        if (stage.mTasks[index].mFailures != 0)
-          it.mFailures.emplace_back(index, stage.mTasks[index].mFailures);
+        for (const std::uint64_t run : stage.mTasks[index].mFailedRuns)
+          it.mFailedRuns.emplace_back(index, run);
       }
       it.mFailedGangRuns.assign(stage.mFailedGangRuns.begin(), stage.mFailedGangRuns.end());
-      if (!it.mDone.empty() || !it.mFailures.empty())
+      if (!it.mDone.empty() || !it.mFailedRuns.empty())
         record.mStages.push_back(std::move(it));
     }
   }
@@ -110,9 +110,9 @@
       ++stage.mDone;
       --stage.mWaiting;
     }
-    for (const auto& [index, failures] : it.mFailures)
+    for (const auto& [index, run] : it.mFailedRuns)
       if (index < stage.mTasks.size())
-        stage.mTasks[index].mFailures = failures;
+        stage.mTasks[index].mFailedRuns.insert(run);
     stage.mFailedGangRuns.insert(it.mFailedGangRuns.begin(), it.mFailedGangRuns.end());
   }
 }
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -363,7 +363,7 @@
 }
 
 // The task waits again, unless it is done or runs elsewhere by now.
-void Scheduler::ReleaseTask(const Run& aRun)
+void Scheduler::ReleaseTask(const Run& aRun, bool aNeverRan)
 {
   if (!aRun.mKnown)
     return;
@@ -371,17 +371,18 @@
   if (!task || task->mDone || task->mRun != aRun.mRun || task->mWorker.empty())
     return;
   task->mWorker.clear();
+  task->mNeverRan = aNeverRan;
   ++FindStage(aRun.mRef)->mWaiting;
 }
 
-void Scheduler::DropRun(Worker& aWorker, std::size_t aIndex)
+void Scheduler::DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan)
 {
   const Run run = std::move(aWorker.mRuns[aIndex]);
   aWorker.mRuns.erase(aWorker.mRuns.begin() + static_cast<std::ptrdiff_t>(aIndex));
   aWorker.mUsedMilliCores -= run.mMilliCores;
   aWorker.mUsedMemoryMiB -= run.mMemoryMiB;
   aWorker.mUsedAccelerators -= run.mAccelerators;
-  ReleaseTask(run);
+  ReleaseTask(run, aNeverRan);
 }
 
 void Scheduler::BlameWorker(Worker& aWorker,
@@ -444,8 +445,10 @@
   StageRun& stage = *FindStage(ref);
   const StageSpec& spec = job->mSpec.mStages[ref.mStage];
   const QueueConfig* queue = FindQueue(job->mSpec.mQueue);
-  if (!aRow.mCheckpoint.empty() && spec.mCheckpointed && aRow.mRun >= task->mRun)
+  if (!aRow.mCheckpoint.empty() && spec.mCheckpointed && aRow.mRun >= task->mRun) {
     task->mCheckpoint = aRow.mCheckpoint;
+    stage.mGangCheckpoint = aRow.mCheckpoint;
+  }
   if (aRow.mKind == EndKind::Done && !spec.mLongRunning) {
     BlameWorker(aWorker, ref.mJob, false, aNow);
     if (spec.mGang) {
@@ -470,12 +473,12 @@
   if (spec.mLongRunning)
     return;
   std::uint32_t failures = 0;
+  task->mFailedRuns.insert(aRow.mRun);
   if (spec.mGang) {
     stage.mFailedGangRuns.insert(aRow.mRun);
     failures = static_cast<std::uint32_t>(stage.mFailedGangRuns.size());
-    task->mFailures = std::max(task->mFailures, failures);
   } else {
-    failures = ++task->mFailures;
+    failures = static_cast<std::uint32_t>(task->mFailedRuns.size());
   }
   MarkDirty(*job);
   if (queue && failures >= queue->mMaxAttempts) {
@@ -542,8 +545,10 @@
       if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt)
         run.mPhase = RunPhase::Running;
       if (run.mKnown && !row.mCheckpoint.empty())
-        if (Task* task = FindTask(run.mRef); task && task->mRun == run.mRun)
+        if (Task* task = FindTask(run.mRef); task && task->mRun == run.mRun) {
           task->mCheckpoint = row.mCheckpoint;
+          FindStage(run.mRef)->mGangCheckpoint = row.mCheckpoint;
+        }
       listed.erase(it);
       continue;
     }
@@ -552,8 +557,12 @@
       (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
        aSentAt > run.mStopAckedAt) ||
       !run.mKnown;
-    if (isGone)
-      DropRun(worker, n);
+    if (isGone) {
+      const bool neverRan = run.mKnown && !run.mSeen && run.mPhase == RunPhase::Stopping;
+      if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
+        task->mFailedOn.push_back(aId);  // this worker refuses the run number from now on
+      DropRun(worker, n, neverRan);
+    }
   }
 
   // What is left runs there without being in the book: adopted after a takeover, stopped otherwise.
@@ -586,8 +595,10 @@
         task->mWorker = aId;
         task->mRun = row->mRun;
         --FindStage(run.mRef)->mWaiting;
-        if (!row->mCheckpoint.empty())
+        if (!row->mCheckpoint.empty()) {
           task->mCheckpoint = row->mCheckpoint;
+          FindStage(run.mRef)->mGangCheckpoint = row->mCheckpoint;
+        }
         if (job->mState == JobState::Queued)
           job->mState = JobState::Running;
       }
@@ -652,7 +663,7 @@
       worker->mFullUntil = aNow + seconds(1);
       break;
   }
-  DropRun(*worker, static_cast<std::size_t>(run - worker->mRuns.begin()));
+  DropRun(*worker, static_cast<std::size_t>(run - worker->mRuns.begin()), true);
 }
 
 void Scheduler::OnStop(const StopOrder& aOrder, bool aAcked, TimePoint aNow)
@@ -706,7 +717,7 @@
   if (stage.mWaiting == 0)
     return false;
   const StageSpec& spec = aJob.mSpec.mStages[aStage];
-  if (spec.mGang && stage.mWaiting < stage.mTasks.size())
+  if (spec.mGang && stage.mWaiting < stage.mTasks.size() && !IsGangRepairable(stage))
     return false;
   return std::all_of(spec.mAfter.begin(), spec.mAfter.end(), [&](std::uint32_t n) {
     return n < aOccurrence.mStages.size() &&
@@ -714,6 +725,18 @@
   });
 }
 
+// Some members of a gang's run are on workers, and those that are missing never began: the same run
+// can still be completed elsewhere.
+bool Scheduler::IsGangRepairable(const StageRun& aStage)
+{
+  std::uint64_t run = 0;
+  for (const Task& it : aStage.mTasks)
+    run = std::max(run, it.mRun);
+  return std::all_of(aStage.mTasks.begin(), aStage.mTasks.end(), [run](const Task& it) {
+    return !it.mDone && it.mRun == run && (!it.mWorker.empty() || it.mNeverRan);
+  });
+}
+
 std::vector<Scheduler::Ready> Scheduler::CollectReady(TimePoint aNow, std::int64_t aWallMs)
 {
   std::vector<Ready> ready;
@@ -840,12 +863,13 @@
   order.mTask = run.mTask;
   order.mRun = aRun;
   order.mPayload = aReady.mJob->mSpec.mPayload;
-  order.mCheckpoint = task.mCheckpoint;
+  order.mCheckpoint = aReady.mSpec->mGang ? aReady.mStage->mGangCheckpoint : task.mCheckpoint;
   if (auto ticket = aReady.mStage->mTickets.find(order.mWorker);
       ticket != aReady.mStage->mTickets.end())
     order.mTicket = ticket->second.first;
   task.mWorker = order.mWorker;
   task.mRun = aRun;
+  task.mNeverRan = false;
   --aReady.mStage->mWaiting;
   aWorker.mUsedMilliCores += run.mMilliCores;
   aWorker.mUsedMemoryMiB += run.mMemoryMiB;
@@ -899,6 +923,39 @@
     PlaceTask(aReady, n, run + 1, *hosts[n], aNow, aOrders);
 }
 
+void Scheduler::RepairGang(const Ready& aReady, TimePoint aNow, Orders& aOrders)
+{
+  StageRun& stage = *aReady.mStage;
+  if (stage.mGangBrokenAt == TimePoint{})
+    stage.mGangBrokenAt = aNow;
+  for (std::uint32_t n = 0; n < stage.mTasks.size(); ++n) {
+    Task& task = stage.mTasks[n];
+    if (!task.mWorker.empty())
+      continue;
+    Worker* worker = PickWorker(aReady, task, aNow);
+    if (worker && !Contains(task.mFailedOn, worker->mEntry.mId))
+      PlaceTask(aReady, n, task.mRun, *worker, aNow, aOrders);
+  }
+  if (stage.mWaiting == 0) {
+    stage.mGangBrokenAt = TimePoint{};
+    return;
+  }
+  if (aNow - stage.mGangBrokenAt < mSettings.mGangWait / 2)
+    return;
+  Log(LogPart::Place,
+      LogLevel::Warn,
+      "a gang can't be completed; its members are stopped and start together later",
+      { { "stage", FormatStage(aReady.mRef) }, { "missing", stage.mWaiting } });
+  stage.mGangBrokenAt = TimePoint{};
+  for (auto& [id, worker] : mWorkers)
+    for (Run& run : worker.mRuns)
+      if (run.mRef.mJob == aReady.mRef.mJob && run.mRef.mOccurrence == aReady.mRef.mOccurrence &&
+          run.mRef.mStage == aReady.mRef.mStage && run.mPhase != RunPhase::Starting)
+        run.mPhase = RunPhase::Stopping;
+  for (Task& it : stage.mTasks)
+    it.mNeverRan = false;
+}
+
 void Scheduler::AskAdvice(const Ready& aReady,
                           TimePoint aNow,
                           std::size_t& aFree,
@@ -1012,7 +1069,9 @@
     mSettings.mHeavyAdvisors != 0 ? mSettings.mHeavyAdvisors : std::max<std::size_t>(1, advisors * 3 / 4);
   std::size_t freeHeavy = heavy > slowInFlight ? heavy - slowInFlight : 0;
   for (const Ready& ready : CollectReady(aNow, aWallMs)) {
-    if (ready.mSpec->mGang)
+    if (ready.mSpec->mGang && ready.mStage->mWaiting < ready.mStage->mTasks.size())
+      RepairGang(ready, aNow, orders);
+    else if (ready.mSpec->mGang)
       PlaceGang(ready, aNow, orders);
     else
       PlaceStage(ready, aNow, orders);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -27,6 +27,7 @@
   std::uint64_t mEpoch = 1;              // of this holder; run numbers rise with it
   Duration mTaskLease = seconds(6);      // a worker kills what isn't renewed for so long
   double mWorkerClockDrift = 0.02;       // a worker's clock may be this much slower
+  Duration mGangWait = seconds(3);       // members wait so long for the rest of their gang
   std::uint32_t mAdviceWorkers = 60;     // most workers that one advice call names
   std::uint32_t mHeavyAdvisors = 0;      // advisors that take slow calls; 0: three of four
 };
@@ -76,9 +77,10 @@
   bool mDone = false;
   std::string mWorker{};       // empty: waits
   std::uint64_t mRun = 0;      // last run number used
-  std::uint32_t mFailures = 0;
+  std::set<std::uint64_t> mFailedRuns{};  // run numbers, as an end may be reported twice
   std::string mCheckpoint{};
-  std::vector<std::string> mFailedOn{};
+  std::vector<std::string> mFailedOn{};   // workers to avoid
+  bool mNeverRan = false;                 // its last run certainly did not begin
 };
 
 struct StageRun
@@ -92,6 +94,8 @@
   TimePoint mAskAgainAt{};                  // after a call that failed
   TimePoint mReadyAt{};                     // when its predecessors had ended
   std::set<std::uint64_t> mFailedGangRuns{};
+  std::string mGangCheckpoint{};            // any member's is good for all, and all carry the same
+  TimePoint mGangBrokenAt{};                // a member is missing since then; zero: none
 };
 
 struct Occurrence
@@ -228,8 +232,8 @@
   bool ParseTask(std::string_view aName, TaskRef& aRef) const;
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
-  void DropRun(Worker& aWorker, std::size_t aIndex);
-  void ReleaseTask(const Run& aRun);
+  void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
+  void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedRow& aRow, TimePoint aNow);
   void MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow);
   void CheckJobEnd(Job& aJob, TimePoint aNow);
@@ -253,6 +257,8 @@
                  Orders& aOrders);
   void PlaceStage(const Ready& aReady, TimePoint aNow, Orders& aOrders);
   void PlaceGang(const Ready& aReady, TimePoint aNow, Orders& aOrders);
+  void RepairGang(const Ready& aReady, TimePoint aNow, Orders& aOrders);
+  [[nodiscard]] static bool IsGangRepairable(const StageRun& aStage);
   void AskAdvice(const Ready& aReady,
                  TimePoint aNow,
                  std::size_t& aFree,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace monsoon {
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kMaxIdlePerAddress = 64;
+// The kernel repeats a lost opening packet only after a second; a new attempt is sooner.
+constexpr Duration kConnectTry = milliseconds(250);
 
 // An idle connection that the other side closed shows as readable; using it would lose the request.
 bool IsStillOpen(tcp::socket& aSocket)
@@ -64,12 +67,17 @@
     const auto address = asio::ip::make_address(aAddress.mHost, ec);
     if (ec)
       co_return MakeFailure(FailureKind::BadInput, "not an IP number: " + aAddress.mHost);
-    stream = std::make_unique<beast::tcp_stream>(executor);
-    stream->expires_after(aDeadline);
-    auto [connectError] =
-      co_await stream->async_connect(tcp::endpoint(address, aAddress.mPort), kNoThrow);
-    if (connectError)
-      co_return MakeFailure(FailureKind::EndpointUnreachable, connectError.message());
+    for (;;) {
+      const Duration left = deadline - BootClock::now();
+      stream = std::make_unique<beast::tcp_stream>(executor);
+      stream->expires_after(std::clamp<Duration>(left, Duration::zero(), kConnectTry));
+      auto [connectError] =
+        co_await stream->async_connect(tcp::endpoint(address, aAddress.mPort), kNoThrow);
+      if (!connectError)
+        break;
+      if (connectError != beast::error::timeout || left <= kConnectTry)
+        co_return MakeFailure(FailureKind::EndpointUnreachable, connectError.message());
+    }
     stream->socket().set_option(tcp::no_delay(true), ec);
   }
 
--- /dev/null
+++ b/tests/unit/fleet_model.cpp
@@ -0,0 +1,408 @@
+#include "fleet_model.h"
+
+#include <algorithm>
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kTick = milliseconds(10);
+constexpr Duration kHoldEvery = milliseconds(100);
+constexpr Duration kLease = seconds(6);
+constexpr Duration kAdviceTime = milliseconds(40);
+
+}  // namespace
+
+FleetModel::FleetModel(std::uint64_t aSeed, FleetFaults aFaults, std::size_t aWorkers)
+  : mRandom(aSeed)
+  , mFaults(aFaults)
+{
+  mScheduler = std::make_unique<Scheduler>(SchedulerSettings{ .mEpoch = mEpoch });
+  mConfig.mVersion = 1;
+  for (std::size_t n = 0; n < aWorkers; ++n)
+    AddNode("w" + std::to_string(mNextNode++), "10.0.0." + std::to_string(n) + ":80");
+}
+
+void FleetModel::AddNode(std::string aId, std::string aAddress)
+{
+  Node node;
+  node.mEntry.mId = aId;
+  node.mEntry.mAddress = std::move(aAddress);
+  node.mEntry.mService = "pool";
+  node.mEntry.mMilliCores = 16'000;
+  node.mEntry.mMemoryMiB = 65'536;
+  mScheduler->ListWorker(node.mEntry, true, mNow);
+  mRecorded[aId] = node.mEntry.mAddress;
+  mNodes[aId] = std::move(node);
+  At(kHoldEvery, [this, aId] { Hold(aId); });
+}
+
+void FleetModel::SetQueue(QueueConfig aQueue)
+{
+  mConfig.mQueues.push_back(std::move(aQueue));
+  mScheduler->SetQueues(mConfig);
+}
+
+void FleetModel::Submit(JobSpec aSpec)
+{
+  mJobs[aSpec.mId] = aSpec;
+  mScheduler->AddJob(std::move(aSpec), {}, false, mNow);
+}
+
+void FleetModel::Cancel(const std::string& aId)
+{
+  mCancelled.insert(aId);
+  mScheduler->CancelJob(aId, mNow);
+}
+
+std::size_t FleetModel::CountStarts(const std::string& aTask) const
+{
+  auto it = mStarts.find(aTask);
+  return it == mStarts.end() ? 0 : it->second;
+}
+
+void FleetModel::At(Duration aDelay, std::function<void()> aAction)
+{
+  mEvents.emplace(mNow + aDelay, std::move(aAction));
+}
+
+bool FleetModel::Happens(double aShare)
+{
+  return aShare > 0 && std::uniform_real_distribution<>(0, 1)(mRandom) < aShare;
+}
+
+void FleetModel::Complain(std::string aWhat)
+{
+  if (mViolations.size() < 20)
+    mViolations.push_back(std::to_string((mNow - TimePoint(seconds(1000))) / milliseconds(1)) +
+                          " ms: " + std::move(aWhat));
+}
+
+const StageSpec* FleetModel::FindStage(const std::string& aTask, const JobSpec** aJob) const
+{
+  const auto dot = aTask.find('.');
+  auto job = mJobs.find(aTask.substr(0, dot));
+  if (job == mJobs.end())
+    return nullptr;
+  *aJob = &job->second;
+  const auto stage = std::stoul(aTask.substr(aTask.find('.', dot + 1) + 1));
+  return stage < job->second.mStages.size() ? &job->second.mStages[stage] : nullptr;
+}
+
+void FleetModel::End(Node& aNode, std::size_t aIndex, EndKind aKind)
+{
+  const Running it = std::move(aNode.mRunning[aIndex]);
+  aNode.mRunning.erase(aNode.mRunning.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  aNode.mEnded.push_back({ aNode.mNextEnd++, it.mOrder.mTask, it.mOrder.mRun, aKind, "" });
+  auto& closed = aNode.mClosed[it.mOrder.mTask];
+  closed = std::max(closed, it.mOrder.mRun);
+  if (aKind == EndKind::Failed)
+    ++mFailures[it.mOrder.mTask];
+}
+
+void FleetModel::Advance(Node& aNode)
+{
+  for (std::size_t n = aNode.mRunning.size(); n-- > 0;) {
+    if (aNode.mRunning[n].mEndAt <= mNow)
+      End(aNode, n, aNode.mRunning[n].mEnd);
+    else if (aNode.mLeaseUntil < mNow)
+      End(aNode, n, EndKind::Lapsed);
+  }
+}
+
+// A worker carries a start out, and everything that must hold at a start is checked.
+void FleetModel::Deliver(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt)
+{
+  auto found = mNodes.find(aOrder.mWorker);
+  if (found == mNodes.end() || !found->second.mUp)
+    return;
+  Node& node = found->second;
+  Advance(node);
+  if (aEpoch < node.mToken || mNow > aSentAt + kLease)
+    return;
+  node.mToken = aEpoch;
+  auto closed = node.mClosed.find(aOrder.mTask);
+  if (closed != node.mClosed.end() && aOrder.mRun <= closed->second)
+    return;
+  for (const Running& it : node.mRunning)
+    if (it.mOrder.mTask == aOrder.mTask && it.mOrder.mRun == aOrder.mRun)
+      return;
+  const JobSpec* job = nullptr;
+  const StageSpec* stage = FindStage(aOrder.mTask, &job);
+  if (!stage) {
+    Complain("a start of a task that nobody asked for: " + aOrder.mTask);
+    return;
+  }
+  if (node.mRunning.empty())
+    node.mLeaseUntil = aSentAt + kLease;
+  node.mLeaseUntil = std::max(node.mLeaseUntil, aSentAt + kLease);
+  std::uint64_t used = stage->mMilliCores;
+  for (const Running& it : node.mRunning) {
+    const JobSpec* other = nullptr;
+    used += FindStage(it.mOrder.mTask, &other)->mMilliCores;
+  }
+  if (used > node.mEntry.mMilliCores)
+    Complain("a worker over its capacity: " + aOrder.mWorker);
+  for (auto& [id, other] : mNodes) {
+    Advance(other);
+    for (const Running& it : other.mRunning)
+      if (other.mUp && it.mOrder.mTask == aOrder.mTask)
+        Complain("two runs at once: " + aOrder.mTask + " on " + id + " and " + aOrder.mWorker);
+  }
+  if (mNoted.contains(aOrder.mTask))
+    Complain("a start after a good end: " + aOrder.mTask);
+  for (const std::uint32_t before : stage->mAfter)
+    for (std::uint32_t n = 0; n < job->mStages[before].mCount; ++n) {
+      const std::string earlier =
+        job->mId + ".0." + std::to_string(before) + "." + std::to_string(n);
+      const bool hasEnded = mNoted.contains(earlier) ||
+                            std::any_of(mNodes.begin(), mNodes.end(), [&](const auto& it) {
+                              return std::any_of(it.second.mEnded.begin(),
+                                                 it.second.mEnded.end(),
+                                                 [&](const EndedRow& row) {
+                                                   return row.mTask == earlier &&
+                                                          row.mKind == EndKind::Done;
+                                                 });
+                            });
+      if (!hasEnded && !job->mStages[before].mGang)
+        Complain("a start before " + earlier + " has ended: " + aOrder.mTask);
+    }
+  ++mStarts[aOrder.mTask];
+  auto runTime = mRunTimes.find(job->mId);
+  const Duration planned = runTime != mRunTimes.end()
+                             ? runTime->second
+                             : Duration(milliseconds(200 + mRandom() % 1500));
+  Running it;
+  it.mOrder = aOrder;
+  it.mEnd = Happens(mFaults.mFailure) ? EndKind::Failed : EndKind::Done;
+  it.mArrivedAt = mNow;
+  it.mEndAt = stage->mLongRunning ? mNow + seconds(10'000) : mNow + planned;
+  if (stage->mGang) {
+    // The members work from the moment when all are there; one that is left alone ends.
+    it.mEndAt = mNow + seconds(3);
+    it.mEnd = EndKind::Alone;
+  }
+  node.mRunning.push_back(it);
+  if (!stage->mGang)
+    return;
+  std::vector<Running*> members;
+  const std::string prefix = aOrder.mTask.substr(0, aOrder.mTask.rfind('.') + 1);
+  for (auto& [id, other] : mNodes)
+    for (Running& member : other.mRunning)
+      if (other.mUp && member.mOrder.mTask.starts_with(prefix) &&
+          member.mOrder.mRun == aOrder.mRun)
+        members.push_back(&member);
+  if (members.size() < stage->mCount)
+    return;
+  for (Running* member : members) {
+    member->mEndAt = mNow + planned;
+    member->mEnd = EndKind::Done;
+  }
+}
+
+void FleetModel::SendStart(const StartOrder& aOrder)
+{
+  const std::uint64_t epoch = mEpoch;
+  const TimePoint sentAt = mNow;
+  const auto report = [this, aOrder, epoch](Duration aDelay, StartOutcome aOutcome) {
+    At(aDelay, [this, aOrder, epoch, aOutcome] {
+      if (epoch == mEpoch)
+        mScheduler->OnStart(aOrder, aOutcome, mNow);
+    });
+  };
+  if (mNextStart) {
+    report(milliseconds(5), *mNextStart);
+    mNextStart.reset();
+    return;
+  }
+  if (Happens(mFaults.mNoConnection)) {
+    report(milliseconds(800), StartOutcome::NotStarted);
+    return;
+  }
+  if (Happens(mFaults.mLate)) {
+    At(milliseconds(2000 + mRandom() % 10'000),
+       [this, aOrder, epoch, sentAt] { Deliver(aOrder, epoch, sentAt); });
+    report(milliseconds(800), StartOutcome::Unknown);
+    return;
+  }
+  auto node = mNodes.find(aOrder.mWorker);
+  const bool isSilent =
+    node == mNodes.end() || !node->second.mUp || mNow < node->second.mSilentUntil;
+  if (isSilent) {
+    report(milliseconds(800), StartOutcome::Unknown);
+    return;
+  }
+  const bool isLost = Happens(mFaults.mLostAnswer);
+  At(milliseconds(3), [this, aOrder, epoch, sentAt, isLost, report] {
+    auto it = mNodes.find(aOrder.mWorker);
+    const auto closed = it == mNodes.end() ? 0 : it->second.mClosed[aOrder.mTask];
+    const bool isFenced = it != mNodes.end() && epoch < it->second.mToken;
+    Deliver(aOrder, epoch, sentAt);
+    if (isLost)
+      report(milliseconds(797), StartOutcome::Unknown);
+    else if (closed >= aOrder.mRun)
+      report(milliseconds(3), StartOutcome::OldRun);
+    else
+      report(milliseconds(3), isFenced ? StartOutcome::NotStarted : StartOutcome::Started);
+  });
+}
+
+void FleetModel::SendStop(const StopOrder& aOrder)
+{
+  const std::uint64_t epoch = mEpoch;
+  auto found = mNodes.find(aOrder.mWorker);
+  if (found == mNodes.end() || !found->second.mUp || mNow < found->second.mSilentUntil)
+    return;
+  const bool isLost = Happens(mFaults.mLostAnswer);
+  At(milliseconds(3), [this, aOrder, epoch, isLost] {
+    auto it = mNodes.find(aOrder.mWorker);
+    if (it == mNodes.end() || epoch < it->second.mToken)
+      return;
+    Node& node = it->second;
+    Advance(node);
+    auto& closed = node.mClosed[aOrder.mTask];
+    closed = std::max(closed, aOrder.mRun);
+    for (std::size_t n = node.mRunning.size(); n-- > 0;)
+      if (node.mRunning[n].mOrder.mTask == aOrder.mTask &&
+          node.mRunning[n].mOrder.mRun <= aOrder.mRun)
+        node.mRunning[n].mEndAt = std::min(node.mRunning[n].mEndAt, mNow + milliseconds(150)),
+        node.mRunning[n].mEnd = EndKind::Stopped;
+    if (!isLost && epoch == mEpoch)
+      mScheduler->OnStop(aOrder, true, mNow);
+  });
+}
+
+void FleetModel::Hold(const std::string& aId)
+{
+  auto found = mNodes.find(aId);
+  if (found == mNodes.end())
+    return;
+  At(kHoldEvery, [this, aId] { Hold(aId); });
+  Node& node = found->second;
+  Worker* worker = mScheduler->FindWorker(aId);
+  if (!worker)
+    return;
+  Advance(node);
+  if (!node.mUp || mNow < node.mSilentUntil) {
+    mScheduler->OnSilence(aId, mNow);
+    return;
+  }
+  node.mToken = std::max(node.mToken, mEpoch);
+  if (worker->mReachable) {
+    node.mLeaseUntil = std::max(node.mLeaseUntil, mNow + kLease);
+    worker->mLeaseSentAt = mNow;
+  }
+  const std::uint64_t noted = worker->mStoredEnd;
+  for (const EndedRow& row : node.mEnded)
+    if (row.mNumber <= noted && row.mKind == EndKind::Done)
+      mNoted.insert(row.mTask);
+  std::erase_if(node.mEnded, [noted](const EndedRow& row) { return row.mNumber <= noted; });
+  WorkerReport report;
+  report.mEnded = node.mEnded;
+  for (const EndedRow& row : node.mEnded)
+    mAloneEnds += row.mKind == EndKind::Alone ? 1 : 0;
+  for (const Running& it : node.mRunning)
+    report.mRunning.push_back({ it.mOrder.mTask, it.mOrder.mRun, "", 50, 0 });
+  mScheduler->OnReport(aId, report, mNow, mNow);
+}
+
+void FleetModel::StoreProgress()
+{
+  for (;;) {
+    const ProgressBatch batch = mScheduler->CollectProgress(15);
+    for (const StoredProgress& it : batch.mJobs)
+      mProgress[it.mJob] = it.mBytes;
+    mScheduler->OnProgressStored(batch);
+    if (batch.mJobs.empty())
+      return;
+  }
+}
+
+void FleetModel::TakeOver()
+{
+  ++mEpoch;
+  mScheduler = std::make_unique<Scheduler>(SchedulerSettings{ .mEpoch = mEpoch });
+  mScheduler->SetQueues(mConfig);
+  for (const auto& [id, spec] : mJobs) {
+    auto progress = mProgress.find(id);
+    mScheduler->AddJob(
+      spec, progress == mProgress.end() ? std::string_view() : progress->second, true, mNow);
+    if (mCancelled.contains(id))
+      mScheduler->CancelJob(id, mNow);
+  }
+  for (const auto& [id, address] : mRecorded) {
+    WorkerEntry entry;
+    entry.mId = id;
+    entry.mAddress = address;
+    entry.mService = "pool";
+    mScheduler->ListWorker(entry, true, mNow);
+    mScheduler->UnlistWorker(id, mNow);
+  }
+  for (const auto& [id, node] : mNodes)
+    if (node.mUp)
+      mScheduler->ListWorker(node.mEntry, true, mNow);
+}
+
+void FleetModel::Inject()
+{
+  const double tick = std::chrono::duration<double>(kTick).count();
+  if (Happens(mFaults.mTakeoverPerS * tick))
+    TakeOver();
+  std::vector<std::string> ids;
+  for (const auto& [id, node] : mNodes)
+    if (node.mUp)
+      ids.push_back(id);
+  for (const std::string& id : ids) {
+    if (Happens(mFaults.mSilencePerS * tick))
+      mNodes[id].mSilentUntil = mNow + milliseconds(500 + mRandom() % 7500);
+    if (!Happens(mFaults.mCrashPerS * tick))
+      continue;
+    Node& node = mNodes[id];
+    node.mUp = false;
+    node.mRunning.clear();
+    const std::string address = node.mEntry.mAddress;
+    At(seconds(1), [this, address] { AddNode("w" + std::to_string(mNextNode++), address); });
+  }
+}
+
+void FleetModel::Tick()
+{
+  Inject();
+  mScheduler->DropLapsed(mNow, Duration::zero());
+  Orders orders = mScheduler->Plan(mNow, 0, true, 8);
+  for (const StopOrder& it : orders.mStops)
+    SendStop(it);
+  for (const StartOrder& it : orders.mStarts)
+    SendStart(it);
+  const std::uint64_t epoch = mEpoch;
+  for (const AdviceOrder& it : orders.mAdvice)
+    At(kAdviceTime, [this, it, epoch, askedAt = mNow] {
+      if (epoch != mEpoch)
+        return;
+      std::vector<Admission> admitted;
+      for (const std::string& id : it.mWorkers)
+        if (std::hash<std::string>()(it.mStage + id) % 10 < 6)
+          admitted.push_back({ id, "ticket" });
+      mScheduler->OnAdvice(it, &admitted, seconds(2), askedAt, mNow);
+    });
+  if ((mNow.time_since_epoch() / kTick) % 5 == 0)
+    StoreProgress();
+  At(kTick, [this] { Tick(); });
+}
+
+void FleetModel::RunFor(Duration aTime)
+{
+  const TimePoint end = mNow + aTime;
+  if (!mTicking) {
+    mTicking = true;
+    At(kTick, [this] { Tick(); });
+  }
+  while (!mEvents.empty() && mEvents.begin()->first <= end) {
+    auto node = mEvents.extract(mEvents.begin());
+    mNow = node.key();
+    node.mapped()();
+  }
+  mNow = end;
+}
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+
+#include "fleet_model.h"
+
+using namespace monsoon;
+using namespace monsoon::fleet;
+
+namespace {
+
+QueueConfig MakeQueue(std::string aName, bool aNeedsAdvice = false, std::uint32_t aMaxAttempts = 3)
+{
+  QueueConfig queue;
+  queue.mName = std::move(aName);
+  queue.mService = "pool";
+  queue.mMaxAttempts = aMaxAttempts;
+  queue.mStretch = 2;
+  queue.mSlack = seconds(1);
+  queue.mNeedsAdvice = aNeedsAdvice;
+  queue.mAdviceBase = milliseconds(30);
+  queue.mAdvicePerWorker = milliseconds(1);
+  queue.mAdviceValid = seconds(2);
+  return queue;
+}
+
+JobSpec MakeJob(std::string aId, std::uint32_t aTasks, std::uint32_t aStages = 1)
+{
+  JobSpec job;
+  job.mId = std::move(aId);
+  job.mQueue = "q";
+  job.mService = "pool";
+  for (std::uint32_t n = 0; n < aStages; ++n) {
+    StageSpec stage;
+    stage.mCount = aTasks;
+    stage.mMilliCores = 3000;
+    stage.mMemoryMiB = 4000;
+    stage.mEstimateMs = 1000;
+    if (n > 0)
+      stage.mAfter.push_back(n - 1);
+    job.mStages.push_back(stage);
+  }
+  return job;
+}
+
+JobState GetState(const FleetModel& aModel, const std::string& aId)
+{
+  const Job* job = aModel.FindJob(aId);
+  REQUIRE(job);
+  return job->mState;
+}
+
+}  // namespace
+
+TEST_CASE("fleet: stages run in order and the job completes")
+{
+  FleetModel model(1, {}, 12);
+  model.SetQueue(MakeQueue("q", true));
+  model.Submit(MakeJob("a", 8, 3));
+  model.RunFor(seconds(20));
+  CHECK(GetState(model, "a") == JobState::Completed);
+  CHECK(model.mViolations.empty());
+}
+
+TEST_CASE("fleet: a failed end that a later holder hears of again counts once")
+{
+  FleetModel model(1, {}, 2);
+  model.SetQueue(MakeQueue("q", false, 2));
+  model.Submit(MakeJob("a", 1));
+  Scheduler& first = model.GetScheduler();
+  first.FindWorker("w0")->mReachable = true;
+  const TimePoint now{ seconds(2000) };
+  WorkerReport report;
+  first.OnReport("w0", report, now, now);
+  const Orders orders = first.Plan(now, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  first.OnStart(orders.mStarts[0], StartOutcome::Started, now);
+  report.mEnded.push_back({ 1, "a.0.0.0", orders.mStarts[0].mRun, EndKind::Failed, "" });
+  first.OnReport("w0", report, now + seconds(1), now + seconds(1));
+  const ProgressBatch batch = first.CollectProgress(10);
+  REQUIRE(batch.mJobs.size() == 1);
+
+  // The progress is stored, but the holder is gone before the worker has heard so.
+  Scheduler second({ .mEpoch = 2 });
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue("q", false, 2));
+  second.SetQueues(config);
+  second.AddJob(MakeJob("a", 1), batch.mJobs[0].mBytes, true, now + seconds(2));
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.0:80";
+  second.ListWorker(entry, true, now + seconds(2));
+  second.OnReport("w0", report, now + seconds(3), now + seconds(3));
+  CHECK(second.FindJob("a")->mState != JobState::Failed);
+}
+
+TEST_CASE("fleet: a gang member whose start did not reach its worker is started elsewhere")
+{
+  FleetModel model(1, {}, 6);
+  model.SetQueue(MakeQueue("q"));
+  JobSpec job = MakeJob("g", 8);
+  job.mStages[0].mGang = true;
+  model.FailNextStart(StartOutcome::NotStarted);
+  model.Submit(job);
+  model.RunFor(seconds(10));
+  CHECK(GetState(model, "g") == JobState::Completed);
+  CHECK(model.mAloneEnds == 0);
+  CHECK(model.mViolations.empty());
+}
+
+TEST_CASE("fleet: all members of a gang carry the same checkpoint")
+{
+  Scheduler scheduler({});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue("q"));
+  scheduler.SetQueues(config);
+  const TimePoint now{ seconds(2000) };
+  for (const char* id : { "w0", "w1" }) {
+    WorkerEntry entry;
+    entry.mId = id;
+    entry.mAddress = std::string("10.0.0.") + id[1] + ":80";
+    entry.mService = "pool";
+    entry.mMilliCores = 4000;
+    entry.mMemoryMiB = 8000;
+    scheduler.ListWorker(entry, true, now);
+    scheduler.OnReport(id, {}, now, now);
+  }
+  JobSpec job = MakeJob("g", 2);
+  job.mStages[0].mGang = true;
+  job.mStages[0].mCheckpointed = true;
+  scheduler.AddJob(job, {}, false, now);
+  Orders orders = scheduler.Plan(now, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 2);
+  std::uint64_t number = 1;
+  for (const StartOrder& it : orders.mStarts) {
+    scheduler.OnStart(it, StartOutcome::Started, now);
+    WorkerReport report;
+    report.mEnded.push_back(
+      { number, it.mTask, it.mRun, EndKind::Broken, "checkpoint-" + it.mTask });
+    scheduler.OnReport(it.mWorker, report, now + seconds(1), now + seconds(1));
+  }
+  orders = scheduler.Plan(now + seconds(2), 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 2);
+  CHECK(!orders.mStarts[0].mCheckpoint.empty());
+  CHECK(orders.mStarts[0].mCheckpoint == orders.mStarts[1].mCheckpoint);
+}
+
+TEST_CASE("fleet: what must always hold, over seeds of random faults")
+{
+  const auto seed = GENERATE(range(1U, 41U));
+  FleetFaults faults;
+  faults.mLostAnswer = 0.03;
+  faults.mLate = 0.02;
+  faults.mFailure = 0.05;
+  faults.mNoConnection = 0.02;
+  faults.mCrashPerS = 0.01;
+  faults.mSilencePerS = 0.02;
+  faults.mTakeoverPerS = 0.1;
+  FleetModel model(seed, faults, 8);
+  model.SetQueue(MakeQueue("q", seed % 2 == 0, 20));
+  std::mt19937_64 random(seed);
+  std::size_t jobs = 0;
+  for (int round = 0; round < 20; ++round) {
+    const std::string id = "j" + std::to_string(jobs++);
+    JobSpec job = MakeJob(id, 1 + random() % 6, 1 + random() % 3);
+    if (random() % 5 == 0) {
+      job.mStages[0].mGang = true;
+      job.mStages[0].mCount = 1 + job.mStages[0].mCount % 4;
+    }
+    model.Submit(job);
+    if (random() % 8 == 0)
+      model.Cancel(id);
+    model.RunFor(milliseconds(1000));
+  }
+  model.StopFaults();
+  model.RunFor(seconds(60));
+  INFO("seed " << seed);
+  CHECK(model.mViolations == std::vector<std::string>());
+  for (std::size_t n = 0; n < jobs; ++n) {
+    INFO("job " << n);
+    const JobState state = GetState(model, "j" + std::to_string(n));
+    CHECK((state == JobState::Completed || state == JobState::Cancelled));
+  }
+}
