Keep ends and runs of jobs that are not in the book yet; tell cancellations to the holder

Such ends wait 3 s and are not taken note of meanwhile. Test: an end that is reported before its job is in the book.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -262,6 +262,8 @@
         Log(LogPart::Request, LogLevel::Info, "took a cancellation", { { "job", aId } });
         if (IsHolder())
           mHolder->NoteCancel(aId);
+        else  // sooner than the holder's watch; a lost message costs only that
+          asio::co_spawn(mContext, TellHolder("/cancelled", EncodeMessage(aId)), asio::detached);
         co_return MakeJsonResponse(http::status::ok, "{}");
       }
     }
@@ -375,6 +377,13 @@
     holder->NoteJob(request->mId, request->mValue);
     co_return answer({});
   }
+  if (path == "/cancelled") {
+    auto id = DecodeMessage<std::string>(aRequest.body());
+    if (!id)
+      co_return MakeEmpty(http::status::bad_request);
+    holder->NoteCancel(*id);
+    co_return answer({});
+  }
   if (path == "/cancel") {
     auto id = DecodeMessage<std::string>(aRequest.body());
     if (!id)
@@ -388,6 +397,16 @@
   co_return MakeEmpty(http::status::not_found);
 }
 
+Async<void> Entry::TellHolder(const char* aPath, std::string aBody)
+{
+  auto told = co_await AskHolder(aPath, std::move(aBody), kPeerDeadline);
+  if (!told)
+    Log(LogPart::Peer,
+        LogLevel::Info,
+        "the holder was not told; it reads the store",
+        { { "what", aPath }, { "why", told.error().mDetail } });
+}
+
 Async<void> Entry::PollHolder()
 {
   std::vector<AdviceResult> results;
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -42,6 +42,7 @@
   // Peers
   Async<HttpResponse> HandlePeer(HttpRequest aRequest);
   Async<Result<std::string>> AskHolder(const char* aPath, std::string aBody, Duration aDeadline);
+  Async<void> TellHolder(const char* aPath, std::string aBody);
   Async<void> PollHolder();
   // Store
   Async<void> WatchConfig();
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -15,7 +15,7 @@
 constexpr Duration kStoreDeadline = milliseconds(700);   // an answer takes 4 ms; slow days some 240 ms
 constexpr Duration kRenewEvery = milliseconds(400);      // several tries within one lease
 constexpr Duration kOutageGrace = seconds(5);            // orders go on so long past the last renewal
-constexpr Duration kWatchWait = seconds(2);              // a silent connection is found out by then
+constexpr Duration kWatchWait = milliseconds(1500);      // a silent connection is found out by then
 constexpr Duration kRetryStore = milliseconds(100);
 constexpr Duration kPlanEvery = milliseconds(50);        // without anything new
 constexpr Duration kPlanSoon = milliseconds(4);          // gathers what comes in together
@@ -421,7 +421,7 @@
 Async<bool> Holder::StoreProgressOnce()
 {
   auto self = shared_from_this();
-  ProgressBatch batch = mScheduler.CollectProgress(kJobsPerWrite);
+  ProgressBatch batch = mScheduler.CollectProgress(kJobsPerWrite, BootClock::now());
   if (batch.mJobs.empty()) {
     mScheduler.OnProgressStored(batch);
     co_return true;
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -125,7 +125,7 @@
   return static_cast<JobState>(record->mState);
 }
 
-ProgressBatch Scheduler::CollectProgress(std::size_t aMostJobs)
+ProgressBatch Scheduler::CollectProgress(std::size_t aMostJobs, TimePoint aNow)
 {
   ProgressBatch batch;
   while (!mDirtyJobs.empty() && batch.mJobs.size() < aMostJobs) {
@@ -141,9 +141,13 @@
   if (mDirtyJobs.empty()) {
     mHasEndedJob = false;
     mHasNewEnds = false;
-    for (const auto& [id, worker] : mWorkers)
-      if (worker.mLastEnd > worker.mStoredEnd)
+    for (auto& [id, worker] : mWorkers) {
+      std::erase_if(worker.mOrphanEnds,
+                    [aNow](const auto& it) { return aNow - it.first > kOrphanAge; });
+      if (worker.mLastEnd > worker.mStoredEnd && worker.mOrphanEnds.empty())
         batch.mEnds.emplace_back(id, worker.mLastEnd);
+      mHasNewEnds = mHasNewEnds || !worker.mOrphanEnds.empty();
+    }
   }
   return batch;
 }
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -110,8 +110,64 @@
   else
     job->mEndedAt = aNow;
   const std::string id = job->mSpec.mId;
-  mJobs.emplace(id, std::move(job));
-  CheckJobEnd(*mJobs[id], aNow);
+  Job& added = *mJobs.emplace(id, std::move(job)).first->second;
+  TakeOrphans(added, aNow);
+  CheckJobEnd(added, aNow);
+}
+
+// What workers have reported of a job before it came into the book.
+void Scheduler::TakeOrphans(Job& aJob, TimePoint aNow)
+{
+  const std::string prefix = aJob.mSpec.mId + ".";
+  for (auto& [id, worker] : mWorkers) {
+    std::vector<std::pair<TimePoint, EndedRow>> orphans = std::move(worker.mOrphanEnds);
+    worker.mOrphanEnds.clear();
+    for (auto& [seenAt, row] : orphans) {
+      if (row.mTask.starts_with(prefix))
+        ProcessEnd(worker, row, aNow);
+      else
+        worker.mOrphanEnds.emplace_back(seenAt, std::move(row));
+    }
+    for (Run& run : worker.mRuns)
+      if (!run.mKnown && run.mPhase == RunPhase::Running && run.mTask.starts_with(prefix))
+        AdoptRun(worker, run);
+  }
+}
+
+// A run that a worker reports, and that no other run of the task stands against, is taken over with
+// its room. False: it must be stopped.
+bool Scheduler::AdoptRun(Worker& aWorker, Run& aRun)
+{
+  Job* job = FindJobMutable(aRun.mRef.mJob);
+  Task* task = FindTask(aRun.mRef);
+  if (!job || !task)
+    return false;
+  const StageSpec& spec = job->mSpec.mStages[aRun.mRef.mStage];
+  if (aRun.mMemoryMiB == 0 && aRun.mMilliCores == 0 && aRun.mAccelerators == 0) {
+    aRun.mMilliCores = spec.mFiller ? 0 : spec.mMilliCores;
+    aRun.mMemoryMiB = spec.mMemoryMiB;
+    aRun.mAccelerators = spec.mAccelerators;
+    aWorker.mUsedMilliCores += aRun.mMilliCores;
+    aWorker.mUsedMemoryMiB += aRun.mMemoryMiB;
+    aWorker.mUsedAccelerators += aRun.mAccelerators;
+  }
+  aRun.mFiller = spec.mFiller;
+  aRun.mTailTargetMs = spec.mTailTargetMs;
+  if (task->mDone || !task->mWorker.empty() || IsEnded(job->mState) || aRun.mRun < task->mRun)
+    return false;
+  StageRun& stage = *FindStage(aRun.mRef);
+  aRun.mKnown = true;
+  task->mWorker = aWorker.mEntry.mId;
+  task->mRun = aRun.mRun;
+  task->mNeverRan = false;
+  --stage.mWaiting;
+  if (!aRun.mCheckpoint.empty()) {
+    task->mCheckpoint = aRun.mCheckpoint;
+    stage.mGangCheckpoint = aRun.mCheckpoint;
+  }
+  if (job->mState == JobState::Queued)
+    job->mState = JobState::Running;
+  return true;
 }
 
 void Scheduler::CancelJob(const std::string& aId, TimePoint aNow)
@@ -440,6 +496,8 @@
   const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
   if (run != aWorker.mRuns.end())
     DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
+  if (!job)
+    aWorker.mOrphanEnds.emplace_back(aNow, aRow);
   if (!job || !task || task->mDone || IsEnded(job->mState))
     return;
   StageRun& stage = *FindStage(ref);
@@ -576,40 +634,12 @@
     run.mProgressAt = aNow;
     run.mSentAt = aSentAt;
     run.mPhase = RunPhase::Running;
-    Job* job = nullptr;
-    Task* task = nullptr;
-    if (ParseTask(row->mTask, run.mRef)) {
-      job = FindJobMutable(run.mRef.mJob);
-      task = FindTask(run.mRef);
-    }
-    if (task) {
-      const StageSpec& spec = job->mSpec.mStages[run.mRef.mStage];
-      run.mMilliCores = spec.mFiller ? 0 : spec.mMilliCores;
-      run.mMemoryMiB = spec.mMemoryMiB;
-      run.mAccelerators = spec.mAccelerators;
-      run.mFiller = spec.mFiller;
-      run.mTailTargetMs = spec.mTailTargetMs;
-      if (!task->mDone && task->mWorker.empty() && !IsEnded(job->mState) &&
-          row->mRun >= task->mRun) {
-        run.mKnown = true;
-        task->mWorker = aId;
-        task->mRun = row->mRun;
-        --FindStage(run.mRef)->mWaiting;
-        if (!row->mCheckpoint.empty()) {
-          task->mCheckpoint = row->mCheckpoint;
-          FindStage(run.mRef)->mGangCheckpoint = row->mCheckpoint;
-        }
-        if (job->mState == JobState::Queued)
-          job->mState = JobState::Running;
-      }
-    }
+    run.mCheckpoint = row->mCheckpoint;
+    const bool isAdopted = ParseTask(row->mTask, run.mRef) && AdoptRun(worker, run);
     Log(LogPart::Task,
         LogLevel::Info,
-        run.mKnown ? "adopted a running task" : "a task runs that should not",
+        isAdopted ? "adopted a running task" : "a task runs that is not in the book",
         { { "task", row->mTask }, { "run", row->mRun }, { "worker", aId } });
-    worker.mUsedMilliCores += run.mMilliCores;
-    worker.mUsedMemoryMiB += run.mMemoryMiB;
-    worker.mUsedAccelerators += run.mAccelerators;
     worker.mRuns.push_back(std::move(run));
   }
 }
@@ -1016,8 +1046,10 @@
     for (Run& run : worker.mRuns) {
       if (run.mStopAckedAt != TimePoint{} || aNow - run.mStopSentAt < kRepeatStop)
         continue;
-      bool mustStop = !run.mKnown || run.mPhase == RunPhase::Stopping;
-      if (!mustStop) {
+      bool mustStop = run.mPhase == RunPhase::Stopping;
+      if (!run.mKnown)
+        mustStop = mustStop || FindJob(run.mRef.mJob) || aNow - run.mProgressAt > kOrphanAge;
+      else if (!mustStop) {
         const Job* job = FindJob(run.mRef.mJob);
         const Task* task = FindTask(run.mRef);
         // An end of the worker's own says when a completed task's room is free.
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -53,6 +53,7 @@
 struct Run  // room taken on a worker
 {
   std::string mTask{};
+  std::string mCheckpoint{};     // last one reported
   TaskRef mRef{};
   bool mKnown = false;           // mRef names a task of a job in the book
   std::uint64_t mRun = 0;
@@ -133,6 +134,7 @@
   std::uint32_t mUsedMemoryMiB = 0;
   std::uint32_t mUsedAccelerators = 0;
   std::vector<Run> mRuns{};
+  std::vector<std::pair<TimePoint, EndedRow>> mOrphanEnds{};  // of jobs that are not in the book yet
   std::uint32_t mFailStreak = 0;        // failed ends in a row
   std::string mFailJob{};               // job of the last failed end
   TimePoint mQuarantinedUntil{};
@@ -217,7 +219,7 @@
   // Durable progress
   [[nodiscard]] bool HasProgress() const { return !mDirtyJobs.empty() || mHasNewEnds; }
   [[nodiscard]] bool HasEndedJob() const { return mHasEndedJob; }
-  ProgressBatch CollectProgress(std::size_t aMostJobs);
+  ProgressBatch CollectProgress(std::size_t aMostJobs, TimePoint aNow);
   void OnProgressStored(const ProgressBatch& aBatch);
   void OnProgressLost(const ProgressBatch& aBatch);
   [[nodiscard]] static std::optional<JobState> ReadState(std::string_view aProgress);
@@ -235,6 +237,8 @@
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedRow& aRow, TimePoint aNow);
+  void TakeOrphans(Job& aJob, TimePoint aNow);
+  bool AdoptRun(Worker& aWorker, Run& aRun);
   void MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow);
   void CheckJobEnd(Job& aJob, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
@@ -282,6 +286,9 @@
   std::map<std::uint64_t, bool> mAdviceInFlight{};  // call → whether it is a slow one
 };
 
+// A job that an earlier holder accepted may reach a new one a little later than its tasks' reports.
+inline constexpr Duration kOrphanAge = seconds(3);  // twice the holder's lease
+
 [[nodiscard]] std::string FormatTask(const TaskRef& aRef);   // JOB.OCCURRENCE.STAGE.INDEX
 [[nodiscard]] std::string FormatStage(const TaskRef& aRef);  // JOB.OCCURRENCE.STAGE
 
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -75,7 +75,7 @@
   first.OnStart(orders.mStarts[0], StartOutcome::Started, now);
   report.mEnded.push_back({ 1, "a.0.0.0", orders.mStarts[0].mRun, EndKind::Failed, "" });
   first.OnReport("w0", report, now + seconds(1), now + seconds(1));
-  const ProgressBatch batch = first.CollectProgress(10);
+  const ProgressBatch batch = first.CollectProgress(10, now);
   REQUIRE(batch.mJobs.size() == 1);
 
   // The progress is stored, but the holder is gone before the worker has heard so.
@@ -143,6 +143,34 @@
   CHECK(orders.mStarts[0].mCheckpoint == orders.mStarts[1].mCheckpoint);
 }
 
+TEST_CASE("fleet: an end that is reported before its job is in the book counts when the job comes")
+{
+  Scheduler scheduler({ .mEpoch = 2 });
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue("q"));
+  scheduler.SetQueues(config);
+  const TimePoint now{ seconds(2000) };
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.0:80";
+  entry.mService = "pool";
+  entry.mMilliCores = 8000;
+  entry.mMemoryMiB = 16000;
+  scheduler.ListWorker(entry, true, now);
+  WorkerReport report;
+  report.mEnded.push_back({ 1, "a.0.0.0", 1, EndKind::Done, "" });
+  report.mRunning.push_back({ "a.0.0.1", 1, "", 10, 0 });
+  scheduler.OnReport("w0", report, now, now);
+  CHECK(scheduler.CollectProgress(10, now).mEnds.empty());  // nothing is taken note of yet
+  CHECK(scheduler.Plan(now, 0, true, 0).mStops.empty());
+  scheduler.AddJob(MakeJob("a", 2), {}, false, now + milliseconds(50));
+  CHECK(scheduler.Plan(now + milliseconds(60), 0, true, 0).mStarts.empty());
+  report = {};
+  report.mEnded.push_back({ 2, "a.0.0.1", 1, EndKind::Done, "" });
+  scheduler.OnReport("w0", report, now + seconds(1), now + seconds(1));
+  CHECK(scheduler.FindJob("a")->mState == JobState::Completed);
+}
+
 TEST_CASE("fleet: what must always hold, over seeds of random faults")
 {
   const auto seed = GENERATE(range(1U, 41U));
