Schedule on a large VM: small candidates stand back, a small holder yields

Candidates with half the cores of the largest process seen wait 400 ms, and a holder hands over when a process twice as large polls it. Starts of a stage are one log line, planning takes a fifth of the time at most and looks only at workers with a ticket.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -24,6 +24,7 @@
 constexpr Duration kCallerBudget = milliseconds(2500);  // where a caller gives none
 constexpr Duration kAnswerMargin = milliseconds(150);   // left for the answer's way back
 constexpr Duration kCampaignSpread = milliseconds(30);  // random delay between candidates
+constexpr Duration kStandBack = milliseconds(400);      // of small candidates; an election takes some 100 ms
 constexpr Duration kSettingsEvery = seconds(1);
 constexpr Duration kStopMargin = milliseconds(1500);    // before SIGKILL
 constexpr Duration kDrainFor = milliseconds(2200);      // the balancer takes two misses, 1 s apart
@@ -416,7 +417,9 @@
       results.clear();
       continue;
     }
-    PollRequest poll{ mSettings.mName, mView.mRecord->mEpoch, std::move(results) };
+    PollRequest poll{
+      mSettings.mName, mView.mRecord->mEpoch, mSettings.mCores, std::move(results)
+    };
     results.clear();
     auto answer = co_await AskHolder("/poll", EncodeMessage(poll), kPollDeadline);
     if (!answer) {
@@ -540,7 +543,7 @@
   }
 }
 
-// Smaller VMs come a little later, so that a larger one schedules where there is one.
+// Small VMs stand back for a while, so that a larger one schedules where there is one.
 Async<void> Entry::Campaign()
 {
   mCampaigning = true;
@@ -548,8 +551,8 @@
   const auto random = [this] {
     return Duration(std::uniform_int_distribution<std::int64_t>(0, kCampaignSpread.count())(mRandom));
   };
-  co_await Sleep(random() + std::chrono::duration_cast<Duration>(
-                              kCampaignSpread * std::min(1.0, 0.1 / mSettings.mCores)));
+  co_await Sleep(random());
+  bool hasStoodBack = false;
   for (; isOpen(); co_await Sleep(kRetryStore + random())) {
     auto epoch = co_await mStore.Get(std::string(kEpochKey), kStoreDeadline);
     if (!epoch || !isOpen())
@@ -563,6 +566,12 @@
       }
       grant.mPredecessor = std::move(*last);
     }
+    const double largest = grant.mPredecessor ? grant.mPredecessor->mLargestCores : 0;
+    if (mSettings.mCores <= largest / 2 && !hasStoodBack) {
+      hasStoodBack = true;
+      co_await Sleep(kStandBack);
+      continue;
+    }
     const TimePoint sentAt = BootClock::now();
     auto lease = co_await mStore.OpenLease(kHolderLease, kStoreDeadline);
     if (!lease)
@@ -575,6 +584,7 @@
     record.mPort = mSettings.mPeers.mPort;
     record.mEpoch = (grant.mPredecessor ? grant.mPredecessor->mEpoch : 0) + 1;
     record.mNonce = mRandom();
+    record.mLargestCores = std::max(largest, mSettings.mCores);
     if (!isOpen()) {
       co_await mStore.EndLease(*lease, kStoreDeadline);
       break;
@@ -673,7 +683,7 @@
   const TimePoint last = BootClock::now() + mSettings.mShutdown - kStopMargin;
   Log(LogPart::Process, LogLevel::Info, "stopping: requests in flight are finished first");
   if (IsHolder())
-    co_await mHolder->Resign();
+    co_await mHolder->Resign("it is stopping");
   const TimePoint drained = BootClock::now() + kDrainFor;
   while (BootClock::now() < std::min(drained, last))
     co_await Sleep(milliseconds(50));
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -30,6 +30,8 @@
 constexpr Duration kPollWait = milliseconds(1500);
 constexpr Duration kAdviceMargin = milliseconds(1500);   // queueing and travel of a policy call
 constexpr Duration kResignDeadline = milliseconds(300);  // a cross-zone round trip takes 9 ms
+constexpr Duration kYieldAfter = milliseconds(700);      // most processes have polled by then
+constexpr double kLargerBy = 2;                          // times the cores that are worth a handover
 constexpr Duration kForgetEvery = seconds(15);
 
 template<class F>
@@ -106,11 +108,11 @@
       member.mWaiting->cancel();
 }
 
-Async<void> Holder::Resign()
+Async<void> Holder::Resign(std::string_view aWhy)
 {
   auto self = shared_from_this();
   co_await StoreProgressOnce();
-  Depose("it is stopping");
+  Depose(aWhy);
   auto ended = co_await mStore.EndLease(mGrant.mLease, kStoreDeadline);
   if (!ended)
     Log(LogPart::Ownership,
@@ -240,6 +242,7 @@
   Spawn(mContext, RunPlan());
   Spawn(mContext, StoreProgress());
   Spawn(mContext, ForgetEndedJobs());
+  Spawn(mContext, YieldToLarger());
 }
 
 void Holder::TakeJobItem(const StoreItem& aItem, bool aInherited)
@@ -516,6 +519,28 @@
   }
 }
 
+double Holder::GetLargestCores() const
+{
+  double cores = mSettings.mCores;
+  for (const auto& [name, it] : mMembers)
+    if (BootClock::now() - it.mPolledAt < 2 * kPollWait)
+      cores = std::max(cores, it.mCores);
+  return cores;
+}
+
+// Scheduling costs processor time in proportion to the fleet, so it belongs on a large VM.
+Async<void> Holder::YieldToLarger()
+{
+  auto self = shared_from_this();
+  while (!mDeposed) {
+    co_await Sleep(kYieldAfter);
+    if (mDeposed)
+      co_return;
+    if (GetLargestCores() >= kLargerBy * mSettings.mCores)
+      co_await Resign("a larger process is there");
+  }
+}
+
 // Workers
 
 std::int64_t Holder::ReadWorkerClock(const Channel& aChannel) const
@@ -687,7 +712,7 @@
   if (mDeposed)
     co_return;
   Log(LogPart::Place,
-      answer.mOutcome == StartOutcome::Started ? LogLevel::Info : LogLevel::Warn,
+      answer.mOutcome == StartOutcome::Started ? LogLevel::Debug : LogLevel::Warn,
       answer.mOutcome == StartOutcome::Started ? "started" : "not started",
       { { "task", aOrder.mTask },
         { "run", aOrder.mRun },
@@ -745,8 +770,32 @@
         { "answer", paced ? std::string("200") : paced.error().mDetail } });
 }
 
+// One line for the starts of a stage that are decided together; a start that fails has its own.
+void Holder::LogStarts(const std::vector<StartOrder>& aStarts)
+{
+  for (std::size_t n = 0; n < aStarts.size();) {
+    const std::string stage = aStarts[n].mTask.substr(0, aStarts[n].mTask.rfind('.'));
+    std::string placed;
+    const std::size_t first = n;
+    for (; n < aStarts.size() && aStarts[n].mTask.starts_with(stage + "."); ++n) {
+      if (!placed.empty())
+        placed += ',';
+      placed.append(aStarts[n].mTask, stage.size() + 1).append("@").append(aStarts[n].mWorker);
+    }
+    Log(LogPart::Place,
+        LogLevel::Info,
+        "starting",
+        { { "stage", stage },
+          { "run", aStarts[first].mRun },
+          { "tasks", n - first },
+          { "epoch", GetEpoch() },
+          { "placed", placed } });
+  }
+}
+
 void Holder::Dispatch(Orders aOrders)
 {
+  LogStarts(aOrders.mStarts);
   const auto push = [this](auto aOrder, bool aFirst) {
     const std::string id = aOrder.mWorker;
     Channel& channel = mChannels[id];
@@ -795,6 +844,10 @@
     if (MayRenewTaskLeases())
       mScheduler.DropLapsed(now, mPredecessorGone ? Duration::zero() : kOutageGrace);
     Dispatch(mScheduler.Plan(now, ReadWallMillis(), MayStart(), CountFreeAdvisors()));
+    // Planning gets a fifth of the time at most, so that answers are taken in between.
+    const Duration took = BootClock::now() - now;
+    if (took > kPlanSoon / 4)
+      co_await Sleep(4 * took);
   }
 }
 
@@ -896,6 +949,8 @@
   asio::steady_timer* const mine = timer.get();
   member.mWaiting = std::move(timer);
   member.mOrder.reset();
+  member.mCores = aRequest.mCores;
+  member.mPolledAt = BootClock::now();
   WakePlan();
   co_await mine->async_wait(kNoThrow);
   Member& now = mMembers[aRequest.mName];
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -45,10 +45,12 @@
   void Start(const FleetConfig& aConfig);
   void SetConfig(const FleetConfig& aConfig);
   void Depose(std::string_view aWhy);  // stops giving orders at once
-  Async<void> Resign();                // stores what is open, then ends the lease
+  Async<void> Resign(std::string_view aWhy);  // stores what is open, then ends the lease
   [[nodiscard]] bool IsDeposed() const { return mDeposed; }
   [[nodiscard]] std::uint64_t GetEpoch() const { return mGrant.mRecord.mEpoch; }
 
+  [[nodiscard]] double GetLargestCores() const;  // of this process and those that poll it
+
   // Questions of this and other processes
   Async<StateReply> GetState(std::string aId);
   [[nodiscard]] std::optional<std::size_t> CountPending(const std::string& aQueue) const;
@@ -71,6 +73,8 @@
   {
     std::unique_ptr<asio::steady_timer> mWaiting{};  // null: no poll waits
     std::optional<AdviceOrder> mOrder{};             // handed out with the waiting poll
+    double mCores = 0;
+    TimePoint mPolledAt{};
   };
   struct AdviceCall
   {
@@ -97,6 +101,7 @@
   Async<void> ExecutePace(std::string aId, PaceOrder aOrder);
   Async<void> AskLocally(AdviceCall aCall);
   Async<void> ForgetEndedJobs();
+  Async<void> YieldToLarger();
 
   void TakeJobItem(const platform::StoreItem& aItem, bool aInherited);
   void TakeWorkerItem(const platform::StoreItem& aItem);
@@ -108,6 +113,7 @@
   void HandOut(AdviceOrder aOrder);
   void ExpireAdvice();
   void Dispatch(Orders aOrders);
+  void LogStarts(const std::vector<StartOrder>& aStarts);
   [[nodiscard]] std::size_t CountFreeAdvisors() const;
   [[nodiscard]] bool MayStart() const;
   [[nodiscard]] bool MayRenewTaskLeases() const;
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -52,12 +52,13 @@
   std::uint16_t mPort = 0;  // of its peer interface
   std::uint64_t mEpoch = 0;
   std::uint64_t mNonce = 0;  // tells a write of one's own from another's
+  double mLargestCores = 0;  // of any process that was seen; smaller ones stand back
   bool operator==(const HolderRecord&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mName, mHost, mPort, mEpoch, mNonce);
+    aArchive(mName, mHost, mPort, mEpoch, mNonce, mLargestCores);
   }
 };
 
@@ -81,12 +82,13 @@
 {
   std::string mName{};
   std::uint64_t mEpoch = 0;  // of the holder that is meant
+  double mCores = 0;         // share of a core that this process has
   std::vector<AdviceResult> mResults{};
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mName, mEpoch, mResults);
+    aArchive(mName, mEpoch, mCores, mResults);
   }
 };
 
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -805,19 +805,15 @@
   return ready;
 }
 
-bool Scheduler::CanHost(const Worker& aWorker,
-                        const Job& aJob,
-                        const StageSpec& aSpec,
-                        TimePoint aNow) const
+bool Scheduler::CanHost(const Worker& aWorker, const Ready& aReady, TimePoint aNow)
 {
-  const QueueConfig* queue = FindQueue(aJob.mSpec.mQueue);
-  const std::string& service = queue ? queue->mService : aJob.mSpec.mService;
   if (!aWorker.mListed || !aWorker.mRecorded || !aWorker.mFenced || !aWorker.mReachable ||
-      aWorker.mEntry.mDraining || aWorker.mEntry.mService != service)
+      aWorker.mEntry.mDraining || aWorker.mEntry.mService != aReady.mQueue->mService)
     return false;
   if (aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mFullUntil)
     return false;
-  return aSpec.mRequiredLabel.empty() || Contains(aWorker.mEntry.mLabels, aSpec.mRequiredLabel);
+  const std::string& label = aReady.mSpec->mRequiredLabel;
+  return label.empty() || Contains(aWorker.mEntry.mLabels, label);
 }
 
 bool Scheduler::HasRoom(const Worker& aWorker, const StageSpec& aSpec)
@@ -841,28 +837,34 @@
 {
   Worker* best = nullptr;
   std::tuple<bool, bool, std::int64_t> bestScore;
-  for (auto& [id, worker] : mWorkers) {
-    if (aReady.mQueue->mNeedsAdvice) {
-      auto ticket = aReady.mStage->mTickets.find(id);
-      if (ticket == aReady.mStage->mTickets.end() || ticket->second.second < aNow + kTicketMargin)
-        continue;
-    }
-    if (!HasRoom(worker, *aReady.mSpec) || !CanHost(worker, *aReady.mJob, *aReady.mSpec, aNow))
-      continue;
+  const auto consider = [&](const std::string& aId, Worker& aWorker) {
+    if (!HasRoom(aWorker, *aReady.mSpec) || !CanHost(aWorker, aReady, aNow))
+      return;
     if (aReady.mSpec->mMaxPerWorker != 0 &&
-        CountOf(worker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
-      continue;
-    const bool failedHere = Contains(aTask.mFailedOn, id);
+        CountOf(aWorker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
+      return;
+    const bool failedHere = Contains(aTask.mFailedOn, aId);
     const bool isFar = !aReady.mSpec->mDataRack.empty() &&
-                       GetRack(worker) != aReady.mSpec->mDataRack;
-    const std::int64_t left = std::int64_t{ worker.mEntry.mMilliCores } -
-                              worker.mUsedMilliCores - aReady.mSpec->mMilliCores;
+                       GetRack(aWorker) != aReady.mSpec->mDataRack;
+    const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } -
+                              aWorker.mUsedMilliCores - aReady.mSpec->mMilliCores;
     // Fillers go where most is left; others where least is.
     const std::tuple score(failedHere, isFar, aReady.mSpec->mFiller ? -left : left);
     if (!best || score < bestScore) {
-      best = &worker;
+      best = &aWorker;
       bestScore = score;
     }
+  };
+  if (!aReady.mQueue->mNeedsAdvice) {
+    for (auto& [id, worker] : mWorkers)
+      consider(id, worker);
+    return best;
+  }
+  for (const auto& [id, ticket] : aReady.mStage->mTickets) {
+    if (ticket.second < aNow + kTicketMargin)
+      continue;
+    if (Worker* worker = FindWorker(id))
+      consider(id, *worker);
   }
   return best;
 }
@@ -1002,7 +1004,7 @@
   bool hasRoom = false;
   bool isFirst = stage.mTickets.empty() && stage.mRefused.empty();
   for (const auto& [id, worker] : mWorkers) {
-    if (stage.mRefused.contains(id) || !CanHost(worker, *aReady.mJob, *aReady.mSpec, aNow))
+    if (stage.mRefused.contains(id) || !CanHost(worker, aReady, aNow))
       continue;
     const bool fits = HasRoom(worker, *aReady.mSpec);
     if (!fits && !isFirst)
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -246,10 +246,7 @@
   [[nodiscard]] bool IsStageReady(const Job& aJob,
                                   const Occurrence& aOccurrence,
                                   std::uint32_t aStage) const;
-  [[nodiscard]] bool CanHost(const Worker& aWorker,
-                             const Job& aJob,
-                             const StageSpec& aSpec,
-                             TimePoint aNow) const;
+  [[nodiscard]] static bool CanHost(const Worker& aWorker, const Ready& aReady, TimePoint aNow);
   [[nodiscard]] static bool HasRoom(const Worker& aWorker, const StageSpec& aSpec);
   [[nodiscard]] std::size_t CountOf(const Worker& aWorker, const TaskRef& aStageRef) const;
   Worker* PickWorker(const Ready& aReady, const Task& aTask, TimePoint aNow);
