--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -24,11 +24,14 @@
 constexpr Duration kCallerBudget = milliseconds(2500);  // where a caller gives none
 constexpr Duration kAnswerMargin = milliseconds(150);   // left for the answer's way back
 constexpr Duration kCampaignSpread = milliseconds(30);  // random delay between candidates
+constexpr Duration kStoreDownAfter = milliseconds(300); // of failing calls; one lost packet is less
+constexpr Duration kProbeEvery = milliseconds(150);
+constexpr Duration kProbeDeadline = milliseconds(400);  // slow days: some 240 ms
 constexpr Duration kStandBack = milliseconds(400);      // of small candidates; an election takes some 100 ms
 constexpr Duration kSettingsEvery = seconds(1);
 constexpr Duration kStopMargin = milliseconds(1500);    // before SIGKILL
 constexpr Duration kDrainFor = milliseconds(2200);      // the balancer takes two misses, 1 s apart
-constexpr std::string_view kRetryAfterOutage = "1";     // s; the store's outages last seconds
+constexpr std::string_view kRetryAfterOutage = "2";     // s; the store's outages last seconds
 
 HttpResponse MakeEmpty(http::status aStatus)
 {
@@ -99,6 +102,7 @@
   asio::co_spawn(mContext, WatchConfig(), asio::detached);
   asio::co_spawn(mContext, WatchHolder(), asio::detached);
   asio::co_spawn(mContext, PollHolder(), asio::detached);
+  asio::co_spawn(mContext, ProbeStore(), asio::detached);
   asio::co_spawn(mContext, WaitForSignals(), asio::detached);
   asio::co_spawn(mContext, WatchSettings(), asio::detached);
   mContext.run();
@@ -180,7 +184,9 @@
   const TimePoint startedAt = BootClock::now();
   for (int n = 0; BootClock::now() < deadline; ++n) {
     const Duration left = std::min<Duration>(kFirstTry, deadline - BootClock::now());
-    auto stored = co_await StoreJob(aId, value, left);
+    Result<bool> stored = MakeFailure(FailureKind::StoreUnavailable, "the store is down");
+    if (!IsStoreDown())
+      stored = co_await StoreJob(aId, value, left);
     if (stored) {
       Log(LogPart::Request,
           LogLevel::Info,
@@ -214,8 +220,8 @@
       LogLevel::Warn,
       mayBeStored ? "the job may be stored" : "refused: the job could not be stored",
       { { "job", aId }, { "why", why } });
-  co_return MakeEmpty(mayBeStored ? http::status::gateway_timeout
-                                  : http::status::service_unavailable);
+  co_return MakeRefusal(mayBeStored ? http::status::gateway_timeout
+                                    : http::status::service_unavailable);
 }
 
 Async<HttpResponse> Entry::ShowState(std::string aId, Duration aBudget)
@@ -370,6 +376,8 @@
     auto request = DecodeMessage<SubmitRequest>(aRequest.body());
     if (!request)
       co_return MakeEmpty(http::status::bad_request);
+    if (IsStoreDown())
+      co_return MakeEmpty(http::status::service_unavailable);
     auto stored = co_await StoreJob(request->mId, request->mValue, kFirstTry);
     if (!stored)
       co_return MakeEmpty(stored.error().mKind == FailureKind::WriteUnknown
@@ -423,6 +431,7 @@
     results.clear();
     auto answer = co_await AskHolder("/poll", EncodeMessage(poll), kPollDeadline);
     if (!answer) {
+      co_await ReplaceLostHolder();
       co_await Sleep(milliseconds(100));
       continue;
     }
@@ -447,8 +456,62 @@
   }
 }
 
+// A holder whose machine says that its process is gone needs no wait for its lease to lapse. Should it
+// live after all, it is fenced like any predecessor.
+Async<void> Entry::ReplaceLostHolder()
+{
+  if (!mView.mRecord || IsHolder())
+    co_return;
+  const HolderRecord record = *mView.mRecord;
+  const HttpAddress address{ record.mHost, record.mPort };
+  const bool isGone = co_await IsRefusing(address, kPeerDeadline);
+  if (!isGone || !mView.mRecord || !(*mView.mRecord == record))
+    co_return;
+  Log(LogPart::Ownership,
+      LogLevel::Warn,
+      "the holder's process is gone; its lease is ended",
+      { { "holder", record.mName }, { "epoch", record.mEpoch } });
+  auto ended = co_await mStore.EndLease(record.mLease, kStoreDeadline);
+  if (!ended)
+    Log(LogPart::Ownership,
+        LogLevel::Warn,
+        "the lease could not be ended; it lapses",
+        { { "why", ended.error().mDetail } });
+}
+
 // Store
 
+bool Entry::IsStoreDown() const
+{
+  const auto since = mStore.GetFailingSince();
+  return since && BootClock::now() - *since > kStoreDownAfter;
+}
+
+// While calls fail, finds out when the store serves again.
+Async<void> Entry::ProbeStore()
+{
+  bool wasDown = false;
+  while (!mStopping) {
+    co_await Sleep(kProbeEvery);
+    if (IsStoreDown() != wasDown) {
+      wasDown = !wasDown;
+      Log(LogPart::Store,
+          wasDown ? LogLevel::Warn : LogLevel::Info,
+          wasDown ? "the store does not serve this process" : "the store serves again");
+    }
+    if (mStore.GetFailingSince())
+      co_await mStore.Get(std::string(kHolderKey), kProbeDeadline);
+  }
+}
+
+// Nothing has run. Outages last seconds: a caller that comes back too early uses up its retries.
+HttpResponse Entry::MakeRefusal(http::status aStatus)
+{
+  HttpResponse response(aStatus, 11);
+  response.set(http::field::retry_after, kRetryAfterOutage);
+  return response;
+}
+
 void Entry::TakeConfig(const StoreItem& aItem)
 {
   if (aItem.mKey != platform::kConfigKey || aItem.mDeleted)
@@ -584,6 +647,7 @@
     record.mPort = mSettings.mPeers.mPort;
     record.mEpoch = (grant.mPredecessor ? grant.mPredecessor->mEpoch : 0) + 1;
     record.mNonce = mRandom();
+    record.mLease = *lease;
     record.mLargestCores = std::max(largest, mSettings.mCores);
     if (!isOpen()) {
       co_await mStore.EndLease(*lease, kStoreDeadline);
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -44,6 +44,10 @@
   Async<Result<std::string>> AskHolder(const char* aPath, std::string aBody, Duration aDeadline);
   Async<void> TellHolder(const char* aPath, std::string aBody);
   Async<void> PollHolder();
+  Async<void> ReplaceLostHolder();
+  Async<void> ProbeStore();
+  [[nodiscard]] bool IsStoreDown() const;
+  [[nodiscard]] HttpResponse MakeRefusal(http::status aStatus);
   // Store
   Async<void> WatchConfig();
   Async<void> WatchHolder();
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -53,12 +53,13 @@
   std::uint64_t mEpoch = 0;
   std::uint64_t mNonce = 0;  // tells a write of one's own from another's
   double mLargestCores = 0;  // of any process that was seen; smaller ones stand back
+  std::uint64_t mLease = 0;  // of its key in the store
   bool operator==(const HolderRecord&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mName, mHost, mPort, mEpoch, mNonce, mLargestCores);
+    aArchive(mName, mHost, mPort, mEpoch, mNonce, mLargestCores, mLease);
   }
 };
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -112,6 +112,19 @@
   co_return response;
 }
 
+Async<bool> IsRefusing(HttpAddress aAddress, Duration aDeadline)
+{
+  boost::system::error_code ec;
+  const auto address = asio::ip::make_address(aAddress.mHost, ec);
+  if (ec)
+    co_return false;
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(aDeadline);
+  auto [connectError] =
+    co_await stream.async_connect(tcp::endpoint(address, aAddress.mPort), kNoThrow);
+  co_return connectError == asio::error::connection_refused;
+}
+
 void HttpClient::Clear()
 {
   std::lock_guard lock(mLock);
