--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -14,24 +14,27 @@
 
 namespace {
 
-constexpr Duration kHolderLease = milliseconds(1500);   // of the scheduler; the store's least is 1 s
-constexpr Duration kStoreDeadline = milliseconds(700);  // an answer takes 4 ms; slow days some 240 ms
-constexpr Duration kFirstTry = milliseconds(500);       // of a write, before another process relays it
-constexpr Duration kWatchWait = milliseconds(1500);     // a silent connection is found out by then
+constexpr Duration kHolderLease = milliseconds(1500);  // of the scheduler; the store's least is 1 s
+constexpr Duration kStoreDeadline =
+  milliseconds(700);                                 // an answer takes 4 ms; slow days some 240 ms
+constexpr Duration kFirstTry = milliseconds(500);    // of a write, before another process relays it
+constexpr Duration kWatchWait = milliseconds(1500);  // a silent connection is found out by then
 constexpr Duration kRetryStore = milliseconds(100);
 constexpr Duration kPeerDeadline = milliseconds(500);   // a cross-zone round trip takes 9 ms
 constexpr Duration kPollDeadline = milliseconds(2500);  // the holder keeps a poll for 1.5 s
 constexpr Duration kCallerBudget = milliseconds(2500);  // where a caller gives none
 constexpr Duration kAnswerMargin = milliseconds(150);   // left for the answer's way back
 constexpr Duration kCampaignSpread = milliseconds(30);  // random delay between candidates
-constexpr Duration kStoreDownAfter = milliseconds(300); // of failing calls; one lost packet is less
+constexpr Duration kStoreDownAfter =
+  milliseconds(300);  // of failing calls; one lost packet is less
 constexpr Duration kProbeEvery = milliseconds(150);
 constexpr Duration kProbeDeadline = milliseconds(400);  // slow days: some 240 ms
-constexpr Duration kStandBack = milliseconds(400);      // of small candidates; an election takes some 100 ms
+constexpr Duration kStandBack =
+  milliseconds(400);  // of small candidates; an election takes some 100 ms
 constexpr Duration kSettingsEvery = seconds(1);
-constexpr Duration kStopMargin = milliseconds(1500);    // before SIGKILL
-constexpr Duration kDrainFor = milliseconds(2200);      // the balancer takes two misses, 1 s apart
-constexpr std::string_view kRetryAfterOutage = "2";     // s; the store's outages last seconds
+constexpr Duration kStopMargin = milliseconds(1500);  // before SIGKILL
+constexpr Duration kDrainFor = milliseconds(2200);    // the balancer takes two misses, 1 s apart
+constexpr std::string_view kRetryAfterOutage = "2";   // s; the store's outages last seconds
 
 HttpResponse MakeEmpty(http::status aStatus)
 {
@@ -79,16 +82,17 @@
 Result<void> Entry::Run()
 {
   std::vector<asio::io_context*> contexts{ &mContext };
-  mCallers = std::make_unique<HttpServer>(
-    MakeCallerLimits(),
-    [this](HttpRequest aRequest, std::string) { return HandleCaller(std::move(aRequest)); });
+  mCallers =
+    std::make_unique<HttpServer>(MakeCallerLimits(), [this](HttpRequest aRequest, std::string) {
+      return HandleCaller(std::move(aRequest));
+    });
   mReady = std::make_unique<HttpServer>(
     HttpLimits{}, [this](HttpRequest aRequest, std::string) -> Async<HttpResponse> {
       co_return HandleReady(aRequest);
     });
-  mPeers = std::make_unique<HttpServer>(
-    HttpLimits{},
-    [this](HttpRequest aRequest, std::string) { return HandlePeer(std::move(aRequest)); });
+  mPeers = std::make_unique<HttpServer>(HttpLimits{}, [this](HttpRequest aRequest, std::string) {
+    return HandlePeer(std::move(aRequest));
+  });
   const std::pair<HttpServer*, const HttpAddress*> servers[] = {
     { mCallers.get(), &mSettings.mCallers },
     { mReady.get(), &mSettings.mReady },
@@ -307,7 +311,9 @@
 
 // Fails with NotReady when nobody is known to hold the lease, StoreUnavailable when the holder says
 // so, and as HttpClient::Call.
-Async<Result<std::string>> Entry::AskHolder(const char* aPath, std::string aBody, Duration aDeadline)
+Async<Result<std::string>> Entry::AskHolder(const char* aPath,
+                                            std::string aBody,
+                                            Duration aDeadline)
 {
   HttpRequest request(http::verb::post, aPath, 11);
   request.body() = std::move(aBody);
@@ -445,8 +451,7 @@
       AdviceResult result;
       result.mNumber = it.mNumber;
       result.mAnswered = advice.has_value();
-      result.mTookMs =
-        std::chrono::duration_cast<milliseconds>(BootClock::now() - askedAt).count();
+      result.mTookMs = std::chrono::duration_cast<milliseconds>(BootClock::now() - askedAt).count();
       if (advice) {
         result.mAdmitted = std::move(advice->mAdmitted);
         result.mValidMs = std::chrono::duration_cast<milliseconds>(advice->mValid).count();
@@ -456,8 +461,8 @@
   }
 }
 
-// A holder whose machine says that its process is gone needs no wait for its lease to lapse. Should it
-// live after all, it is fenced like any predecessor.
+// A holder whose machine says that its process is gone needs no wait for its lease to lapse. Should
+// it live after all, it is fenced like any predecessor.
 Async<void> Entry::ReplaceLostHolder()
 {
   if (!mView.mRecord || IsHolder())
@@ -572,8 +577,7 @@
   }
   if (mHolder && !mHolder->IsDeposed() &&
       (!mView.mRecord || mView.mRecord->mEpoch != mHolder->GetEpoch()) &&
-      (!mView.mRecord || mView.mRecord->mEpoch > mHolder->GetEpoch() ||
-       aItem.mDeleted))
+      (!mView.mRecord || mView.mRecord->mEpoch > mHolder->GetEpoch() || aItem.mDeleted))
     mHolder->Depose("the store names another holder");
 }
 
@@ -612,7 +616,8 @@
   mCampaigning = true;
   const auto isOpen = [this] { return !mStopping && !mView.mRecord && !IsHolder(); };
   const auto random = [this] {
-    return Duration(std::uniform_int_distribution<std::int64_t>(0, kCampaignSpread.count())(mRandom));
+    return Duration(
+      std::uniform_int_distribution<std::int64_t>(0, kCampaignSpread.count())(mRandom));
   };
   co_await Sleep(random());
   bool hasStoodBack = false;
@@ -643,8 +648,8 @@
     grant.mRenewedAt = sentAt;
     HolderRecord& record = grant.mRecord;
     record.mName = mSettings.mName;
-    record.mHost = mSettings.mPeers.mHost;
-    record.mPort = mSettings.mPeers.mPort;
+    record.mHost = mSettings.mPeersAdvertised.mHost;
+    record.mPort = mSettings.mPeersAdvertised.mPort;
     record.mEpoch = (grant.mPredecessor ? grant.mPredecessor->mEpoch : 0) + 1;
     record.mNonce = mRandom();
     record.mLease = *lease;
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -12,26 +12,27 @@
 
 namespace {
 
-constexpr Duration kStoreDeadline = milliseconds(700);   // an answer takes 4 ms; slow days some 240 ms
-constexpr Duration kRenewEvery = milliseconds(400);      // several tries within one lease
-constexpr Duration kOutageGrace = seconds(5);            // orders go on so long past the last renewal
-constexpr Duration kWatchWait = milliseconds(1500);      // a silent connection is found out by then
+constexpr Duration kStoreDeadline =
+  milliseconds(700);                                 // an answer takes 4 ms; slow days some 240 ms
+constexpr Duration kRenewEvery = milliseconds(400);  // several tries within one lease
+constexpr Duration kOutageGrace = seconds(5);        // orders go on so long past the last renewal
+constexpr Duration kWatchWait = milliseconds(1500);  // a silent connection is found out by then
 constexpr Duration kRetryStore = milliseconds(100);
-constexpr Duration kPlanEvery = milliseconds(50);        // without anything new
-constexpr Duration kPlanSoon = milliseconds(4);          // gathers what comes in together
-constexpr Duration kStoreEvery = milliseconds(40);       // gathers ends into one write
-constexpr std::size_t kJobsPerWrite = 15;                // a condition and a write each, and the holder's
-constexpr std::size_t kOrdersAtOnce = 3;                 // to one worker
-constexpr Duration kOrderDeadline = milliseconds(800);   // a cross-zone round trip takes 9 ms
-constexpr Duration kHoldWait = milliseconds(1000);       // a report at least so often
+constexpr Duration kPlanEvery = milliseconds(50);   // without anything new
+constexpr Duration kPlanSoon = milliseconds(4);     // gathers what comes in together
+constexpr Duration kStoreEvery = milliseconds(40);  // gathers ends into one write
+constexpr std::size_t kJobsPerWrite = 15;  // a condition and a write each, and the holder's
+constexpr std::size_t kOrdersAtOnce = 3;   // to one worker
+constexpr Duration kOrderDeadline = milliseconds(800);  // a cross-zone round trip takes 9 ms
+constexpr Duration kHoldWait = milliseconds(1000);      // a report at least so often
 constexpr Duration kHoldMargin = milliseconds(700);
-constexpr Duration kIdleHold = seconds(3);               // looks at a worker that runs nothing
-constexpr Duration kSilentHold = milliseconds(300);      // looks at a worker that does not answer
+constexpr Duration kIdleHold = seconds(3);           // looks at a worker that runs nothing
+constexpr Duration kSilentHold = milliseconds(300);  // looks at a worker that does not answer
 constexpr Duration kPollWait = milliseconds(1500);
 constexpr Duration kAdviceMargin = milliseconds(1500);   // queueing and travel of a policy call
 constexpr Duration kResignDeadline = milliseconds(300);  // a cross-zone round trip takes 9 ms
 constexpr Duration kYieldAfter = milliseconds(700);      // most processes have polled by then
-constexpr double kLargerBy = 2;                          // times the cores that are worth a handover
+constexpr double kLargerBy = 2;  // times the cores that are worth a handover
 constexpr Duration kForgetEvery = seconds(15);
 
 template<class F>
@@ -43,7 +44,10 @@
     try {
       std::rethrow_exception(aError);
     } catch (const std::exception& error) {
-      Log(LogPart::Process, LogLevel::Error, "a task of the holder failed", { { "what", error.what() } });
+      Log(LogPart::Process,
+          LogLevel::Error,
+          "a task of the holder failed",
+          { { "what", error.what() } });
     }
   });
 }
@@ -60,8 +64,8 @@
   , mClient(aClient)
   , mStore(aStore)
   , mGrant(std::move(aGrant))
-  , mScheduler(SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch,
-                                  .mTaskLease = aSettings.mTaskLease })
+  , mScheduler(
+      SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch, .mTaskLease = aSettings.mTaskLease })
   , mTakenAt(BootClock::now())
   , mPlanTimer(aContext)
   , mStoreTimer(aContext)
@@ -166,8 +170,7 @@
     HttpRequest request(http::verb::post, "/resign", 11);
     request.body() = EncodeMessage(it.mEpoch);
     HttpAddress address{ it.mHost, it.mPort };
-    auto response =
-      co_await mClient.Call(std::move(address), std::move(request), kResignDeadline);
+    auto response = co_await mClient.Call(std::move(address), std::move(request), kResignDeadline);
     if (response && response->result() == http::status::ok) {
       mPredecessorGone = true;
       WakePlan();
@@ -189,7 +192,8 @@
     auto page = co_await mStore.List(std::string(kRoot), 3 * kStoreDeadline);
     if (page) {
       state = std::move(*page);
-      auto workers = co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * kStoreDeadline);
+      auto workers =
+        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * kStoreDeadline);
       if (workers) {
         directory = std::move(*workers);
         isDone = true;
@@ -343,7 +347,8 @@
 {
   auto self = shared_from_this();
   while (!mDeposed) {
-    auto page = co_await mStore.Watch(std::string(platform::kDirectoryPrefix), aRevision, kWatchWait);
+    auto page =
+      co_await mStore.Watch(std::string(platform::kDirectoryPrefix), aRevision, kWatchWait);
     if (mDeposed)
       co_return;
     if (!page && page.error().mKind == FailureKind::Conflict) {
@@ -502,7 +507,8 @@
     co_await Sleep(kForgetEvery);
     if (mDeposed)
       co_return;
-    std::vector<std::string> ids = mScheduler.ForgetEnded(BootClock::now(), mSettings.mKeepEnded + seconds(30));
+    std::vector<std::string> ids =
+      mScheduler.ForgetEnded(BootClock::now(), mSettings.mKeepEnded + seconds(30));
     while (!ids.empty() && !mDeposed) {
       StoreTransaction transaction;
       transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
@@ -545,7 +551,8 @@
 
 std::int64_t Holder::ReadWorkerClock(const Channel& aChannel) const
 {
-  const auto passed = std::chrono::duration_cast<milliseconds>(BootClock::now() - aChannel.mClockAt);
+  const auto passed =
+    std::chrono::duration_cast<milliseconds>(BootClock::now() - aChannel.mClockAt);
   return aChannel.mClockMs + passed.count();
 }
 
@@ -597,7 +604,8 @@
   platform::HoldOrder order;
   order.mToken = GetEpoch();
   order.mNotedEnd = worker->mStoredEnd;
-  order.mWaitMs = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(aWait).count());
+  order.mWaitMs =
+    static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(aWait).count());
   Channel& channel = mChannels[aId];
   // A worker that was silent is asked first, without prolonging: its tasks may be waited out.
   if (channel.mClockMs != 0 && worker->mReachable && MayRenewTaskLeases()) {
@@ -642,14 +650,16 @@
     Duration pause{};
     const bool wasReachable = worker->mReachable;
     const bool hasUnstoredEnds = worker->mLastEnd > worker->mStoredEnd;
-    const bool isUnsure = std::any_of(worker->mRuns.begin(), worker->mRuns.end(), [](const Run& it) {
-      return it.mPhase == RunPhase::Unconfirmed || it.mPhase == RunPhase::Stopping;
-    });
+    const bool isUnsure =
+      std::any_of(worker->mRuns.begin(), worker->mRuns.end(), [](const Run& it) {
+        return it.mPhase == RunPhase::Unconfirmed || it.mPhase == RunPhase::Stopping;
+      });
     const bool isIdle = worker->mRuns.empty() && worker->mFenced && wasReachable;
     if (isIdle && !hasUnstoredEnds && BootClock::now() - worker->mAnsweredAt < kIdleHold) {
       pause = kIdleHold - (BootClock::now() - worker->mAnsweredAt);
     } else {
-      const bool mayWait = wasReachable && worker->mFenced && !hasUnstoredEnds && !isUnsure && !isIdle;
+      const bool mayWait =
+        wasReachable && worker->mFenced && !hasUnstoredEnds && !isUnsure && !isIdle;
       const bool isAnswered = co_await HoldOnce(aId, mayWait ? kHoldWait : Duration::zero());
       if (mDeposed)
         break;
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -26,9 +26,9 @@
 struct HolderGrant
 {
   HolderRecord mRecord{};
-  std::uint64_t mKeyRevision = 0;   // of the holder's key; a condition of every write
+  std::uint64_t mKeyRevision = 0;  // of the holder's key; a condition of every write
   std::uint64_t mLease = 0;
-  TimePoint mRenewedAt{};           // sending time of the last renewal that was answered
+  TimePoint mRenewedAt{};  // sending time of the last renewal that was answered
   std::optional<HolderRecord> mPredecessor{};
 };
 
@@ -44,7 +44,7 @@
 
   void Start(const FleetConfig& aConfig);
   void SetConfig(const FleetConfig& aConfig);
-  void Depose(std::string_view aWhy);  // stops giving orders at once
+  void Depose(std::string_view aWhy);         // stops giving orders at once
   Async<void> Resign(std::string_view aWhy);  // stores what is open, then ends the lease
   [[nodiscard]] bool IsDeposed() const { return mDeposed; }
   [[nodiscard]] std::uint64_t GetEpoch() const { return mGrant.mRecord.mEpoch; }
--- a/src/fleet/keys.h
+++ b/src/fleet/keys.h
@@ -7,8 +7,8 @@
 namespace monsoon::fleet {
 
 inline constexpr std::string_view kRoot = "monsoon/";
-inline constexpr std::string_view kHolderKey = "monsoon-holder";  // of the scheduler's lease
-inline constexpr std::string_view kEpochKey = "monsoon-epoch";    // the last holder, for good
+inline constexpr std::string_view kHolderKey = "monsoon-holder";   // of the scheduler's lease
+inline constexpr std::string_view kEpochKey = "monsoon-epoch";     // the last holder, for good
 inline constexpr std::string_view kJobPrefix = "monsoon/j/";       // JobSpec; with /x: cancelled
 inline constexpr std::string_view kProgressPrefix = "monsoon/p/";  // of a job
 inline constexpr std::string_view kWorkerPrefix = "monsoon/w/";    // workers that may run tasks
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -18,23 +18,23 @@
 // Jobs
 struct StageSpec
 {
-  std::uint32_t mCount = 0;            // tasks
-  std::uint32_t mMilliCores = 0;       // of each task
-  std::uint32_t mMemoryMiB = 0;        // of each task
-  std::uint32_t mAccelerators = 0;     // of each task
-  std::int64_t mEstimateMs = 0;        // the caller's guess of one task's run time
-  std::vector<std::uint32_t> mAfter{}; // stages that must have ended first
-  std::string mRequiredLabel{};        // the worker must carry it
-  std::string mDataRack{};             // where the input lies; slower elsewhere
-  std::uint32_t mMaxPerWorker = 0;     // tasks of one occurrence on one worker; 0: any number
-  std::int64_t mTailTargetMs = 0;      // response time that a serving task must stay below; 0: none
-  std::uint32_t mMayMiss = 0;          // serving tasks that may be away by our own doing
-  bool mCheckpointed = false;          // resumes from its last checkpoint
-  bool mGang = false;                  // all tasks at once or none
-  bool mRackLocal = false;             // slower when spread over racks
-  bool mSpeculative = false;           // copies may run; the first end counts
-  bool mLongRunning = false;           // restarted however it ends, until cancelled
-  bool mFiller = false;                // takes cores that others leave; only its memory is reserved
+  std::uint32_t mCount = 0;             // tasks
+  std::uint32_t mMilliCores = 0;        // of each task
+  std::uint32_t mMemoryMiB = 0;         // of each task
+  std::uint32_t mAccelerators = 0;      // of each task
+  std::int64_t mEstimateMs = 0;         // the caller's guess of one task's run time
+  std::vector<std::uint32_t> mAfter{};  // stages that must have ended first
+  std::string mRequiredLabel{};         // the worker must carry it
+  std::string mDataRack{};              // where the input lies; slower elsewhere
+  std::uint32_t mMaxPerWorker = 0;      // tasks of one occurrence on one worker; 0: any number
+  std::int64_t mTailTargetMs = 0;  // response time that a serving task must stay below; 0: none
+  std::uint32_t mMayMiss = 0;      // serving tasks that may be away by our own doing
+  bool mCheckpointed = false;      // resumes from its last checkpoint
+  bool mGang = false;              // all tasks at once or none
+  bool mRackLocal = false;         // slower when spread over racks
+  bool mSpeculative = false;       // copies may run; the first end counts
+  bool mLongRunning = false;       // restarted however it ends, until cancelled
+  bool mFiller = false;            // takes cores that others leave; only its memory is reserved
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -49,13 +49,13 @@
 {
   std::string mId{};
   std::string mQueue{};
-  std::string mService{};            // pool of workers, as the queue named it when the job came
-  std::string mPayload{};            // handed to every task unread
+  std::string mService{};  // pool of workers, as the queue named it when the job came
+  std::string mPayload{};  // handed to every task unread
   std::vector<StageSpec> mStages{};
-  std::int64_t mFirstMs = 0;         // time of day of the first occurrence, Unix ms
-  std::int64_t mIntervalMs = 0;      // between occurrences
-  std::uint32_t mOccurrences = 0;    // 0: runs once, at once
-  std::int64_t mAcceptedMs = 0;      // time of day at acceptance, Unix ms
+  std::int64_t mFirstMs = 0;       // time of day of the first occurrence, Unix ms
+  std::int64_t mIntervalMs = 0;    // between occurrences
+  std::uint32_t mOccurrences = 0;  // 0: runs once, at once
+  std::int64_t mAcceptedMs = 0;    // time of day at acceptance, Unix ms
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -94,10 +94,10 @@
 
 struct FleetConfig
 {
-  std::uint64_t mVersion = 0;          // 0: none known yet
+  std::uint64_t mVersion = 0;  // 0: none known yet
   std::vector<QueueConfig> mQueues{};
   std::vector<std::string> mServices{};
-  std::size_t mMaxBodyBytes = 262'144; // of a caller's request
+  std::size_t mMaxBodyBytes = 262'144;  // of a caller's request
 };
 
 // Workers
@@ -105,15 +105,15 @@
 {
   std::string mId{};
   std::string mService{};
-  std::string mAddress{};            // IP:PORT
+  std::string mAddress{};  // IP:PORT
   std::string mZone{};
-  std::vector<std::string> mLabels{}; // kind and rack
+  std::vector<std::string> mLabels{};  // kind and rack
   std::uint32_t mMilliCores = 0;
   std::uint32_t mMemoryMiB = 0;
   std::uint32_t mAccelerators = 0;
   bool mDraining = false;
-  std::int64_t mDrainRemainingMs = 0; // least time until a draining worker leaves
-  std::int64_t mBornMs = 0;           // start of this life, Unix ms; 0: not told
+  std::int64_t mDrainRemainingMs = 0;  // least time until a draining worker leaves
+  std::int64_t mBornMs = 0;            // start of this life, Unix ms; 0: not told
 };
 
 struct RunningRow  // a task that a worker runs
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -9,17 +9,17 @@
 
 namespace {
 
-constexpr std::uint64_t kRunsPerEpoch = 1000;            // run numbers of one task in one epoch
-constexpr Duration kRepeatStop = milliseconds(400);      // a stop without an answer is sent again
-constexpr Duration kRetryAdvice = milliseconds(150);     // after a call that failed
-constexpr Duration kTicketMargin = milliseconds(60);     // travel time of a start to its worker
-constexpr Duration kFullFor = milliseconds(100);         // until a full worker's next report
-constexpr Duration kLapseMargin = milliseconds(200);     // rounding and travel, over the lease itself
-constexpr std::uint32_t kFailStreak = 3;                 // failed ends in a row before a quarantine
-constexpr Duration kQuarantine = seconds(2);             // doubled with each one that follows
-constexpr std::uint32_t kLongestQuarantine = 3;          // doublings
-constexpr Duration kSlowAdvice = milliseconds(200);      // calls above it count as slow ones
-constexpr std::size_t kMostAdmitted = 16;                // workers named when tickets are renewed
+constexpr std::uint64_t kRunsPerEpoch = 1000;         // run numbers of one task in one epoch
+constexpr Duration kRepeatStop = milliseconds(400);   // a stop without an answer is sent again
+constexpr Duration kRetryAdvice = milliseconds(150);  // after a call that failed
+constexpr Duration kTicketMargin = milliseconds(60);  // travel time of a start to its worker
+constexpr Duration kFullFor = milliseconds(100);      // until a full worker's next report
+constexpr Duration kLapseMargin = milliseconds(200);  // rounding and travel, over the lease itself
+constexpr std::uint32_t kFailStreak = 3;              // failed ends in a row before a quarantine
+constexpr Duration kQuarantine = seconds(2);          // doubled with each one that follows
+constexpr std::uint32_t kLongestQuarantine = 3;       // doublings
+constexpr Duration kSlowAdvice = milliseconds(200);   // calls above it count as slow ones
+constexpr std::size_t kMostAdmitted = 16;             // workers named when tickets are renewed
 
 template<class T>
 bool Contains(const std::vector<T>& aItems, const T& aItem)
@@ -97,8 +97,8 @@
     MakeOccurrence(*job, 0, aNow);
   if (const QueueConfig* queue = FindQueue(job->mSpec.mQueue)) {
     const Duration chain = EstimateChain(job->mSpec.mStages, *queue);
-    job->mDueAt = aNow + queue->mSlack +
-                  std::chrono::duration_cast<Duration>(queue->mStretch * chain);
+    job->mDueAt =
+      aNow + queue->mSlack + std::chrono::duration_cast<Duration>(queue->mStretch * chain);
   } else {
     job->mDueAt = aNow + seconds(5);
   }
@@ -351,8 +351,7 @@
 void Scheduler::DropLapsed(TimePoint aNow, Duration aGrace)
 {
   const Duration longest =
-    std::chrono::duration_cast<Duration>(mSettings.mTaskLease *
-                                         (1 + mSettings.mWorkerClockDrift)) +
+    std::chrono::duration_cast<Duration>(mSettings.mTaskLease * (1 + mSettings.mWorkerClockDrift)) +
     kLapseMargin;
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     Worker& worker = it->second;
@@ -441,10 +440,7 @@
   ReleaseTask(run, aNeverRan);
 }
 
-void Scheduler::BlameWorker(Worker& aWorker,
-                            const std::string& aJob,
-                            bool aFailed,
-                            TimePoint aNow)
+void Scheduler::BlameWorker(Worker& aWorker, const std::string& aJob, bool aFailed, TimePoint aNow)
 {
   if (!aFailed) {
     aWorker.mFailStreak = 0;
@@ -610,11 +606,10 @@
       listed.erase(it);
       continue;
     }
-    const bool isGone =
-      (run.mPhase == RunPhase::Running && aSentAt > run.mSentAt) ||
-      (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
-       aSentAt > run.mStopAckedAt) ||
-      !run.mKnown;
+    const bool isGone = (run.mPhase == RunPhase::Running && aSentAt > run.mSentAt) ||
+                        (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
+                         aSentAt > run.mStopAckedAt) ||
+                        !run.mKnown;
     if (isGone) {
       const bool neverRan = run.mKnown && !run.mSeen && run.mPhase == RunPhase::Stopping;
       if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
@@ -785,16 +780,13 @@
           break;
         MakeOccurrence(job, k, aNow);
         job.mDueAt = aNow + queue->mSlack +
-                     std::chrono::duration_cast<Duration>(
-                       queue->mStretch * EstimateChain(job.mSpec.mStages, *queue));
+                     std::chrono::duration_cast<Duration>(queue->mStretch *
+                                                          EstimateChain(job.mSpec.mStages, *queue));
       }
       for (std::uint32_t n = 0; n < occurrence.mStages.size(); ++n)
         if (IsStageReady(job, occurrence, n))
-          ready.push_back({ &job,
-                            queue,
-                            &job.mSpec.mStages[n],
-                            &occurrence.mStages[n],
-                            TaskRef{ id, k, n, 0 } });
+          ready.push_back(
+            { &job, queue, &job.mSpec.mStages[n], &occurrence.mStages[n], TaskRef{ id, k, n, 0 } });
     }
   }
   std::sort(ready.begin(), ready.end(), [](const Ready& aLeft, const Ready& aRight) {
@@ -844,10 +836,10 @@
         CountOf(aWorker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
       return;
     const bool failedHere = Contains(aTask.mFailedOn, aId);
-    const bool isFar = !aReady.mSpec->mDataRack.empty() &&
-                       GetRack(aWorker) != aReady.mSpec->mDataRack;
-    const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } -
-                              aWorker.mUsedMilliCores - aReady.mSpec->mMilliCores;
+    const bool isFar =
+      !aReady.mSpec->mDataRack.empty() && GetRack(aWorker) != aReady.mSpec->mDataRack;
+    const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } - aWorker.mUsedMilliCores -
+                              aReady.mSpec->mMilliCores;
     // Fillers go where most is left; others where least is.
     const std::tuple score(failedHere, isFar, aReady.mSpec->mFiller ? -left : left);
     if (!best || score < bestScore) {
@@ -1099,8 +1091,9 @@
   for (const auto& [number, isSlow] : mAdviceInFlight)
     slowInFlight += isSlow ? 1 : 0;
   const std::size_t advisors = aFreeAdvisors + mAdviceInFlight.size();
-  const std::size_t heavy =
-    mSettings.mHeavyAdvisors != 0 ? mSettings.mHeavyAdvisors : std::max<std::size_t>(1, advisors * 3 / 4);
+  const std::size_t heavy = mSettings.mHeavyAdvisors != 0
+                              ? mSettings.mHeavyAdvisors
+                              : std::max<std::size_t>(1, advisors * 3 / 4);
   std::size_t freeHeavy = heavy > slowInFlight ? heavy - slowInFlight : 0;
   for (const Ready& ready : CollectReady(aNow, aWallMs)) {
     if (ready.mSpec->mGang && ready.mStage->mWaiting < ready.mStage->mTasks.size())
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -1,7 +1,7 @@
 // The fleet's book: what has to run, what runs where, and what comes next. No input or output: time
-// comes in as an argument, orders go out in Orders, and the outcome of each order comes back through
-// an On... function. One process at a time holds the lease to run one; a new holder starts with an
-// empty Scheduler, feeds it the stored jobs and the reports of all workers, and goes on.
+// comes in as an argument, orders go out in Orders, and the outcome of each order comes back
+// through an On... function. One process at a time holds the lease to run one; a new holder starts
+// with an empty Scheduler, feeds it the stored jobs and the reports of all workers, and goes on.
 //
 // Index
 //   Settings   bounds of the deployment
@@ -24,12 +24,12 @@
 // Settings
 struct SchedulerSettings
 {
-  std::uint64_t mEpoch = 1;              // of this holder; run numbers rise with it
-  Duration mTaskLease = seconds(6);      // a worker kills what isn't renewed for so long
-  double mWorkerClockDrift = 0.02;       // a worker's clock may be this much slower
-  Duration mGangWait = seconds(3);       // members wait so long for the rest of their gang
-  std::uint32_t mAdviceWorkers = 60;     // most workers that one advice call names
-  std::uint32_t mHeavyAdvisors = 0;      // advisors that take slow calls; 0: three of four
+  std::uint64_t mEpoch = 1;           // of this holder; run numbers rise with it
+  Duration mTaskLease = seconds(6);   // a worker kills what isn't renewed for so long
+  double mWorkerClockDrift = 0.02;    // a worker's clock may be this much slower
+  Duration mGangWait = seconds(3);    // members wait so long for the rest of their gang
+  std::uint32_t mAdviceWorkers = 60;  // most workers that one advice call names
+  std::uint32_t mHeavyAdvisors = 0;   // advisors that take slow calls; 0: three of four
 };
 
 // Book
@@ -53,21 +53,21 @@
 struct Run  // room taken on a worker
 {
   std::string mTask{};
-  std::string mCheckpoint{};     // last one reported
+  std::string mCheckpoint{};  // last one reported
   TaskRef mRef{};
-  bool mKnown = false;           // mRef names a task of a job in the book
+  bool mKnown = false;  // mRef names a task of a job in the book
   std::uint64_t mRun = 0;
   RunPhase mPhase = RunPhase::Starting;
-  std::uint32_t mMilliCores = 0; // reserved
+  std::uint32_t mMilliCores = 0;  // reserved
   std::uint32_t mMemoryMiB = 0;
   std::uint32_t mAccelerators = 0;
-  bool mSeen = false;            // listed by the worker at least once
-  TimePoint mSentAt{};           // of the order, then of its answer
-  TimePoint mStopSentAt{};       // zero: none
-  TimePoint mStopAckedAt{};      // zero: none
+  bool mSeen = false;        // listed by the worker at least once
+  TimePoint mSentAt{};       // of the order, then of its answer
+  TimePoint mStopSentAt{};   // zero: none
+  TimePoint mStopAckedAt{};  // zero: none
   double mPercent = 0;
-  TimePoint mProgressAt{};       // when mPercent last rose
-  std::uint32_t mPace = 100;     // share at which a filler may work
+  TimePoint mProgressAt{};    // when mPercent last rose
+  std::uint32_t mPace = 100;  // share at which a filler may work
   double mTailMs = 0;
   std::int64_t mTailTargetMs = 0;
   bool mFiller = false;
@@ -76,12 +76,12 @@
 struct Task
 {
   bool mDone = false;
-  std::string mWorker{};       // empty: waits
-  std::uint64_t mRun = 0;      // last run number used
+  std::string mWorker{};                  // empty: waits
+  std::uint64_t mRun = 0;                 // last run number used
   std::set<std::uint64_t> mFailedRuns{};  // run numbers, as an end may be reported twice
   std::string mCheckpoint{};
-  std::vector<std::string> mFailedOn{};   // workers to avoid
-  bool mNeverRan = false;                 // its last run certainly did not begin
+  std::vector<std::string> mFailedOn{};  // workers to avoid
+  bool mNeverRan = false;                // its last run certainly did not begin
 };
 
 struct StageRun
@@ -90,13 +90,13 @@
   std::uint32_t mDone = 0;
   std::uint32_t mWaiting = 0;  // neither done nor on a worker
   std::map<std::string, std::pair<std::string, TimePoint>> mTickets{};  // worker → ticket, expiry
-  std::set<std::string> mRefused{};         // workers that the policy excludes
-  std::uint64_t mAdviceNumber = 0;          // call under way; 0: none
-  TimePoint mAskAgainAt{};                  // after a call that failed
-  TimePoint mReadyAt{};                     // when its predecessors had ended
+  std::set<std::string> mRefused{};  // workers that the policy excludes
+  std::uint64_t mAdviceNumber = 0;   // call under way; 0: none
+  TimePoint mAskAgainAt{};           // after a call that failed
+  TimePoint mReadyAt{};              // when its predecessors had ended
   std::set<std::uint64_t> mFailedGangRuns{};
-  std::string mGangCheckpoint{};            // any member's is good for all, and all carry the same
-  TimePoint mGangBrokenAt{};                // a member is missing since then; zero: none
+  std::string mGangCheckpoint{};  // any member's is good for all, and all carry the same
+  TimePoint mGangBrokenAt{};      // a member is missing since then; zero: none
 };
 
 struct Occurrence
@@ -121,12 +121,12 @@
 struct Worker
 {
   WorkerEntry mEntry{};
-  bool mListed = false;       // in the directory now
-  bool mRecorded = false;     // in the durable list of workers in use
-  bool mFenced = false;       // has answered this epoch
-  bool mReachable = false;    // its last call was answered
+  bool mListed = false;     // in the directory now
+  bool mRecorded = false;   // in the durable list of workers in use
+  bool mFenced = false;     // has answered this epoch
+  bool mReachable = false;  // its last call was answered
   TimePoint mAnsweredAt{};
-  TimePoint mLeaseSentAt{};   // of the last order that prolonged its tasks' leases
+  TimePoint mLeaseSentAt{};  // of the last order that prolonged its tasks' leases
   TimePoint mUnlistedAt{};
   std::uint64_t mLastEnd = 0;    // highest end processed
   std::uint64_t mStoredEnd = 0;  // highest end whose effect is stored
@@ -134,12 +134,13 @@
   std::uint32_t mUsedMemoryMiB = 0;
   std::uint32_t mUsedAccelerators = 0;
   std::vector<Run> mRuns{};
-  std::vector<std::pair<TimePoint, EndedRow>> mOrphanEnds{};  // of jobs that are not in the book yet
-  std::uint32_t mFailStreak = 0;        // failed ends in a row
-  std::string mFailJob{};               // job of the last failed end
+  std::vector<std::pair<TimePoint, EndedRow>>
+    mOrphanEnds{};                // of jobs that are not in the book yet
+  std::uint32_t mFailStreak = 0;  // failed ends in a row
+  std::string mFailJob{};         // job of the last failed end
   TimePoint mQuarantinedUntil{};
   std::uint32_t mQuarantines = 0;
-  TimePoint mFullUntil{};               // refused for want of room
+  TimePoint mFullUntil{};  // refused for want of room
 };
 
 struct Orders
@@ -170,8 +171,8 @@
   NoRoom,      // the worker says it is full
   OldRun,      // the worker has seen this or a later run
   BadTicket,
-  OtherLife,   // the worker's life that was meant has ended
-  Unknown      // no answer: it may have started, or may start later
+  OtherLife,  // the worker's life that was meant has ended
+  Unknown     // no answer: it may have started, or may start later
 };
 
 // Scheduler
@@ -209,7 +210,8 @@
                 Duration aValid,
                 TimePoint aAskedAt,
                 TimePoint aNow);
-  // Decides what to do next. Starts nothing before aMayStart; aFreeAdvisors bounds new advice calls.
+  // Decides what to do next. Starts nothing before aMayStart; aFreeAdvisors bounds new advice
+  // calls.
   Orders Plan(TimePoint aNow, std::int64_t aWallMs, bool aMayStart, std::size_t aFreeAdvisors);
 
   // Takeover: every worker that may run tasks of an earlier holder has answered or has lapsed.
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -127,6 +127,8 @@
   reader.ReadAddress("listen", "callers", true, out.mCallers);
   reader.ReadAddress("listen", "ready", true, out.mReady);
   reader.ReadAddress("listen", "peers", true, out.mPeers);
+  out.mPeersAdvertised = out.mPeers;
+  reader.ReadAddress("listen", "peers_advertised", false, out.mPeersAdvertised);
   reader.ReadAddress("store", "address", true, out.mStore);
   HttpAddress advice;
   if (reader.ReadAddress("advice", "address", false, advice))
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -18,9 +18,10 @@
   std::string mZone{};
   double mCores = 1;  // share of a processor core that this VM may use
   // [listen]
-  HttpAddress mCallers{};  // jobs
-  HttpAddress mReady{};    // readiness and metrics
-  HttpAddress mPeers{};    // other entry processes
+  HttpAddress mCallers{};          // jobs
+  HttpAddress mReady{};            // readiness and metrics
+  HttpAddress mPeers{};            // other entry processes
+  HttpAddress mPeersAdvertised{};  // where they reach this one; as mPeers unless set
   // [store], [advice]
   HttpAddress mStore{};
   std::optional<HttpAddress> mAdvice{};  // the policy service; none where no queue needs it
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -42,8 +42,8 @@
   std::map<PoolKey, std::vector<Stream>> mIdle{};
 };
 
-// True when the machine answers that nothing listens there: the process is gone, and not only out of
-// reach.
+// True when the machine answers that nothing listens there: the process is gone, and not only out
+// of reach.
 Async<bool> IsRefusing(HttpAddress aAddress, Duration aDeadline);
 
 // "127.0.0.1:8080" → address. Fails with BadInput.
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -63,10 +63,10 @@
   const auto layout = std::make_shared<log4cxx::PatternLayout>(kLayout);
   if (!aSettings.mFile.empty())
     return std::make_shared<log4cxx::FileAppender>(layout, aSettings.mFile, true);
-  return std::make_shared<log4cxx::ConsoleAppender>(
-    layout,
-    aSettings.mTarget == LogTarget::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut()
-                                                   : log4cxx::ConsoleAppender::getSystemErr());
+  return std::make_shared<log4cxx::ConsoleAppender>(layout,
+                                                    aSettings.mTarget == LogTarget::StandardOutput
+                                                      ? log4cxx::ConsoleAppender::getSystemOut()
+                                                      : log4cxx::ConsoleAppender::getSystemErr());
 }
 
 bool IsPlain(char aChar)
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -151,8 +151,8 @@
 {
   LogLevel mLevel = LogLevel::Info;
   LogTarget mTarget = LogTarget::StandardError;  // where no file is named
-  std::string mFile{};                 // appended to; empty: mTarget
-  std::uint32_t mQueueLines = 16'384;  // lines that may wait for the writer
+  std::string mFile{};                           // appended to; empty: mTarget
+  std::uint32_t mQueueLines = 16'384;            // lines that may wait for the writer
 };
 
 void ConfigureLog(const LogSettings& aSettings);
--- /dev/null
+++ b/standin/fleet.h
@@ -0,0 +1,137 @@
+// Stand-in of the users' platform for tests and the soak: its key-value store, its policy service
+// and its workers, on loopback, in the published forms. Every start is checked against what must
+// always hold, from the workers' side.
+//
+// Index
+//   FleetStandinOptions   size and rates
+//   StoreMode             how the store (mis)behaves
+//   FleetStandin          the stand-in
+#pragma once
+
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+
+#include "http/server.h"
+
+namespace monsoon::standin {
+
+// FleetStandinOptions
+struct FleetStandinOptions
+{
+  std::uint32_t mWorkers = 6;
+  std::uint32_t mMilliCores = 16'000;   // of each worker
+  Duration mLongestLease = seconds(6);  // of a task
+  Duration mAdviceTime = milliseconds(20);
+  double mAdmitted = 0.7;  // share of workers that may run a stage
+  std::uint64_t mSeed = 1;
+};
+
+// StoreMode
+enum class StoreMode : std::uint8_t
+{
+  Serving,
+  Busy,        // answers 503
+  Silent,      // answers nothing
+  LosesWrites  // a third of the writes are done and not answered
+};
+
+struct StandinStage  // what the checks need to know of a job
+{
+  std::uint32_t mCount = 0;
+  std::uint32_t mMilliCores = 0;
+  std::vector<std::uint32_t> mAfter{};
+};
+
+// FleetStandin: everything runs on the context's one thread; the calls below may come from any.
+class FleetStandin
+{
+public:
+  FleetStandin(asio::io_context& aContext, FleetStandinOptions aOptions);
+  ~FleetStandin();
+
+  Result<void> Start();
+  [[nodiscard]] std::uint16_t GetStorePort() const { return mStorePort; }
+  [[nodiscard]] std::uint16_t GetAdvicePort() const { return mAdvicePort; }
+
+  void RegisterJob(const std::string& aId, std::vector<StandinStage> aStages);
+  void SetStoreMode(StoreMode aMode) { mMode = aMode; }
+  void SetLostAnswers(double aShare) { mLostAnswers = aShare; }  // of orders to workers
+  void SetSilent(std::uint32_t aWorker, bool aSilent);           // it runs on and answers nothing
+  void CrashWorker(std::uint32_t aWorker);  // what it runs is lost; it is back under another id
+
+  [[nodiscard]] std::vector<std::string> ReadViolations() const;
+  [[nodiscard]] std::uint64_t CountStarts() const { return mStarts; }
+  [[nodiscard]] std::uint64_t CountEnds(const std::string& aJob) const;  // tasks that ended well
+
+private:
+  struct StoredItem
+  {
+    std::string mValue{};  // base64
+    std::uint64_t mRevision = 0;
+    std::uint64_t mCreated = 0;
+    std::uint64_t mLease = 0;
+  };
+  struct Event
+  {
+    std::uint64_t mRevision = 0;
+    std::string mKey{};
+    boost::json::object mBody{};
+  };
+  struct Running;
+  struct WorkerState;
+
+  Async<HttpResponse> HandleStore(HttpRequest aRequest);
+  Async<HttpResponse> HandleAdvice(HttpRequest aRequest);
+  Async<HttpResponse> HandleWorker(std::uint32_t aWorker, HttpRequest aRequest);
+  Async<HttpResponse> Watch(std::string aPrefix, std::uint64_t aAfter, Duration aWait);
+  Async<HttpResponse> Hold(std::uint32_t aWorker, boost::json::value aBody);
+  HttpResponse Commit(const boost::json::value& aBody);
+  HttpResponse List(const std::string& aPrefix, const std::string& aAfter) const;
+  HttpResponse StartTask(std::uint32_t aWorker, const boost::json::value& aBody);
+  HttpResponse StopTask(std::uint32_t aWorker, const boost::json::value& aBody);
+  Async<void> RunClock();
+  void Advance(WorkerState& aWorker);
+  void Write(const std::string& aKey, const std::string& aValue, std::uint64_t aLease);
+  void PutText(const std::string& aKey, const std::string& aText);
+  void Remove(const std::string& aKey);
+  void EndLease(std::uint64_t aLease);
+  void Record(const std::string& aKey, boost::json::object aEvent);
+  void Announce(std::uint32_t aWorker);
+  void Complain(std::string aWhat);
+  [[nodiscard]] static boost::json::object MakeItem(const std::string& aKey,
+                                                    const StoredItem& aItem);
+  [[nodiscard]] const StandinStage* FindStage(const std::string& aTask) const;
+  [[nodiscard]] bool Happens(double aShare);
+
+  asio::io_context& mContext;
+  FleetStandinOptions mOptions;
+  std::mt19937_64 mRandom;
+  std::unique_ptr<HttpServer> mStore{};
+  std::unique_ptr<HttpServer> mAdvice{};
+  std::uint16_t mStorePort = 0;
+  std::uint16_t mAdvicePort = 0;
+  std::atomic<StoreMode> mMode = StoreMode::Serving;
+  std::atomic<double> mLostAnswers = 0;
+  std::atomic<std::uint64_t> mStarts = 0;
+
+  mutable std::recursive_mutex mLock{};  // guards all below
+  std::uint64_t mRevision = 1;
+  std::map<std::string, StoredItem> mItems{};
+  std::vector<Event> mHistory{};
+  std::uint64_t mFirstRevision = 0;  // watches from before it are told to list again
+  std::map<std::uint64_t, std::pair<Duration, TimePoint>> mLeases{};  // lifetime, end
+  std::uint64_t mNextLease = 1;
+  std::vector<std::unique_ptr<WorkerState>> mWorkers{};
+  std::map<std::string, std::vector<StandinStage>> mJobs{};
+  std::set<std::string> mDone{};   // tasks with a good end
+  std::set<std::string> mNoted{};  // ... that was taken note of
+  std::vector<std::string> mViolations{};
+};
+
+}  // namespace monsoon::standin
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,382 @@
+// Randomized soak: real entry processes against the platform's stand-in, with faults from outside:
+// kills, stops, pauses and restarts by signals; a store that is busy, silent or loses answers;
+// links that are delayed, cut or frozen by proxies; workers that crash, fall silent or lose
+// answers. What must always hold is checked from what callers and workers see.
+//
+//   fleet_soak --seed 7 --seconds 20 --processes 5 --workers 8 --runs 10
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "core/json.h"
+#include "http/client.h"
+#include "observe/log.h"
+#include "standin/fleet.h"
+#include "tests/integration/proxy.h"
+
+using namespace monsoon;
+
+namespace {
+
+struct SoakOptions
+{
+  std::uint64_t mSeed = 1;
+  Duration mTime = seconds(20);
+  std::uint32_t mProcesses = 5;
+  std::uint32_t mWorkers = 8;
+  bool mFaults = true;
+};
+
+constexpr Duration kSettle = seconds(90);  // for all accepted jobs to end once the faults are over
+
+std::uint16_t FindFreePort()
+{
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+struct Process
+{
+  std::uint16_t mCallers = 0;
+  std::uint16_t mReady = 0;
+  std::uint16_t mPeers = 0;
+  std::string mSettings{};
+  std::string mLog{};
+  pid_t mPid = -1;
+  std::unique_ptr<testing::Proxy> mStoreLink{};
+  std::unique_ptr<testing::Proxy> mPeerLink{};
+};
+
+struct Submission
+{
+  std::string mId{};
+  std::uint64_t mTasks = 0;
+  bool mAccepted = false;
+  bool mMaybe = false;  // some attempt's outcome is unknown
+};
+
+class Soak
+{
+public:
+  explicit Soak(SoakOptions aOptions);
+  ~Soak();
+  bool Run();
+
+private:
+  void StartProcess(Process& aProcess);
+  void Kill(Process& aProcess, int aSignal);
+  Async<void> SubmitJobs();
+  Async<void> InjectFaults();
+  Async<void> InjectOne();
+  Async<void> CheckEnds();
+  Async<Result<HttpResponse>> Call(http::verb aVerb, std::string aId, std::string aBody);
+  std::uint64_t Draw(std::uint64_t aBound) { return mRandom() % aBound; }
+
+  SoakOptions mOptions;
+  std::mt19937_64 mRandom;
+  std::string mDirectory{};
+  testing::ProxyThread mProxies{};
+  asio::io_context mContext{ 1 };
+  std::unique_ptr<standin::FleetStandin> mPlatform{};
+  HttpClient mClient{};
+  std::vector<Process> mProcesses{};
+  std::vector<Submission> mSubmissions{};
+  std::vector<std::string> mFindings{};
+  bool mOver = false;
+};
+
+Soak::Soak(SoakOptions aOptions)
+  : mOptions(aOptions)
+  , mRandom(aOptions.mSeed)
+  , mDirectory(std::filesystem::temp_directory_path() /
+               ("fleet-soak-" + std::to_string(getpid()) + "-" + std::to_string(aOptions.mSeed)))
+{
+  std::filesystem::create_directories(mDirectory);
+  standin::FleetStandinOptions platform;
+  platform.mWorkers = mOptions.mWorkers;
+  platform.mSeed = mOptions.mSeed;
+  mPlatform = std::make_unique<standin::FleetStandin>(mContext, platform);
+  if (!mPlatform->Start())
+    throw std::runtime_error("the stand-in can't listen");
+  mProcesses.resize(mOptions.mProcesses);
+  for (std::uint32_t n = 0; n < mOptions.mProcesses; ++n) {
+    Process& it = mProcesses[n];
+    it.mCallers = FindFreePort();
+    it.mReady = FindFreePort();
+    it.mPeers = FindFreePort();
+    it.mStoreLink =
+      std::make_unique<testing::Proxy>(mProxies, mPlatform->GetStorePort(), mRandom());
+    it.mPeerLink = std::make_unique<testing::Proxy>(mProxies, it.mPeers, mRandom());
+    it.mSettings = mDirectory + "/entry-" + std::to_string(n) + ".toml";
+    it.mLog = mDirectory + "/entry-" + std::to_string(n) + ".log";
+    const auto local = [](std::uint16_t aPort) {
+      return "\"127.0.0.1:" + std::to_string(aPort) + "\"\n";
+    };
+    std::ofstream(it.mSettings) << "[process]\nname = \"entry-" << n << "\"\nzone = \"zone-a\"\n"
+                                << "[listen]\ncallers = " << local(it.mCallers)
+                                << "ready = " << local(it.mReady) << "peers = " << local(it.mPeers)
+                                << "peers_advertised = " << local(it.mPeerLink->GetPort())
+                                << "[store]\naddress = " << local(it.mStoreLink->GetPort())
+                                << "[advice]\naddress = " << local(mPlatform->GetAdvicePort());
+    StartProcess(it);
+  }
+}
+
+Soak::~Soak()
+{
+  for (Process& it : mProcesses)
+    Kill(it, SIGKILL);
+  if (mFindings.empty())
+    std::filesystem::remove_all(mDirectory);
+}
+
+void Soak::StartProcess(Process& aProcess)
+{
+  const int log = open(aProcess.mLog.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644);
+  aProcess.mPid = fork();
+  if (aProcess.mPid == 0) {
+    dup2(log, 1);
+    dup2(log, 2);
+    execl(MONSOONSTAGE_BINARY,
+          "monsoonstage",
+          "entry",
+          "--config",
+          aProcess.mSettings.c_str(),
+          static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  close(log);
+}
+
+void Soak::Kill(Process& aProcess, int aSignal)
+{
+  if (aProcess.mPid <= 0)
+    return;
+  kill(aProcess.mPid, aSignal);
+  kill(aProcess.mPid, SIGCONT);
+  waitpid(aProcess.mPid, nullptr, 0);
+  aProcess.mPid = -1;
+}
+
+Async<Result<HttpResponse>> Soak::Call(http::verb aVerb, std::string aId, std::string aBody)
+{
+  HttpRequest request(aVerb, "/q/" + aId, 11);
+  request.body() = std::move(aBody);
+  HttpAddress address{ "127.0.0.1", mProcesses[Draw(mProcesses.size())].mCallers };
+  co_return co_await mClient.Call(std::move(address), std::move(request), seconds(3));
+}
+
+Async<void> Soak::SubmitJobs()
+{
+  constexpr int kTries = 5;
+  while (!mOver) {
+    co_await Sleep(milliseconds(40 + Draw(120)));
+    char id[17];
+    std::snprintf(id, sizeof id, "%016lx", static_cast<unsigned long>(mRandom()));
+    Submission submission{ id };
+    std::vector<standin::StandinStage> stages;
+    boost::json::array steps;
+    const std::uint64_t count = 1 + Draw(3);
+    for (std::uint64_t n = 0; n < count; ++n) {
+      standin::StandinStage stage{ static_cast<std::uint32_t>(1 + Draw(4)),
+                                   static_cast<std::uint32_t>(1000 + 1000 * Draw(3)),
+                                   {} };
+      boost::json::object step{ { "count", stage.mCount },
+                                { "cpu", stage.mMilliCores },
+                                { "mem_mb", 100 },
+                                { "estimate_ms", 300 } };
+      if (n > 0) {
+        stage.mAfter.push_back(static_cast<std::uint32_t>(n - 1));
+        step["after"] = boost::json::array{ n - 1 };
+      }
+      submission.mTasks += stage.mCount;
+      stages.push_back(stage);
+      steps.push_back(step);
+    }
+    mPlatform->RegisterJob(id, stages);
+    const std::string payload = "ms=" + std::to_string(50 + Draw(800)) + " fail=3";
+    const std::string body =
+      boost::json::serialize(boost::json::object{ { "spec", payload }, { "steps", steps } });
+    for (int n = 0; n < kTries && !submission.mAccepted; ++n) {
+      auto response = co_await Call(http::verb::post, id, body);
+      submission.mAccepted = response && response->result() == http::status::ok;
+      const bool notRun = response ? response->result() == http::status::service_unavailable
+                                   : response.error().mKind == FailureKind::EndpointUnreachable;
+      submission.mMaybe = submission.mMaybe || (!submission.mAccepted && !notRun);
+      if (!submission.mAccepted)
+        co_await Sleep(milliseconds(200));
+    }
+    mSubmissions.push_back(std::move(submission));
+  }
+}
+
+Async<void> Soak::InjectOne()
+{
+  const std::size_t index = Draw(mProcesses.size());
+  Process& process = mProcesses[index];
+  const Duration time = milliseconds(300 + Draw(3500));
+  const auto worker = static_cast<std::uint32_t>(Draw(mOptions.mWorkers));
+  switch (Draw(10)) {
+    case 0:
+    case 1:
+      Kill(process, SIGKILL);
+      co_await Sleep(time / 4);
+      if (process.mPid < 0)
+        StartProcess(process);
+      break;
+    case 2:
+      if (process.mPid <= 0)
+        break;
+      kill(process.mPid, SIGSTOP);
+      co_await Sleep(time);
+      if (process.mPid > 0)
+        kill(process.mPid, SIGCONT);
+      break;
+    case 3:
+      if (process.mPid <= 0)
+        break;
+      kill(process.mPid, SIGTERM);
+      co_await Sleep(seconds(6));
+      Kill(process, SIGKILL);
+      StartProcess(process);
+      break;
+    case 4:
+      mPlatform->SetStoreMode(static_cast<standin::StoreMode>(1 + Draw(3)));
+      co_await Sleep(time);
+      mPlatform->SetStoreMode(standin::StoreMode::Serving);
+      break;
+    case 5:
+    case 6: {
+      testing::LinkFaults faults;
+      const std::uint64_t kind = Draw(3);
+      faults.mDelay = kind == 0 ? milliseconds(50 + Draw(200)) : milliseconds(0);
+      faults.mCut = kind == 1;
+      faults.mFrozen = kind == 2;
+      testing::Proxy& link = Draw(2) == 0 ? *process.mStoreLink : *process.mPeerLink;
+      link.SetFaults(faults);
+      co_await Sleep(time);
+      link.SetFaults({});
+      break;
+    }
+    case 7:
+      mPlatform->CrashWorker(worker);
+      break;
+    case 8:
+      mPlatform->SetSilent(worker, true);
+      co_await Sleep(2 * time);
+      mPlatform->SetSilent(worker, false);
+      break;
+    default:
+      mPlatform->SetLostAnswers(0.1);
+      co_await Sleep(time);
+      mPlatform->SetLostAnswers(0);
+      break;
+  }
+}
+
+Async<void> Soak::InjectFaults()
+{
+  while (!mOver) {
+    co_await Sleep(milliseconds(200 + Draw(1200)));
+    if (!mOver)
+      asio::co_spawn(mContext, InjectOne(), asio::detached);  // faults come in series and overlap
+  }
+}
+
+Async<void> Soak::CheckEnds()
+{
+  const TimePoint deadline = BootClock::now() + kSettle;
+  for (const Submission& it : mSubmissions) {
+    if (!it.mAccepted) {
+      if (!it.mMaybe && mPlatform->CountEnds(it.mId) > 0)
+        mFindings.push_back(it.mId + ": said not to have run, but it ran");
+      continue;
+    }
+    std::string state;
+    while (BootClock::now() < deadline) {
+      auto response = co_await Call(http::verb::get, it.mId, {});
+      if (response && response->result() == http::status::gone)
+        mFindings.push_back(it.mId + ": accepted, and now unknown");
+      if (response && response->result() == http::status::ok)
+        state = response->body();
+      if (state.find("completed") != std::string::npos)
+        break;
+      co_await Sleep(milliseconds(100));
+    }
+    if (state.find("completed") == std::string::npos)
+      mFindings.push_back(it.mId + ": accepted, and not completed: " + state);
+    else if (mPlatform->CountEnds(it.mId) != it.mTasks)
+      mFindings.push_back(it.mId + ": shown as completed with tasks that have not ended");
+  }
+  for (std::string& it : mPlatform->ReadViolations())
+    mFindings.push_back(std::move(it));
+  mContext.stop();
+}
+
+bool Soak::Run()
+{
+  asio::co_spawn(mContext, SubmitJobs(), asio::detached);
+  if (mOptions.mFaults)
+    asio::co_spawn(mContext, InjectFaults(), asio::detached);
+  asio::co_spawn(
+    mContext,
+    [this]() -> Async<void> {
+      co_await Sleep(mOptions.mTime);
+      mOver = true;
+      co_await Sleep(seconds(10));  // the longest fault under way
+      for (Process& it : mProcesses)
+        if (it.mPid < 0)
+          StartProcess(it);
+      co_await CheckEnds();
+    },
+    asio::detached);
+  mContext.run();
+  std::size_t accepted = 0;
+  for (const Submission& it : mSubmissions)
+    accepted += it.mAccepted ? 1 : 0;
+  std::cout << "seed " << mOptions.mSeed << ": " << mSubmissions.size() << " jobs, " << accepted
+            << " accepted, " << mPlatform->CountStarts() << " starts, " << mFindings.size()
+            << " findings\n";
+  for (const std::string& it : mFindings)
+    std::cout << "  " << it << '\n';
+  if (!mFindings.empty())
+    std::cout << "  logs: " << mDirectory << '\n';
+  std::cout.flush();
+  return mFindings.empty();
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  TCLAP::CmdLine line("Runs entry processes under random faults and checks what must hold.");
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
+  TCLAP::ValueArg<std::uint32_t> runs("", "runs", "seeds to run", false, 1, "N", line);
+  TCLAP::ValueArg<std::uint32_t> time("", "seconds", "of faults in each run", false, 20, "S", line);
+  TCLAP::ValueArg<std::uint32_t> processes("", "processes", "entry processes", false, 5, "N", line);
+  TCLAP::ValueArg<std::uint32_t> workers("", "workers", "workers", false, 8, "N", line);
+  TCLAP::ValueArg<int> faults("", "faults", "0: none", false, 1, "0|1", line);
+  line.parse(argc, argv);
+  int failed = 0;
+  for (std::uint32_t n = 0; n < runs.getValue(); ++n) {
+    SoakOptions options;
+    options.mSeed = seed.getValue() + n;
+    options.mTime = seconds(time.getValue());
+    options.mProcesses = processes.getValue();
+    options.mWorkers = workers.getValue();
+    options.mFaults = faults.getValue() != 0;
+    Soak soak(options);
+    failed += soak.Run() ? 0 : 1;
+  }
+  std::cout << (runs.getValue() - static_cast<std::uint32_t>(failed)) << " passed, " << failed
+            << " failed\n";
+  return failed == 0 ? 0 : 1;
+}
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -155,23 +155,20 @@
     for (std::uint32_t n = 0; n < job->mStages[before].mCount; ++n) {
       const std::string earlier =
         job->mId + ".0." + std::to_string(before) + "." + std::to_string(n);
-      const bool hasEnded = mNoted.contains(earlier) ||
-                            std::any_of(mNodes.begin(), mNodes.end(), [&](const auto& it) {
-                              return std::any_of(it.second.mEnded.begin(),
-                                                 it.second.mEnded.end(),
-                                                 [&](const EndedRow& row) {
-                                                   return row.mTask == earlier &&
-                                                          row.mKind == EndKind::Done;
-                                                 });
-                            });
+      const bool hasEnded =
+        mNoted.contains(earlier) || std::any_of(mNodes.begin(), mNodes.end(), [&](const auto& it) {
+          return std::any_of(
+            it.second.mEnded.begin(), it.second.mEnded.end(), [&](const EndedRow& row) {
+              return row.mTask == earlier && row.mKind == EndKind::Done;
+            });
+        });
       if (!hasEnded && !job->mStages[before].mGang)
         Complain("a start before " + earlier + " has ended: " + aOrder.mTask);
     }
   ++mStarts[aOrder.mTask];
   auto runTime = mRunTimes.find(job->mId);
-  const Duration planned = runTime != mRunTimes.end()
-                             ? runTime->second
-                             : Duration(milliseconds(200 + mRandom() % 1500));
+  const Duration planned =
+    runTime != mRunTimes.end() ? runTime->second : Duration(milliseconds(200 + mRandom() % 1500));
   Running it;
   it.mOrder = aOrder;
   it.mEnd = Happens(mFaults.mFailure) ? EndKind::Failed : EndKind::Done;
@@ -189,8 +186,7 @@
   const std::string prefix = aOrder.mTask.substr(0, aOrder.mTask.rfind('.') + 1);
   for (auto& [id, other] : mNodes)
     for (Running& member : other.mRunning)
-      if (other.mUp && member.mOrder.mTask.starts_with(prefix) &&
-          member.mOrder.mRun == aOrder.mRun)
+      if (other.mUp && member.mOrder.mTask.starts_with(prefix) && member.mOrder.mRun == aOrder.mRun)
         members.push_back(&member);
   if (members.size() < stage->mCount)
     return;
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -12,13 +12,13 @@
 
 struct FleetFaults
 {
-  double mLostAnswer = 0;   // share of orders that are carried out without an answer
-  double mLate = 0;         // share that gets no answer and is carried out 2 to 12 s later
-  double mFailure = 0;      // share of runs that fail
-  double mNoConnection = 0; // share of starts that never reach their worker
-  double mCrashPerS = 0;    // of each worker; it is back under another id after a second
-  double mSilencePerS = 0;  // of each worker; it runs on and answers nothing for up to 8 s
-  double mTakeoverPerS = 0; // the scheduler is replaced by an empty one
+  double mLostAnswer = 0;    // share of orders that are carried out without an answer
+  double mLate = 0;          // share that gets no answer and is carried out 2 to 12 s later
+  double mFailure = 0;       // share of runs that fail
+  double mNoConnection = 0;  // share of starts that never reach their worker
+  double mCrashPerS = 0;     // of each worker; it is back under another id after a second
+  double mSilencePerS = 0;   // of each worker; it runs on and answers nothing for up to 8 s
+  double mTakeoverPerS = 0;  // the scheduler is replaced by an empty one
 };
 
 class FleetModel
@@ -32,7 +32,10 @@
   void RunFor(Duration aTime);
   void StopFaults() { mFaults = {}; }
   void TakeOver();
-  [[nodiscard]] const Job* FindJob(const std::string& aId) const { return mScheduler->FindJob(aId); }
+  [[nodiscard]] const Job* FindJob(const std::string& aId) const
+  {
+    return mScheduler->FindJob(aId);
+  }
   [[nodiscard]] std::size_t CountStarts(const std::string& aTask) const;
   [[nodiscard]] Scheduler& GetScheduler() { return *mScheduler; }
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
@@ -92,7 +95,7 @@
   std::set<std::string> mCancelled{};
   std::map<std::string, std::string> mRecorded{};  // worker → address, as stored
   std::map<std::string, std::size_t> mStarts{};
-  std::set<std::string> mNoted{};                  // tasks whose good end was taken note of
+  std::set<std::string> mNoted{};  // tasks whose good end was taken note of
   std::map<std::string, std::size_t> mFailures{};
   std::map<std::string, Duration> mRunTimes{};
   std::optional<StartOutcome> mNextStart{};
