Tell the holder of accepted jobs, hand over when the store turns it away, look sooner while answers get lost

It resigns after 0.5 s when most members are served, a member ends the lease, and entries tell the holder of what they accepted. (2) a tenth of the answers got lost; a report's call was given up after 1.7 s only.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -202,6 +202,10 @@
             { "took_ms", BootClock::now() - startedAt } });
       if (IsHolder())
         mHolder->NoteJob(aId, value);
+      else {  // sooner than the holder's watch; a lost message costs only that
+        const SubmitRequest job{ aId, value };
+        asio::co_spawn(mContext, TellHolder("/accepted", EncodeMessage(job)), asio::detached);
+      }
       co_return MakeJsonResponse(http::status::ok, "{}");
     }
     mayBeStored = mayBeStored || stored.error().mKind == FailureKind::WriteUnknown;
@@ -392,6 +396,13 @@
     holder->NoteJob(request->mId, request->mValue);
     co_return answer({});
   }
+  if (path == "/accepted") {
+    auto job = DecodeMessage<SubmitRequest>(aRequest.body());
+    if (!job)
+      co_return MakeEmpty(http::status::bad_request);
+    holder->NoteJob(job->mId, job->mValue);
+    co_return answer({});
+  }
   if (path == "/cancelled") {
     auto id = DecodeMessage<std::string>(aRequest.body());
     if (!id)
@@ -431,9 +442,12 @@
       results.clear();
       continue;
     }
-    PollRequest poll{
-      mSettings.mName, mView.mRecord->mEpoch, mSettings.mCores, std::move(results)
-    };
+    PollRequest poll;
+    poll.mName = mSettings.mName;
+    poll.mEpoch = mView.mRecord->mEpoch;
+    poll.mCores = mSettings.mCores;
+    poll.mStoreServes = !mStore.GetFailingSince();
+    poll.mResults = std::move(results);
     results.clear();
     auto answer = co_await AskHolder("/poll", EncodeMessage(poll), kPollDeadline);
     if (!answer) {
@@ -444,6 +458,12 @@
     auto reply = DecodeMessage<PollReply>(*answer);
     if (!reply)
       continue;
+    if (reply->mHasResigned && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
+      // The holder can't end its lease itself.
+      co_await mStore.EndLease(mView.mRecord->mLease, kStoreDeadline);
+      co_await Sleep(milliseconds(50));
+      continue;
+    }
     for (const AdviceOrder& it : reply->mOrders) {
       const TimePoint askedAt = BootClock::now();
       auto advice = co_await platform::Advise(
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -23,16 +23,21 @@
 constexpr Duration kStoreEvery = milliseconds(40);  // gathers ends into one write
 constexpr std::size_t kJobsPerWrite = 15;  // a condition and a write each, and the holder's
 constexpr std::size_t kOrdersAtOnce = 3;   // to one worker
-constexpr Duration kOrderDeadline = milliseconds(800);  // a cross-zone round trip takes 9 ms
+constexpr Duration kOrderDeadline = milliseconds(400);  // a cross-zone round trip takes 9 ms
 constexpr Duration kHoldWait = milliseconds(1000);      // a report at least so often
-constexpr Duration kHoldMargin = milliseconds(700);
+constexpr Duration kHoldMargin = milliseconds(400);
+constexpr Duration kShortHoldWait = milliseconds(250);  // while answers get lost
+constexpr std::size_t kSilencesForShort = 3;            // within kSilenceAge, in the whole fleet
+constexpr Duration kSilenceAge = seconds(3);
 constexpr Duration kIdleHold = seconds(3);           // looks at a worker that runs nothing
 constexpr Duration kSilentHold = milliseconds(300);  // looks at a worker that does not answer
 constexpr Duration kPollWait = milliseconds(1500);
 constexpr Duration kAdviceMargin = milliseconds(1500);   // queueing and travel of a policy call
 constexpr Duration kResignDeadline = milliseconds(300);  // a cross-zone round trip takes 9 ms
-constexpr Duration kYieldAfter = milliseconds(700);      // most processes have polled by then
-constexpr double kLargerBy = 2;  // times the cores that are worth a handover
+constexpr Duration kTurnedAwayAfter =
+  milliseconds(500);  // of failing calls, with a member that is served
+constexpr Duration kYieldAfter = milliseconds(700);  // most processes have polled by then
+constexpr double kLargerBy = 2;                      // times the cores that are worth a handover
 constexpr Duration kForgetEvery = seconds(15);
 
 template<class F>
@@ -142,10 +147,28 @@
       Depose("its lease has ended");
     } else if (!MayRenewTaskLeases()) {
       Depose("its lease could not be renewed");
+    } else if (CanAnotherReachStore()) {
+      mHasResigned = true;
+      Depose("the store turns this process away and serves others");
     }
   }
 }
 
+bool Holder::CanAnotherReachStore() const
+{
+  const auto since = mStore.GetFailingSince();
+  const TimePoint now = BootClock::now();
+  if (!since || now - *since < kTurnedAwayAfter)
+    return false;
+  const auto serves = std::count_if(mMembers.begin(), mMembers.end(), [now](const auto& it) {
+    return it.second.mStoreServes && now - it.second.mPolledAt < kPollWait / 2;
+  });
+  const auto polled = std::count_if(mMembers.begin(), mMembers.end(), [now](const auto& it) {
+    return now - it.second.mPolledAt < kPollWait / 2;
+  });
+  return 2 * serves > polled;
+}
+
 // Another process can hold the lease once this one's has ended. It then either hears from us, or
 // reaches every worker first, or waits kOutageGrace before it starts anything: so orders may go on
 // until then, and an outage of the store alone stops nothing.
@@ -617,10 +640,12 @@
   if (mDeposed)
     co_return false;
   if (!report) {
-    if (report.error().mKind == FailureKind::Fenced)
+    if (report.error().mKind == FailureKind::Fenced) {
       Depose("a worker has seen a later epoch");
-    else
-      mScheduler.OnSilence(aId, BootClock::now());
+      co_return false;
+    }
+    mSilences.push_back(BootClock::now());
+    mScheduler.OnSilence(aId, BootClock::now());
     co_return false;
   }
   if (sentAt < channel.mReportSentAt)
@@ -634,6 +659,16 @@
   co_return true;
 }
 
+// A lost answer hides what ended on its worker until the call is given up, so calls are kept short
+// while answers get lost.
+Duration Holder::ChooseHoldWait()
+{
+  const TimePoint now = BootClock::now();
+  while (!mSilences.empty() && now - mSilences.front() > kSilenceAge)
+    mSilences.pop_front();
+  return mSilences.size() >= kSilencesForShort ? kShortHoldWait : kHoldWait;
+}
+
 Async<void> Holder::ProbeWorker(std::string aId)
 {
   auto self = shared_from_this();
@@ -660,14 +695,14 @@
     } else {
       const bool mayWait =
         wasReachable && worker->mFenced && !hasUnstoredEnds && !isUnsure && !isIdle;
-      const bool isAnswered = co_await HoldOnce(aId, mayWait ? kHoldWait : Duration::zero());
+      const bool isAnswered = co_await HoldOnce(aId, mayWait ? ChooseHoldWait() : Duration::zero());
       if (mDeposed)
         break;
       worker = mScheduler.FindWorker(aId);
       if (!worker)
         break;
       if (!isAnswered)
-        pause = kSilentHold;
+        pause = wasReachable ? Duration::zero() : kSilentHold;  // one answer may just be lost
       else if (!wasReachable)
         pause = Duration::zero();
       else if (worker->mLastEnd > worker->mStoredEnd || isUnsure)
@@ -960,10 +995,12 @@
   member.mWaiting = std::move(timer);
   member.mOrder.reset();
   member.mCores = aRequest.mCores;
+  member.mStoreServes = aRequest.mStoreServes;
   member.mPolledAt = BootClock::now();
   WakePlan();
   co_await mine->async_wait(kNoThrow);
   Member& now = mMembers[aRequest.mName];
+  reply.mHasResigned = mHasResigned;
   if (now.mWaiting.get() != mine)
     co_return reply;
   if (now.mOrder)
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -75,6 +75,7 @@
     std::optional<AdviceOrder> mOrder{};             // handed out with the waiting poll
     double mCores = 0;
     TimePoint mPolledAt{};
+    bool mStoreServes = false;
   };
   struct AdviceCall
   {
@@ -115,6 +116,8 @@
   void Dispatch(Orders aOrders);
   void LogStarts(const std::vector<StartOrder>& aStarts);
   [[nodiscard]] std::size_t CountFreeAdvisors() const;
+  [[nodiscard]] bool CanAnotherReachStore() const;
+  [[nodiscard]] Duration ChooseHoldWait();
   [[nodiscard]] bool MayStart() const;
   [[nodiscard]] bool MayRenewTaskLeases() const;
   [[nodiscard]] std::int64_t ReadWorkerClock(const Channel& aChannel) const;
@@ -129,7 +132,9 @@
   FleetConfig mConfig{};
   bool mDeposed = false;
   bool mLoaded = false;
-  bool mPredecessorGone = false;  // it has confirmed that it gives no more orders
+  std::deque<TimePoint> mSilences{};  // recent calls to workers that got no answer
+  bool mHasResigned = false;          // for a member that reaches the store
+  bool mPredecessorGone = false;      // it has confirmed that it gives no more orders
   TimePoint mTakenAt{};
   std::map<std::string, Channel> mChannels{};
   std::map<std::string, Member> mMembers{};
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -84,23 +84,25 @@
   std::string mName{};
   std::uint64_t mEpoch = 0;  // of the holder that is meant
   double mCores = 0;         // share of a core that this process has
+  bool mStoreServes = true;  // the store answers this process
   std::vector<AdviceResult> mResults{};
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mName, mEpoch, mCores, mResults);
+    aArchive(mName, mEpoch, mCores, mStoreServes, mResults);
   }
 };
 
 struct PollReply
 {
   std::vector<AdviceOrder> mOrders{};  // none or one
+  bool mHasResigned = false;           // the holder can't reach the store: its lease is to be ended
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mOrders);
+    aArchive(mOrders, mHasResigned);
   }
 };
 
