Hold back only what a silent worker may run after a takeover; copy speculative tasks of silent workers

A holder now stores the list of what a silent worker may run, and starts nothing there until the list is taken back; its successor holds back just those tasks. Copies of speculative tasks start after 0.3 s of silence. Writes of workers' records are conditional on the record they replace. The model of the fleet found one fault in the first form (a successor that did not know a worker wrote an empty list: tasks ran twice). Tests: two new ones, and records in the model.

--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -14,9 +14,11 @@
 
 constexpr Duration kStoreDeadline =
   milliseconds(700);                                 // an answer takes 4 ms; slow days some 240 ms
-constexpr Duration kRenewEvery = milliseconds(400);  // several tries within one lease
+constexpr Duration kRenewEvery = milliseconds(300);  // several tries within one lease
+constexpr Duration kRenewDeadline = milliseconds(350);  // slow days: some 240 ms
 constexpr Duration kOutageGrace = seconds(5);        // orders go on so long past the last renewal
 constexpr Duration kWatchWait = milliseconds(1500);  // a silent connection is found out by then
+constexpr Duration kRecordEvery = milliseconds(60);  // looks for workers to record
 constexpr Duration kRetryStore = milliseconds(100);
 constexpr Duration kPlanEvery = milliseconds(50);   // without anything new
 constexpr Duration kPlanSoon = milliseconds(4);     // gathers what comes in together
@@ -140,7 +142,7 @@
     if (mDeposed)
       co_return;
     const TimePoint sentAt = BootClock::now();
-    auto kept = co_await mStore.KeepLease(mGrant.mLease, kStoreDeadline);
+    auto kept = co_await mStore.KeepLease(mGrant.mLease, kRenewDeadline);
     if (kept) {
       mGrant.mRenewedAt = sentAt;
     } else if (kept.error().mKind == FailureKind::NotFound) {
@@ -240,15 +242,25 @@
   for (const StoreItem& it : state.mItems) {
     if (!it.mKey.starts_with(kWorkerPrefix))
       continue;
-    auto entry = DecodeMessage<std::pair<std::string, std::string>>(it.mValue);
-    if (!entry)
+    auto record = DecodeMessage<WorkerRecord>(it.mValue);
+    if (!record) {
+      Log(LogPart::Task,
+          LogLevel::Error,
+          "a worker's record can't be read",
+          { { "key", it.mKey }, { "what", record.error().mDetail } });
       continue;
+    }
     WorkerEntry worker;
     worker.mId = it.mKey.substr(kWorkerPrefix.size());
-    worker.mAddress = entry->first;
-    worker.mService = entry->second;
+    worker.mAddress = record->mAddress;
+    worker.mService = record->mService;
     mScheduler.ListWorker(worker, true, BootClock::now());
     mScheduler.UnlistWorker(worker.mId, BootClock::now());
+    mRecords.insert(worker.mId);
+    if (Worker* known = mScheduler.FindWorker(worker.mId))
+      known->mRecordRevision = it.mRevision;
+    if (record->mIsFinal)
+      mScheduler.SetFinalTasks(worker.mId, std::set(record->mTasks.begin(), record->mTasks.end()));
   }
   for (const StoreItem& it : directory.mItems)
     TakeWorkerItem(it);
@@ -398,35 +410,48 @@
 }
 
 // A worker is recorded before it gets its first task, so that a later holder finds it also when its
-// directory entry has lapsed.
+// directory entry has lapsed. While it is silent nothing starts there, and the list of what it may
+// run is final; the list is taken back before anything starts there again. Each write is
+// conditional on the record that it replaces: one that is carried out late changes nothing.
 Async<void> Holder::RecordWorkers()
 {
   auto self = shared_from_this();
-  std::set<std::string> recorded;
   while (!mDeposed) {
     StoreTransaction transaction;
     transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
-    std::vector<std::string> added;
-    std::vector<std::string> removed;
+    std::map<std::string, std::optional<std::set<std::string>>> written;  // and their final tasks
+    const auto isFull = [&transaction] {
+      return transaction.mConditions.size() + transaction.mWrites.size() +
+               transaction.mDeletes.size() + 2 >
+             platform::kMostStoreEntries;
+    };
     for (const auto& [id, worker] : mScheduler.GetWorkers()) {
-      if (worker.mRecorded)
-        recorded.insert(id);
-      else if (worker.mListed && transaction.mWrites.size() + 2 < platform::kMostStoreEntries) {
-        transaction.mWrites.push_back(
-          { MakeWorkerKey(id),
-            EncodeMessage(std::pair(worker.mEntry.mAddress, worker.mEntry.mService)) });
-        added.push_back(id);
+      const bool isSilent = worker.mFinalWanted && !worker.mReachable;
+      const bool takesBack =
+        (worker.mFinalTasks || worker.mFinalWanted) && worker.mReachable && worker.mFenced;
+      const bool isNew = !worker.mRecorded && worker.mListed;
+      if ((!isNew && !isSilent && !takesBack) || isFull())
+        continue;
+      WorkerRecord record{ worker.mEntry.mAddress, worker.mEntry.mService };
+      written[id];
+      if (isSilent) {
+        record.mIsFinal = true;
+        for (const Run& run : worker.mRuns)
+          record.mTasks.push_back(run.mTask);
+        written[id] = std::set(record.mTasks.begin(), record.mTasks.end());
       }
+      transaction.mConditions.emplace_back(MakeWorkerKey(id), worker.mRecordRevision);
+      transaction.mWrites.push_back({ MakeWorkerKey(id), EncodeMessage(record) });
     }
-    for (const std::string& id : recorded)
-      if (!mScheduler.GetWorkers().contains(id) &&
-          transaction.mWrites.size() + transaction.mDeletes.size() + 2 <
-            platform::kMostStoreEntries) {
-        transaction.mDeletes.push_back(MakeWorkerKey(id));
-        removed.push_back(id);
-      }
-    if (added.empty() && removed.empty()) {
-      co_await Sleep(milliseconds(100));
+    std::vector<std::string> removed;
+    for (const std::string& id : mRecords) {
+      if (mScheduler.GetWorkers().contains(id) || isFull())
+        continue;
+      transaction.mDeletes.push_back(MakeWorkerKey(id));
+      removed.push_back(id);
+    }
+    if (written.empty() && removed.empty()) {
+      co_await Sleep(kRecordEvery);
       continue;
     }
     auto outcome = co_await mStore.Commit(std::move(transaction), kStoreDeadline);
@@ -435,18 +460,48 @@
       continue;
     }
     if (!outcome->mCommitted) {
-      Depose("another process holds the lease");
-      co_return;
+      TakeRecordRevisions(*outcome, written);
+      co_await CheckHolderKey();
+      continue;
+    }
+    for (auto& [id, finalTasks] : written) {
+      mRecords.insert(id);
+      Worker* worker = mScheduler.FindWorker(id);
+      if (!worker)
+        continue;
+      worker->mRecorded = true;
+      worker->mRecordRevision = outcome->mRevision;
+      worker->mFinalWanted = false;
+      worker->mFinalTasks = std::move(finalTasks);
     }
-    for (const std::string& id : added)
-      if (Worker* worker = mScheduler.FindWorker(id))
-        worker->mRecorded = true;
     for (const std::string& id : removed)
-      recorded.erase(id);
+      mRecords.erase(id);
     WakePlan();
   }
 }
 
+// An earlier write of ours was done without an answer: goes on from what is there.
+void Holder::TakeRecordRevisions(
+  const platform::StoreOutcome& aOutcome,
+  const std::map<std::string, std::optional<std::set<std::string>>>& aWritten)
+{
+  for (const auto& [id, tasks] : aWritten)
+    if (Worker* worker = mScheduler.FindWorker(id))
+      worker->mRecordRevision = 0;
+  for (const StoreItem& it : aOutcome.mCurrent)
+    if (it.mKey.starts_with(kWorkerPrefix))
+      if (Worker* worker = mScheduler.FindWorker(it.mKey.substr(kWorkerPrefix.size())))
+        worker->mRecordRevision = it.mRevision;
+}
+
+Async<void> Holder::CheckHolderKey()
+{
+  auto self = shared_from_this();
+  auto holder = co_await mStore.Get(std::string(kHolderKey), kStoreDeadline);
+  if (holder && (!*holder || (*holder)->mRevision != mGrant.mKeyRevision))
+    Depose("another process holds the lease, or its key is gone");
+}
+
 // Progress
 
 Async<bool> Holder::StoreProgressOnce()
@@ -473,11 +528,7 @@
     mScheduler.OnProgressLost(batch);
     std::set<std::string> present;
     for (const StoreItem& it : outcome->mCurrent) {
-      if (it.mKey == kHolderKey) {
-        present.insert(it.mKey);
-        if (it.mRevision != mGrant.mKeyRevision)
-          Depose("another process holds the lease");
-      } else if (it.mKey.starts_with(kProgressPrefix)) {
+      if (it.mKey.starts_with(kProgressPrefix)) {
         const std::string id = it.mKey.substr(kProgressPrefix.size());
         present.insert(id);
         mProgressRevisions[id] = it.mRevision;
@@ -486,11 +537,8 @@
     for (const StoredProgress& it : batch.mJobs)
       if (!present.contains(it.mJob))
         mProgressRevisions[it.mJob] = 0;
-    if (!present.contains(std::string(kHolderKey))) {
-      auto holder = co_await mStore.Get(std::string(kHolderKey), kStoreDeadline);
-      if (holder && (!*holder || (*holder)->mRevision != mGrant.mKeyRevision))
-        Depose("its key is gone");
-    }
+    if (!mDeposed)
+      co_await CheckHolderKey();
     co_return false;
   }
   for (const StoredProgress& it : batch.mJobs)
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -93,6 +93,10 @@
   Async<void> StoreProgress();
   Async<bool> StoreProgressOnce();
   Async<void> RecordWorkers();
+  Async<void> CheckHolderKey();
+  void TakeRecordRevisions(
+    const platform::StoreOutcome& aOutcome,
+    const std::map<std::string, std::optional<std::set<std::string>>>& aWritten);
   Async<void> WatchWorker(std::string aId);
   Async<bool> HoldOnce(std::string aId, Duration aWait);
   Async<void> ProbeWorker(std::string aId);
@@ -140,6 +144,7 @@
   std::map<std::string, Member> mMembers{};
   std::map<std::uint64_t, AdviceCall> mAdvice{};  // under way
   bool mLocalAdviceBusy = false;
+  std::set<std::string> mRecords{};  // workers with a record in the store
   std::map<std::string, std::uint64_t> mProgressRevisions{};
   std::map<std::string, std::string> mEarlyProgress{};  // of jobs that are still to be read
   std::set<std::string> mEarlyCancels{};
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -63,6 +63,21 @@
   }
 };
 
+// A worker that may run tasks, as it stands in the store
+struct WorkerRecord
+{
+  std::string mAddress{};
+  std::string mService{};
+  bool mIsFinal = false;  // it was silent, and mTasks is all that it may run
+  std::vector<std::string> mTasks{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAddress, mService, mIsFinal, mTasks);
+  }
+};
+
 // Poll
 struct AdviceResult
 {
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kQuarantine = seconds(2);          // doubled with each one that follows
 constexpr std::uint32_t kLongestQuarantine = 3;       // doublings
 constexpr Duration kSlowAdvice = milliseconds(200);   // calls above it count as slow ones
+constexpr Duration kCopyAfter = milliseconds(300);    // of silence; a lost answer is noticed sooner
 constexpr std::size_t kMostAdmitted = 16;             // workers named when tickets are renewed
 
 template<class T>
@@ -340,6 +341,7 @@
   if (!worker || !worker->mReachable)
     return;
   worker->mReachable = false;
+  worker->mSilentSince = aNow;
   Log(LogPart::Task,
       LogLevel::Warn,
       "a worker does not answer; its tasks count as running until their lease lapses",
@@ -379,6 +381,17 @@
   }
 }
 
+void Scheduler::SetFinalTasks(const std::string& aId, std::set<std::string> aTasks)
+{
+  if (Worker* worker = FindWorker(aId))
+    worker->mFinalTasks = std::move(aTasks);
+}
+
+bool Scheduler::MayRunSomewhere(const TaskRef& aRef) const
+{
+  return !mMayRun.empty() && mMayRun.contains(FormatTask(aRef));
+}
+
 bool Scheduler::AreAllResolved() const
 {
   return std::all_of(
@@ -765,7 +778,17 @@
 std::vector<Scheduler::Ready> Scheduler::CollectReady(TimePoint aNow, std::int64_t aWallMs)
 {
   std::vector<Ready> ready;
-  const bool isResolved = AreAllResolved();
+  // Tasks of an earlier epoch may still run on workers that have not answered this one.
+  bool isResolved = true;
+  mMayRun.clear();
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mFenced)
+      continue;
+    if (worker.mFinalTasks)
+      mMayRun.insert(worker.mFinalTasks->begin(), worker.mFinalTasks->end());
+    else
+      isResolved = false;
+  }
   for (const std::string& id : mActive) {
     Job& job = *mJobs.at(id);
     if (job.mInherited && !isResolved)
@@ -799,8 +822,9 @@
 
 bool Scheduler::CanHost(const Worker& aWorker, const Ready& aReady, TimePoint aNow)
 {
-  if (!aWorker.mListed || !aWorker.mRecorded || !aWorker.mFenced || !aWorker.mReachable ||
-      aWorker.mEntry.mDraining || aWorker.mEntry.mService != aReady.mQueue->mService)
+  if (!aWorker.mListed || !aWorker.mRecorded || aWorker.mFinalTasks || aWorker.mFinalWanted ||
+      !aWorker.mFenced || !aWorker.mReachable || aWorker.mEntry.mDraining ||
+      aWorker.mEntry.mService != aReady.mQueue->mService)
     return false;
   if (aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mFullUntil)
     return false;
@@ -907,7 +931,8 @@
   const std::uint64_t base = (mSettings.mEpoch - 1) * kRunsPerEpoch;
   for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n) {
     Task& task = aReady.mStage->mTasks[n];
-    if (task.mDone || !task.mWorker.empty())
+    if (task.mDone || !task.mWorker.empty() ||
+        MayRunSomewhere({ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n }))
       continue;
     Worker* worker = PickWorker(aReady, task, aNow);
     if (!worker)
@@ -920,6 +945,9 @@
 {
   const StageSpec& spec = *aReady.mSpec;
   std::uint64_t run = (mSettings.mEpoch - 1) * kRunsPerEpoch;
+  for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n)
+    if (MayRunSomewhere({ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n }))
+      return;
   std::vector<Worker*> hosts;
   for (const Task& task : aReady.mStage->mTasks) {
     run = std::max(run, task.mRun);
@@ -1047,10 +1075,11 @@
         const Job* job = FindJob(run.mRef.mJob);
         const Task* task = FindTask(run.mRef);
         // An end of the worker's own says when a completed task's room is free.
-        mustStop = !job || !task || job->mState == JobState::Cancelled ||
-                   job->mState == JobState::Failed ||
-                   (!task->mDone && (task->mWorker != id || task->mRun != run.mRun)) ||
-                   (run.mPhase == RunPhase::Unconfirmed && worker.mAnsweredAt > run.mSentAt);
+        mustStop =
+          !job || !task || job->mState == JobState::Cancelled || job->mState == JobState::Failed ||
+          (!task->mDone && !run.mDetached && (task->mWorker != id || task->mRun != run.mRun)) ||
+          (task->mDone && job->mSpec.mStages[run.mRef.mStage].mSpeculative) ||
+          (run.mPhase == RunPhase::Unconfirmed && worker.mAnsweredAt > run.mSentAt);
       }
       if (!mustStop || run.mPhase == RunPhase::Starting)
         continue;
@@ -1061,6 +1090,27 @@
   }
 }
 
+// Copies of a speculative task cost room only, and a worker that is silent may be gone.
+void Scheduler::PlanCopies(TimePoint aNow)
+{
+  for (auto& [id, worker] : mWorkers) {
+    // Before it has answered this epoch, nobody here knows what it runs.
+    if (worker.mReachable || !worker.mFenced || aNow - worker.mSilentSince < kCopyAfter)
+      continue;
+    worker.mFinalWanted = !worker.mFinalTasks.has_value();
+    for (Run& run : worker.mRuns) {
+      const Job* job = run.mKnown && !run.mDetached ? FindJob(run.mRef.mJob) : nullptr;
+      Task* task = job ? FindTask(run.mRef) : nullptr;
+      if (!task || !job->mSpec.mStages[run.mRef.mStage].mSpeculative || task->mDone ||
+          task->mWorker != id || task->mRun != run.mRun)
+        continue;
+      run.mDetached = true;
+      task->mWorker.clear();
+      ++FindStage(run.mRef)->mWaiting;
+    }
+  }
+}
+
 void Scheduler::PlanPace(TimePoint, Orders& aOrders)
 {
   for (auto& [id, worker] : mWorkers) {
@@ -1087,6 +1137,7 @@
   if (!aMayStart)
     return orders;
   PlanPace(aNow, orders);
+  PlanCopies(aNow);
   std::size_t slowInFlight = 0;
   for (const auto& [number, isSlow] : mAdviceInFlight)
     slowInFlight += isSlow ? 1 : 0;
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -67,6 +67,7 @@
   TimePoint mStopAckedAt{};  // zero: none
   double mPercent = 0;
   TimePoint mProgressAt{};    // when mPercent last rose
+  bool mDetached = false;     // a copy of the task may run elsewhere too
   std::uint32_t mPace = 100;  // share at which a filler may work
   double mTailMs = 0;
   std::int64_t mTailTargetMs = 0;
@@ -121,10 +122,14 @@
 struct Worker
 {
   WorkerEntry mEntry{};
-  bool mListed = false;     // in the directory now
-  bool mRecorded = false;   // in the durable list of workers in use
-  bool mFenced = false;     // has answered this epoch
-  bool mReachable = false;  // its last call was answered
+  bool mListed = false;  // in the directory now
+  std::optional<std::set<std::string>>
+    mFinalTasks{};                    // all that it may run, written while it was silent
+  std::uint64_t mRecordRevision = 0;  // of its record in the store; 0: none
+  bool mFinalWanted = false;  // silent: mFinalTasks is to be stored, so nothing may start there
+  bool mRecorded = false;     // in the durable list of workers in use
+  bool mFenced = false;       // has answered this epoch
+  bool mReachable = false;    // its last call was answered
   TimePoint mAnsweredAt{};
   TimePoint mLeaseSentAt{};  // of the last order that prolonged its tasks' leases
   TimePoint mUnlistedAt{};
@@ -134,6 +139,7 @@
   std::uint32_t mUsedMemoryMiB = 0;
   std::uint32_t mUsedAccelerators = 0;
   std::vector<Run> mRuns{};
+  TimePoint mSilentSince{};  // while not mReachable
   std::vector<std::pair<TimePoint, EndedRow>>
     mOrphanEnds{};                // of jobs that are not in the book yet
   std::uint32_t mFailStreak = 0;  // failed ends in a row
@@ -193,6 +199,8 @@
 
   // Workers
   void ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow);
+  // What an earlier holder has stored: all tasks that a silent worker may run.
+  void SetFinalTasks(const std::string& aId, std::set<std::string> aTasks);
   void UnlistWorker(const std::string& aId, TimePoint aNow);
   void OnReport(const std::string& aId,
                 const WorkerReport& aReport,
@@ -268,6 +276,8 @@
                  std::size_t& aFreeHeavy,
                  Orders& aOrders);
   void PlanStops(TimePoint aNow, Orders& aOrders);
+  void PlanCopies(TimePoint aNow);
+  [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(TimePoint aNow, Orders& aOrders);
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
@@ -279,6 +289,8 @@
   std::set<std::string> mActive{};  // jobs that have not ended
   std::map<std::string, Worker> mWorkers{};
   std::set<std::string> mDirtyJobs{};
+  std::set<std::string>
+    mMayRun{};  // tasks that unresolved workers may run, while CollectReady's list is used
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
   std::uint64_t mNextAdvice = 1;
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -39,6 +39,8 @@
   [[nodiscard]] std::size_t CountStarts(const std::string& aTask) const;
   [[nodiscard]] Scheduler& GetScheduler() { return *mScheduler; }
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
+  // The worker that runs this task runs on and answers nothing for so long.
+  void Silence(const std::string& aTask, Duration aTime);
   // The next start order, and only it, gets this outcome without reaching its worker.
   void FailNextStart(StartOutcome aOutcome) { mNextStart = aOutcome; }
 
@@ -76,6 +78,7 @@
   void SendStart(const StartOrder& aOrder);
   void SendStop(const StopOrder& aOrder);
   void StoreProgress();
+  void RecordWorkers();
   void Inject();
   void AddNode(std::string aId, std::string aAddress);
   void Complain(std::string aWhat);
@@ -93,7 +96,8 @@
   std::map<std::string, JobSpec> mJobs{};
   std::map<std::string, std::string> mProgress{};
   std::set<std::string> mCancelled{};
-  std::map<std::string, std::string> mRecorded{};  // worker → address, as stored
+  std::map<std::string, std::string> mRecorded{};         // worker → address, as stored
+  std::map<std::string, std::set<std::string>> mFinal{};  // what silent workers may run, as stored
   std::map<std::string, std::size_t> mStarts{};
   std::set<std::string> mNoted{};  // tasks whose good end was taken note of
   std::map<std::string, std::size_t> mFailures{};
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -143,6 +143,43 @@
   CHECK(orders.mStarts[0].mCheckpoint == orders.mStarts[1].mCheckpoint);
 }
 
+TEST_CASE("fleet: a speculative task of a silent worker is copied elsewhere")
+{
+  FleetModel model(1, {}, 2);
+  model.SetQueue(MakeQueue("q"));
+  JobSpec job = MakeJob("a", 1);
+  job.mStages[0].mSpeculative = true;
+  model.SetRunTime("a", milliseconds(800));
+  model.Submit(job);
+  model.RunFor(milliseconds(200));
+  model.Silence("a.0.0.0", seconds(8));
+  model.RunFor(seconds(3));  // far less than the lease of the first copy
+  CHECK(GetState(model, "a") == JobState::Completed);
+  CHECK(model.CountStarts("a.0.0.0") == 2);
+}
+
+TEST_CASE("fleet: a silent worker holds back only what it may run after a takeover")
+{
+  FleetModel model(1, {}, 3);
+  model.SetQueue(MakeQueue("q"));
+  model.SetRunTime("a", milliseconds(800));
+  JobSpec job = MakeJob("a", 1, 2);
+  model.Submit(job);
+  JobSpec other = MakeJob("b", 1);
+  other.mStages[0].mMilliCores = 15'000;
+  model.RunFor(milliseconds(200));
+  model.Silence("a.0.0.0", seconds(8));
+  model.RunFor(milliseconds(1000));  // its list is stored by then
+  model.Submit(other);
+  model.TakeOver();
+  model.RunFor(seconds(3));
+  CHECK(GetState(model, "b") == JobState::Completed);
+  CHECK(model.CountStarts("a.0.0.0") == 1);
+  model.RunFor(seconds(20));
+  CHECK(GetState(model, "a") == JobState::Completed);
+  CHECK(model.mViolations.empty());
+}
+
 TEST_CASE("fleet: an end that is reported before its job is in the book counts when the job comes")
 {
   Scheduler scheduler({ .mEpoch = 2 });
@@ -193,6 +230,7 @@
       job.mStages[0].mGang = true;
       job.mStages[0].mCount = 1 + job.mStages[0].mCount % 4;
     }
+    job.mStages.back().mSpeculative = !job.mStages.back().mGang && random() % 3 == 0;
     model.Submit(job);
     if (random() % 8 == 0)
       model.Cancel(id);
