--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -131,14 +131,15 @@
     }
     for (Run& run : worker.mRuns)
       if (!run.mKnown && run.mPhase == RunPhase::Running && run.mTask.starts_with(prefix))
-        AdoptRun(worker, run);
+        AdoptRun(worker, run, aNow);
   }
 }
 
 // A run that a worker reports, and that no other run of the task stands against, is taken over with
 // its room. False: it must be stopped.
-bool Scheduler::AdoptRun(Worker& aWorker, Run& aRun)
+bool Scheduler::AdoptRun(Worker& aWorker, Run& aRun, TimePoint aNow)
 {
+  EnsureOccurrence(aRun.mRef, aNow);
   Job* job = FindJobMutable(aRun.mRef.mJob);
   Task* task = FindTask(aRun.mRef);
   if (!job || !task)
@@ -226,6 +227,15 @@
   }
 }
 
+// A worker that reports a task of an occurrence shows that an earlier holder found it due.
+void Scheduler::EnsureOccurrence(const TaskRef& aRef, TimePoint aNow)
+{
+  Job* job = FindJobMutable(aRef.mJob);
+  if (job && aRef.mOccurrence < job->mOccurrences.size() &&
+      !job->mOccurrences[aRef.mOccurrence].mStarted)
+    MakeOccurrence(*job, aRef.mOccurrence, aNow);
+}
+
 void Scheduler::MarkDirty(Job& aJob)
 {
   aJob.mDirty = true;
@@ -497,6 +507,7 @@
   TaskRef ref;
   if (!ParseTask(aRow.mTask, ref))
     return;
+  EnsureOccurrence(ref, aNow);
   Job* job = FindJobMutable(ref.mJob);
   Task* task = FindTask(ref);
   const auto run = std::find_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& it) {
@@ -643,7 +654,7 @@
     run.mSentAt = aSentAt;
     run.mPhase = RunPhase::Running;
     run.mCheckpoint = row->mCheckpoint;
-    const bool isAdopted = ParseTask(row->mTask, run.mRef) && AdoptRun(worker, run);
+    const bool isAdopted = ParseTask(row->mTask, run.mRef) && AdoptRun(worker, run, aNow);
     Log(LogPart::Task,
         LogLevel::Info,
         isAdopted ? "adopted a running task" : "a task runs that is not in the book",
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -242,13 +242,14 @@
   StageRun* FindStage(const TaskRef& aRef);
   [[nodiscard]] const QueueConfig* FindQueue(const std::string& aName) const;
   bool ParseTask(std::string_view aName, TaskRef& aRef) const;
+  void EnsureOccurrence(const TaskRef& aRef, TimePoint aNow);
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedRow& aRow, TimePoint aNow);
   void TakeOrphans(Job& aJob, TimePoint aNow);
-  bool AdoptRun(Worker& aWorker, Run& aRun);
+  bool AdoptRun(Worker& aWorker, Run& aRun, TimePoint aNow);
   void MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow);
   void CheckJobEnd(Job& aJob, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -180,6 +180,23 @@
   CHECK(model.mViolations.empty());
 }
 
+TEST_CASE("fleet: a takeover knows the running tasks of occurrences")
+{
+  FleetModel model(1, {}, 3);
+  model.SetQueue(MakeQueue("q"));
+  model.SetRunTime("a", seconds(2));
+  JobSpec job = MakeJob("a", 2);
+  job.mOccurrences = 2;
+  model.Submit(job);  // both are due at once
+  model.RunFor(milliseconds(500));
+  model.TakeOver();
+  model.RunFor(seconds(8));
+  CHECK(GetState(model, "a") == JobState::Completed);
+  CHECK(model.CountStarts("a.0.0.0") == 1);
+  CHECK(model.CountStarts("a.1.0.1") == 1);
+  CHECK(model.mViolations.empty());
+}
+
 TEST_CASE("fleet: an end that is reported before its job is in the book counts when the job comes")
 {
   Scheduler scheduler({ .mEpoch = 2 });
