Serve counters and latency histograms of an entry process

Requests by method and code with their time, starts by outcome with their time, policy calls, silent reports, takeovers, on the readiness address under /metrics.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -142,16 +142,20 @@
     co_return co_await ShowPending(queue->mName);
   if (!IsJobId(id))
     co_return MakeEmpty(http::status::not_found);
-  switch (aRequest.method()) {
-    case http::verb::post:
-      co_return co_await Submit(*queue, std::move(id), std::move(aRequest));
-    case http::verb::get:
-      co_return co_await ShowState(std::move(id), budget);
-    case http::verb::delete_:
-      co_return co_await Cancel(std::move(id), budget);
-    default:
-      co_return MakeEmpty(http::status::method_not_allowed);
-  }
+  const http::verb verb = aRequest.method();
+  const TimePoint startedAt = BootClock::now();
+  HttpResponse response = MakeEmpty(http::status::method_not_allowed);
+  if (verb == http::verb::post)
+    response = co_await Submit(*queue, std::move(id), std::move(aRequest));
+  else if (verb == http::verb::get)
+    response = co_await ShowState(std::move(id), budget);
+  else if (verb == http::verb::delete_)
+    response = co_await Cancel(std::move(id), budget);
+  const std::string labels = "method=\"" + std::string(http::to_string(verb)) + "\",code=\"" +
+                             std::to_string(response.result_int()) + "\"";
+  mMetrics.GetCounter("fleet_requests_total", labels).Add();
+  mMetrics.GetDistribution("fleet_request_seconds").Record(BootClock::now() - startedAt);
+  co_return response;
 }
 
 // Creates the job's key. True: stored, now or before. Fails with StoreUnavailable (it isn't stored
@@ -709,7 +713,8 @@
       mHolder->Depose("it holds a newer lease");
     mView.mRevision = std::max(mView.mRevision, revision);
     mView.mRecord = record;
-    mHolder = std::make_shared<Holder>(mContext, mSettings, mClient, mStore, std::move(grant));
+    mHolder =
+      std::make_shared<Holder>(mContext, mSettings, mClient, mStore, mMetrics, std::move(grant));
     mHolder->Start(mConfig);
     break;
   }
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -42,6 +42,18 @@
 constexpr double kLargerBy = 2;                      // times the cores that are worth a handover
 constexpr Duration kForgetEvery = seconds(15);
 
+std::string_view GetStartLabel(StartOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case StartOutcome::Started:
+      return R"(outcome="started")";
+    case StartOutcome::Unknown:
+      return R"(outcome="unknown")";
+    default:
+      return R"(outcome="not_started")";
+  }
+}
+
 template<class F>
 void Spawn(asio::io_context& aContext, F&& aCoroutine)
 {
@@ -65,11 +77,13 @@
                const EntrySettings& aSettings,
                HttpClient& aClient,
                platform::Store& aStore,
+               Metrics& aMetrics,
                HolderGrant aGrant)
   : mContext(aContext)
   , mSettings(aSettings)
   , mClient(aClient)
   , mStore(aStore)
+  , mMetrics(aMetrics)
   , mGrant(std::move(aGrant))
   , mScheduler(
       SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch, .mTaskLease = aSettings.mTaskLease })
@@ -85,6 +99,7 @@
       LogLevel::Info,
       "this process schedules now",
       { { "epoch", GetEpoch() }, { "lease", mGrant.mLease } });
+  mMetrics.GetCounter("fleet_takeovers_total").Add();
   SetConfig(aConfig);
   mPredecessorGone = !mGrant.mPredecessor.has_value();
   Spawn(mContext, KeepLease());
@@ -692,6 +707,7 @@
       Depose("a worker has seen a later epoch");
       co_return false;
     }
+    mMetrics.GetCounter("fleet_silent_reports_total").Add();
     mSilences.push_back(BootClock::now());
     mScheduler.OnSilence(aId, BootClock::now());
     co_return false;
@@ -812,6 +828,8 @@
         { "worker", aId },
         { "answer", answer.mDetail },
         { "took_ms", BootClock::now() - sentAt } });
+  mMetrics.GetCounter("fleet_starts_total", GetStartLabel(answer.mOutcome)).Add();
+  mMetrics.GetDistribution("fleet_start_seconds").Record(BootClock::now() - sentAt);
   if (answer.mFenced) {
     Depose("a worker has seen a later epoch");
     co_return;
@@ -999,6 +1017,7 @@
   const AdviceCall call = std::move(it->second);
   mAdvice.erase(it);
   const TimePoint now = BootClock::now();
+  mMetrics.GetDistribution("fleet_policy_call_seconds").Record(now - call.mAskedAt);
   Log(LogPart::Place,
       aResult.mAnswered ? LogLevel::Info : LogLevel::Warn,
       aResult.mAnswered ? "the policy service answered" : "the policy service did not answer",
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -17,6 +17,7 @@
 #include "fleet/peer_messages.h"
 #include "fleet/scheduler.h"
 #include "fleet/settings.h"
+#include "observe/metrics.h"
 #include "platform/store.h"
 #include "platform/workers.h"
 
@@ -40,6 +41,7 @@
          const EntrySettings& aSettings,
          HttpClient& aClient,
          platform::Store& aStore,
+         Metrics& aMetrics,
          HolderGrant aGrant);
 
   void Start(const FleetConfig& aConfig);
@@ -131,6 +133,7 @@
   const EntrySettings& mSettings;
   HttpClient& mClient;
   platform::Store& mStore;
+  Metrics& mMetrics;
   HolderGrant mGrant{};
   Scheduler mScheduler;
   FleetConfig mConfig{};
