--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -46,8 +46,8 @@
 
 bool IsJobId(std::string_view aText)
 {
-  return aText.size() == 16 && std::all_of(aText.begin(), aText.end(), [](unsigned char c) {
-           return std::isxdigit(c) != 0;
+  return aText.size() == 16 && std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
+           return std::isxdigit(aChar) != 0;
          });
 }
 
@@ -195,6 +195,11 @@
     Result<bool> stored = MakeFailure(FailureKind::StoreUnavailable, "the store is down");
     if (!IsStoreDown())
       stored = co_await StoreJob(aId, value, left);
+    if (!stored && IsIsolated() && !mayBeStored &&
+        stored.error().mKind == FailureKind::StoreUnavailable) {
+      why = "this process is isolated";
+      break;
+    }
     if (stored) {
       Log(LogPart::Request,
           LogLevel::Info,
@@ -224,7 +229,7 @@
       }
       mayBeStored = mayBeStored || relayed.error().mKind != FailureKind::StoreUnavailable;
     }
-    if (!mayBeStored)
+    if (!mayBeStored || IsIsolated())
       break;  // it has not run: the caller may try elsewhere at once
     co_await Sleep(milliseconds(50));
   }
@@ -232,14 +237,17 @@
       LogLevel::Warn,
       mayBeStored ? "the job may be stored" : "refused: the job could not be stored",
       { { "job", aId }, { "why", why } });
-  co_return MakeRefusal(mayBeStored ? http::status::gateway_timeout
-                                    : http::status::service_unavailable);
+  if (!mayBeStored)
+    co_return MakeRefusal(http::status::service_unavailable);
+  // Whether it is stored can't be known here. A connection without an answer makes the caller ask
+  // again elsewhere under the same id, which is safe.
+  co_return MakeJsonResponse(kNoAnswer, "");
 }
 
 Async<HttpResponse> Entry::ShowState(std::string aId, Duration aBudget)
 {
   const TimePoint deadline = BootClock::now() + aBudget;
-  while (BootClock::now() < deadline) {
+  while (BootClock::now() < deadline && !IsIsolated()) {
     auto answer = co_await AskHolder("/state", EncodeMessage(aId), kPeerDeadline);
     if (answer) {
       auto reply = DecodeMessage<StateReply>(*answer);
@@ -262,7 +270,7 @@
     co_await Sleep(milliseconds(50));
   }
   Log(LogPart::Request, LogLevel::Warn, "a job's state could not be read", { { "job", aId } });
-  co_return MakeEmpty(http::status::gateway_timeout);
+  co_return MakeRefusal(http::status::service_unavailable);
 }
 
 Async<HttpResponse> Entry::Cancel(std::string aId, Duration aBudget)
@@ -311,7 +319,7 @@
 {
   if (GetPath(std::string_view(aRequest.target().data(), aRequest.target().size())) == "/metrics")
     return MakeJsonResponse(http::status::ok, mMetrics.Render());
-  const bool isReady = mConfig.mVersion != 0 && !mStopping;
+  const bool isReady = mConfig.mVersion != 0 && !mStopping && !IsIsolated();
   return MakeEmpty(isReady ? http::status::ok : http::status::service_unavailable);
 }
 
@@ -330,7 +338,12 @@
     response = co_await HandlePeer(std::move(request));
   else if (mView.mRecord) {
     HttpAddress address{ mView.mRecord->mHost, mView.mRecord->mPort };
+    const TimePoint sentAt = BootClock::now();
     response = co_await mClient.Call(std::move(address), std::move(request), aDeadline);
+    if (response)
+      mHolderFailingSince.reset();
+    else if (!mHolderFailingSince)
+      mHolderFailingSince = sentAt;
   }
   if (!response) {
     if (response.error().mKind == FailureKind::EndpointUnreachable)
@@ -450,7 +463,7 @@
     poll.mName = mSettings.mName;
     poll.mEpoch = mView.mRecord->mEpoch;
     poll.mCores = mSettings.mCores;
-    poll.mStoreServes = !mStore.GetFailingSince();
+    poll.mStoreServedAgoMs = (BootClock::now() - mStore.GetServedAt()) / milliseconds(1);
     poll.mResults = std::move(results);
     results.clear();
     auto answer = co_await AskHolder("/poll", EncodeMessage(poll), kPollDeadline);
@@ -533,11 +546,21 @@
   }
 }
 
-// Nothing has run. Outages last seconds: a caller that comes back too early uses up its retries.
-HttpResponse Entry::MakeRefusal(http::status aStatus)
+// Neither the store nor the holder answers: most likely the links of this VM are cut, and other
+// processes serve.
+bool Entry::IsIsolated() const
+{
+  return IsStoreDown() && !IsHolder() &&
+         (!mView.mRecord ||
+          (mHolderFailingSince && BootClock::now() - *mHolderFailingSince > kStoreDownAfter));
+}
+
+// An outage of the store lasts seconds, and a caller that comes back too early uses up its retries;
+// an isolated process sends its callers to others at once.
+HttpResponse Entry::MakeRefusal(http::status aStatus) const
 {
   HttpResponse response(aStatus, 11);
-  response.set(http::field::retry_after, kRetryAfterOutage);
+  response.set(http::field::retry_after, IsIsolated() ? "0" : kRetryAfterOutage);
   return response;
 }
 
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -47,7 +47,8 @@
   Async<void> ReplaceLostHolder();
   Async<void> ProbeStore();
   [[nodiscard]] bool IsStoreDown() const;
-  [[nodiscard]] HttpResponse MakeRefusal(http::status aStatus);
+  [[nodiscard]] bool IsIsolated() const;
+  [[nodiscard]] HttpResponse MakeRefusal(http::status aStatus) const;
   // Store
   Async<void> WatchConfig();
   Async<void> WatchHolder();
@@ -71,6 +72,7 @@
   FleetConfig mConfig{};
   HolderView mView{};
   std::shared_ptr<Holder> mHolder{};
+  std::optional<TimePoint> mHolderFailingSince{};  // first call to it that failed since an answer
   bool mStopping = false;
   bool mCampaigning = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -34,12 +34,12 @@
 constexpr Duration kIdleHold = seconds(3);           // looks at a worker that runs nothing
 constexpr Duration kSilentHold = milliseconds(300);  // looks at a worker that does not answer
 constexpr Duration kPollWait = milliseconds(1500);
-constexpr Duration kAdviceMargin = milliseconds(1500);   // queueing and travel of a policy call
-constexpr Duration kResignDeadline = milliseconds(300);  // a cross-zone round trip takes 9 ms
-constexpr Duration kTurnedAwayAfter =
-  milliseconds(500);  // of failing calls, with a member that is served
-constexpr Duration kYieldAfter = milliseconds(700);  // most processes have polled by then
-constexpr double kLargerBy = 2;                      // times the cores that are worth a handover
+constexpr Duration kAdviceMargin = milliseconds(1500);    // queueing and travel of a policy call
+constexpr Duration kResignDeadline = milliseconds(300);   // a cross-zone round trip takes 9 ms
+constexpr Duration kTurnedAwayAfter = milliseconds(300);  // of failing calls
+constexpr Duration kTravelMargin = milliseconds(50);      // of a poll, between two clocks' readings
+constexpr Duration kYieldAfter = milliseconds(700);       // most processes have polled by then
+constexpr double kLargerBy = 2;  // times the cores that are worth a handover
 constexpr Duration kForgetEvery = seconds(15);
 
 std::string_view GetStartLabel(StartOutcome aOutcome)
@@ -177,13 +177,9 @@
   const TimePoint now = BootClock::now();
   if (!since || now - *since < kTurnedAwayAfter)
     return false;
-  const auto serves = std::count_if(mMembers.begin(), mMembers.end(), [now](const auto& it) {
-    return it.second.mStoreServes && now - it.second.mPolledAt < kPollWait / 2;
+  return std::any_of(mMembers.begin(), mMembers.end(), [&since](const auto& aItem) {
+    return aItem.second.mStoreServedAt > *since + kTravelMargin;
   });
-  const auto polled = std::count_if(mMembers.begin(), mMembers.end(), [now](const auto& it) {
-    return now - it.second.mPolledAt < kPollWait / 2;
-  });
-  return 2 * serves > polled;
 }
 
 // Another process can hold the lease once this one's has ended. It then either hears from us, or
@@ -750,8 +746,8 @@
     const bool wasReachable = worker->mReachable;
     const bool hasUnstoredEnds = worker->mLastEnd > worker->mStoredEnd;
     const bool isUnsure =
-      std::any_of(worker->mRuns.begin(), worker->mRuns.end(), [](const Run& it) {
-        return it.mPhase == RunPhase::Unconfirmed || it.mPhase == RunPhase::Stopping;
+      std::any_of(worker->mRuns.begin(), worker->mRuns.end(), [](const Run& aItem) {
+        return aItem.mPhase == RunPhase::Unconfirmed || aItem.mPhase == RunPhase::Stopping;
       });
     const bool isIdle = worker->mRuns.empty() && worker->mFenced && wasReachable;
     if (isIdle && !hasUnstoredEnds && BootClock::now() - worker->mAnsweredAt < kIdleHold) {
@@ -1062,7 +1058,7 @@
   member.mWaiting = std::move(timer);
   member.mOrder.reset();
   member.mCores = aRequest.mCores;
-  member.mStoreServes = aRequest.mStoreServes;
+  member.mStoreServedAt = BootClock::now() - milliseconds(aRequest.mStoreServedAgoMs);
   member.mPolledAt = BootClock::now();
   WakePlan();
   co_await mine->async_wait(kNoThrow);
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -77,7 +77,7 @@
     std::optional<AdviceOrder> mOrder{};             // handed out with the waiting poll
     double mCores = 0;
     TimePoint mPolledAt{};
-    bool mStoreServes = false;
+    TimePoint mStoreServedAt{};  // a call of it that the store served
   };
   struct AdviceCall
   {
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -99,13 +99,14 @@
   std::string mName{};
   std::uint64_t mEpoch = 0;  // of the holder that is meant
   double mCores = 0;         // share of a core that this process has
-  bool mStoreServes = true;  // the store answers this process
+  std::int64_t mStoreServedAgoMs =
+    0;  // since the newest call of this process that the store served
   std::vector<AdviceResult> mResults{};
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mName, mEpoch, mCores, mStoreServes, mResults);
+    aArchive(mName, mEpoch, mCores, mStoreServedAgoMs, mResults);
   }
 };
 
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -143,7 +143,7 @@
     mHasNewEnds = false;
     for (auto& [id, worker] : mWorkers) {
       std::erase_if(worker.mOrphanEnds,
-                    [aNow](const auto& it) { return aNow - it.first > kOrphanAge; });
+                    [aNow](const auto& aItem) { return aNow - aItem.first > kOrphanAge; });
       if (worker.mLastEnd > worker.mStoredEnd && worker.mOrphanEnds.empty())
         batch.mEnds.emplace_back(id, worker.mLastEnd);
       mHasNewEnds = mHasNewEnds || !worker.mOrphanEnds.empty();
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -405,7 +405,7 @@
 bool Scheduler::AreAllResolved() const
 {
   return std::all_of(
-    mWorkers.begin(), mWorkers.end(), [](const auto& it) { return it.second.mFenced; });
+    mWorkers.begin(), mWorkers.end(), [](const auto& aItem) { return aItem.second.mFenced; });
 }
 
 bool Scheduler::ParseTask(std::string_view aName, TaskRef& aRef) const
@@ -510,8 +510,8 @@
   EnsureOccurrence(ref, aNow);
   Job* job = FindJobMutable(ref.mJob);
   Task* task = FindTask(ref);
-  const auto run = std::find_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& it) {
-    return it.mTask == aRow.mTask && it.mRun == aRow.mRun;
+  const auto run = std::find_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& aItem) {
+    return aItem.mTask == aRow.mTask && aItem.mRun == aRow.mRun;
   });
   const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
   if (run != aWorker.mRuns.end())
@@ -670,8 +670,8 @@
   Worker* worker = FindWorker(aOrder.mWorker);
   if (!worker)
     return;
-  auto run = std::find_if(worker->mRuns.begin(), worker->mRuns.end(), [&](const Run& it) {
-    return it.mTask == aOrder.mTask && it.mRun == aOrder.mRun;
+  auto run = std::find_if(worker->mRuns.begin(), worker->mRuns.end(), [&](const Run& aItem) {
+    return aItem.mTask == aOrder.mTask && aItem.mRun == aOrder.mRun;
   });
   if (run == worker->mRuns.end())
     return;
@@ -768,9 +768,9 @@
   const StageSpec& spec = aJob.mSpec.mStages[aStage];
   if (spec.mGang && stage.mWaiting < stage.mTasks.size() && !IsGangRepairable(stage))
     return false;
-  return std::all_of(spec.mAfter.begin(), spec.mAfter.end(), [&](std::uint32_t n) {
-    return n < aOccurrence.mStages.size() &&
-           aOccurrence.mStages[n].mDone == aOccurrence.mStages[n].mTasks.size();
+  return std::all_of(spec.mAfter.begin(), spec.mAfter.end(), [&](std::uint32_t aIndex) {
+    return aIndex < aOccurrence.mStages.size() &&
+           aOccurrence.mStages[aIndex].mDone == aOccurrence.mStages[aIndex].mTasks.size();
   });
 }
 
@@ -781,8 +781,8 @@
   std::uint64_t run = 0;
   for (const Task& it : aStage.mTasks)
     run = std::max(run, it.mRun);
-  return std::all_of(aStage.mTasks.begin(), aStage.mTasks.end(), [run](const Task& it) {
-    return !it.mDone && it.mRun == run && (!it.mWorker.empty() || it.mNeverRan);
+  return std::all_of(aStage.mTasks.begin(), aStage.mTasks.end(), [run](const Task& aItem) {
+    return !aItem.mDone && aItem.mRun == run && (!aItem.mWorker.empty() || aItem.mNeverRan);
   });
 }
 
@@ -854,9 +854,9 @@
 std::size_t Scheduler::CountOf(const Worker& aWorker, const TaskRef& aStageRef) const
 {
   return static_cast<std::size_t>(
-    std::count_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& it) {
-      return it.mRef.mJob == aStageRef.mJob && it.mRef.mOccurrence == aStageRef.mOccurrence &&
-             it.mRef.mStage == aStageRef.mStage;
+    std::count_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& aItem) {
+      return aItem.mRef.mJob == aStageRef.mJob && aItem.mRef.mOccurrence == aStageRef.mOccurrence &&
+             aItem.mRef.mStage == aStageRef.mStage;
     }));
 }
 
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -135,7 +135,7 @@
 {
   const std::lock_guard lock(mLock);
   return static_cast<std::uint64_t>(std::count_if(
-    mDone.begin(), mDone.end(), [&](const std::string& it) { return GetJob(it) == aJob; }));
+    mDone.begin(), mDone.end(), [&](const std::string& aItem) { return GetJob(aItem) == aJob; }));
 }
 
 void FleetStandin::RegisterJob(const std::string& aId, std::vector<StandinStage> aStages)
@@ -194,9 +194,10 @@
   json::array admitted;
   for (const json::value& it : GetArray(*body, "workers")) {
     const std::string id(it.as_string());
-    const auto hash = std::hash<std::string>()(stage + id) % 1000;
-    if (hash < 1000 * mOptions.mAdmitted)
-      admitted.push_back(json::array{ id, "ticket-" + stage + "-" + id });
+    std::string pair = stage;
+    pair.append("-").append(id);
+    if (std::hash<std::string>()(pair) % 1000 < 1000 * mOptions.mAdmitted)
+      admitted.push_back(json::array{ id, "ticket-" + pair });
   }
   co_return Answer(http::status::ok, json::object{ { "admitted", admitted } });
 }
@@ -279,7 +280,10 @@
     Complain("a start after a good end: " + task);
   for (const std::uint32_t before : stage->mAfter)
     for (std::uint32_t n = 0; n < mJobs[GetJob(task)][before].mCount; ++n)
-      if (!mDone.contains(GetJob(task) + ".0." + std::to_string(before) + "." + std::to_string(n)))
+      if (std::string earlier = GetJob(task); !mDone.contains(earlier.append(".0.")
+                                                                .append(std::to_string(before))
+                                                                .append(".")
+                                                                .append(std::to_string(n))))
         Complain("a start before its predecessors: " + task);
   // The payload says how long the tasks run, and in percent how many fail: "ms=200 fail=5".
   const std::string payload = GetString(aBody, "spec");
@@ -326,7 +330,7 @@
         for (const auto& it : worker.mEnded)
           if (it.mNumber <= noted && it.mHow == "done")
             mNoted.insert(it.mTask);
-        std::erase_if(worker.mEnded, [noted](const auto& it) { return it.mNumber <= noted; });
+        std::erase_if(worker.mEnded, [noted](const auto& aItem) { return aItem.mNumber <= noted; });
         const std::int64_t clock = now.time_since_epoch() / milliseconds(1);
         if (const auto until = GetSigned(aBody, "until_ms"); until > clock)
           worker.mLeaseUntil =
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -156,10 +156,11 @@
       const std::string earlier =
         job->mId + ".0." + std::to_string(before) + "." + std::to_string(n);
       const bool hasEnded =
-        mNoted.contains(earlier) || std::any_of(mNodes.begin(), mNodes.end(), [&](const auto& it) {
+        mNoted.contains(earlier) ||
+        std::any_of(mNodes.begin(), mNodes.end(), [&](const auto& aItem) {
           return std::any_of(
-            it.second.mEnded.begin(), it.second.mEnded.end(), [&](const EndedRow& row) {
-              return row.mTask == earlier && row.mKind == EndKind::Done;
+            aItem.second.mEnded.begin(), aItem.second.mEnded.end(), [&](const EndedRow& aRow) {
+              return aRow.mTask == earlier && aRow.mKind == EndKind::Done;
             });
         });
       if (!hasEnded && !job->mStages[before].mGang)
@@ -292,7 +293,7 @@
   for (const EndedRow& row : node.mEnded)
     if (row.mNumber <= noted && row.mKind == EndKind::Done)
       mNoted.insert(row.mTask);
-  std::erase_if(node.mEnded, [noted](const EndedRow& row) { return row.mNumber <= noted; });
+  std::erase_if(node.mEnded, [noted](const EndedRow& aRow) { return aRow.mNumber <= noted; });
   WorkerReport report;
   report.mEnded = node.mEnded;
   for (const EndedRow& row : node.mEnded)
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -256,7 +256,7 @@
   model.StopFaults();
   model.RunFor(seconds(60));
   INFO("seed " << seed);
-  CHECK(model.mViolations == std::vector<std::string>());
+  CHECK_THAT(model.mViolations, Catch::Equals(std::vector<std::string>()));
   for (std::size_t n = 0; n < jobs; ++n) {
     INFO("job " << n);
     const JobState state = GetState(model, "j" + std::to_string(n));
