Store ends before the progress of running jobs; deadlines that a slow store meets

An end takes one entry of a transaction now, without a condition, and goes first. Test: ends are stored first.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -14,23 +14,19 @@
 
 namespace {
 
-constexpr Duration kHolderLease = milliseconds(1500);  // of the scheduler; the store's least is 1 s
-constexpr Duration kStoreDeadline =
-  milliseconds(700);                                 // an answer takes 4 ms; slow days some 240 ms
-constexpr Duration kFirstTry = milliseconds(500);    // of a write, before another process relays it
+constexpr Duration kHolderLease = milliseconds(2000);  // of the scheduler; the store's least is 1 s
+constexpr Duration kFirstTry = milliseconds(800);    // of a write, before another process relays it
 constexpr Duration kWatchWait = milliseconds(1500);  // a silent connection is found out by then
 constexpr Duration kRetryStore = milliseconds(100);
-constexpr Duration kPeerDeadline = milliseconds(500);   // a cross-zone round trip takes 9 ms
-constexpr Duration kPollDeadline = milliseconds(2500);  // the holder keeps a poll for 1.5 s
-constexpr Duration kCallerBudget = milliseconds(2500);  // where a caller gives none
-constexpr Duration kAnswerMargin = milliseconds(150);   // left for the answer's way back
-constexpr Duration kCampaignSpread = milliseconds(30);  // random delay between candidates
-constexpr Duration kStoreDownAfter =
-  milliseconds(300);  // of failing calls; one lost packet is less
+constexpr Duration kPeerDeadline = milliseconds(900);    // the holder may wait for a slow store
+constexpr Duration kPollDeadline = milliseconds(2500);   // the holder keeps a poll for 1.5 s
+constexpr Duration kCallerBudget = milliseconds(2500);   // where a caller gives none
+constexpr Duration kAnswerMargin = milliseconds(150);    // left for the answer's way back
+constexpr Duration kCampaignSpread = milliseconds(30);   // random delay between candidates
+constexpr Duration kStoreDownAfter = milliseconds(300);  // of failing calls
 constexpr Duration kProbeEvery = milliseconds(150);
-constexpr Duration kProbeDeadline = milliseconds(400);  // slow days: some 240 ms
-constexpr Duration kStandBack =
-  milliseconds(400);  // of small candidates; an election takes some 100 ms
+constexpr Duration kProbeDeadline = milliseconds(700);  // slow days: some 400 ms
+constexpr Duration kStandBack = milliseconds(400);      // an election takes some 100 ms
 constexpr Duration kSettingsEvery = seconds(1);
 constexpr Duration kStopMargin = milliseconds(1500);  // before SIGKILL
 constexpr Duration kDrainFor = milliseconds(2200);    // the balancer takes two misses, 1 s apart
@@ -255,11 +251,11 @@
         co_return MakeJsonResponse(http::status::ok,
                                    platform::FormatState(static_cast<JobState>(reply->mState)));
     }
-    auto job = co_await mStore.Get(MakeJobKey(aId), kStoreDeadline);
+    auto job = co_await mStore.Get(MakeJobKey(aId), platform::kStoreDeadline);
     if (job && !*job)
       co_return MakeEmpty(http::status::gone);
     if (job) {
-      auto progress = co_await mStore.Get(MakeProgressKey(aId), kStoreDeadline);
+      auto progress = co_await mStore.Get(MakeProgressKey(aId), platform::kStoreDeadline);
       if (progress) {
         JobState state = JobState::Queued;
         if (*progress)
@@ -277,14 +273,14 @@
 {
   const TimePoint deadline = BootClock::now() + aBudget;
   while (BootClock::now() < deadline) {
-    auto job = co_await mStore.Get(MakeJobKey(aId), kStoreDeadline);
+    auto job = co_await mStore.Get(MakeJobKey(aId), platform::kStoreDeadline);
     if (job && !*job)
       co_return MakeEmpty(http::status::gone);
     if (job) {
       StoreTransaction transaction;
       transaction.mConditions.emplace_back(MakeCancelKey(aId), 0);
       transaction.mWrites.push_back({ MakeCancelKey(aId), "cancelled" });
-      auto outcome = co_await mStore.Commit(std::move(transaction), kStoreDeadline);
+      auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
       if (outcome) {
         Log(LogPart::Request, LogLevel::Info, "took a cancellation", { { "job", aId } });
         if (IsHolder())
@@ -477,7 +473,7 @@
       continue;
     if (reply->mHasResigned && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
       // The holder can't end its lease itself.
-      co_await mStore.EndLease(mView.mRecord->mLease, kStoreDeadline);
+      co_await mStore.EndLease(mView.mRecord->mLease, platform::kStoreDeadline);
       co_await Sleep(milliseconds(50));
       continue;
     }
@@ -513,7 +509,7 @@
       LogLevel::Warn,
       "the holder's process is gone; its lease is ended",
       { { "holder", record.mName }, { "epoch", record.mEpoch } });
-  auto ended = co_await mStore.EndLease(record.mLease, kStoreDeadline);
+  auto ended = co_await mStore.EndLease(record.mLease, platform::kStoreDeadline);
   if (!ended)
     Log(LogPart::Ownership,
         LogLevel::Warn,
@@ -595,7 +591,7 @@
     const bool isList = revision == 0;
     Result<platform::StorePage> page = platform::StorePage{};
     if (isList)
-      page = co_await mStore.List(prefix, kStoreDeadline);
+      page = co_await mStore.List(prefix, platform::kStoreDeadline);
     else
       page = co_await mStore.Watch(prefix, revision, kWatchWait);
     if (!page) {
@@ -636,7 +632,7 @@
     const bool isList = revision == 0;
     Result<platform::StorePage> page = platform::StorePage{};
     if (isList)
-      page = co_await mStore.List(prefix, kStoreDeadline);
+      page = co_await mStore.List(prefix, platform::kStoreDeadline);
     else
       page = co_await mStore.Watch(prefix, revision, kWatchWait);
     if (!page) {
@@ -669,7 +665,7 @@
   co_await Sleep(random());
   bool hasStoodBack = false;
   for (; isOpen(); co_await Sleep(kRetryStore + random())) {
-    auto epoch = co_await mStore.Get(std::string(kEpochKey), kStoreDeadline);
+    auto epoch = co_await mStore.Get(std::string(kEpochKey), platform::kStoreDeadline);
     if (!epoch || !isOpen())
       continue;
     HolderGrant grant;
@@ -688,7 +684,7 @@
       continue;
     }
     const TimePoint sentAt = BootClock::now();
-    auto lease = co_await mStore.OpenLease(kHolderLease, kStoreDeadline);
+    auto lease = co_await mStore.OpenLease(kHolderLease, platform::kStoreDeadline);
     if (!lease)
       continue;
     grant.mLease = *lease;
@@ -702,7 +698,7 @@
     record.mLease = *lease;
     record.mLargestCores = std::max(largest, mSettings.mCores);
     if (!isOpen()) {
-      co_await mStore.EndLease(*lease, kStoreDeadline);
+      co_await mStore.EndLease(*lease, platform::kStoreDeadline);
       break;
     }
     StoreTransaction transaction;
@@ -710,12 +706,12 @@
     transaction.mConditions.emplace_back(kEpochKey, *epoch ? (*epoch)->mRevision : 0);
     transaction.mWrites.push_back({ std::string(kHolderKey), EncodeMessage(record), *lease });
     transaction.mWrites.push_back({ std::string(kEpochKey), EncodeMessage(record) });
-    auto outcome = co_await mStore.Commit(std::move(transaction), kStoreDeadline);
+    auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
     std::uint64_t revision = 0;
     if (outcome && outcome->mCommitted) {
       revision = outcome->mRevision;
     } else if (!outcome && outcome.error().mKind == FailureKind::WriteUnknown) {
-      auto item = co_await mStore.Get(std::string(kHolderKey), kStoreDeadline);
+      auto item = co_await mStore.Get(std::string(kHolderKey), platform::kStoreDeadline);
       if (item && *item) {
         auto there = DecodeMessage<HolderRecord>((*item)->mValue);
         if (there && *there == record)
@@ -724,11 +720,11 @@
     }
     if (revision == 0) {
       // Ending the lease also undoes a write that is carried out late.
-      co_await mStore.EndLease(*lease, kStoreDeadline);
+      co_await mStore.EndLease(*lease, platform::kStoreDeadline);
       continue;
     }
     if (mStopping) {
-      co_await mStore.EndLease(*lease, kStoreDeadline);
+      co_await mStore.EndLease(*lease, platform::kStoreDeadline);
       break;
     }
     grant.mKeyRevision = revision;
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -12,10 +12,8 @@
 
 namespace {
 
-constexpr Duration kStoreDeadline =
-  milliseconds(700);                                 // an answer takes 4 ms; slow days some 240 ms
-constexpr Duration kRenewEvery = milliseconds(300);  // several tries within one lease
-constexpr Duration kRenewDeadline = milliseconds(350);  // slow days: some 240 ms
+constexpr Duration kRenewEvery = milliseconds(300);     // several tries within one lease
+constexpr Duration kRenewDeadline = milliseconds(600);  // slow days: some 400 ms
 constexpr Duration kOutageGrace = seconds(5);        // orders go on so long past the last renewal
 constexpr Duration kWatchWait = milliseconds(1500);  // a silent connection is found out by then
 constexpr Duration kRecordEvery = milliseconds(60);  // looks for workers to record
@@ -23,8 +21,8 @@
 constexpr Duration kPlanEvery = milliseconds(50);   // without anything new
 constexpr Duration kPlanSoon = milliseconds(4);     // gathers what comes in together
 constexpr Duration kStoreEvery = milliseconds(40);  // gathers ends into one write
-constexpr std::size_t kJobsPerWrite = 15;  // a condition and a write each, and the holder's
-constexpr std::size_t kOrdersAtOnce = 3;   // to one worker
+constexpr std::size_t kProgressEntries = platform::kMostStoreEntries - 1;  // and the holder's key
+constexpr std::size_t kOrdersAtOnce = 3;                                   // to one worker
 constexpr Duration kOrderDeadline = milliseconds(400);  // a cross-zone round trip takes 9 ms
 constexpr Duration kHoldWait = milliseconds(1000);      // a report at least so often
 constexpr Duration kHoldMargin = milliseconds(400);
@@ -139,7 +137,7 @@
   auto self = shared_from_this();
   co_await StoreProgressOnce();
   Depose(aWhy);
-  auto ended = co_await mStore.EndLease(mGrant.mLease, kStoreDeadline);
+  auto ended = co_await mStore.EndLease(mGrant.mLease, platform::kStoreDeadline);
   if (!ended)
     Log(LogPart::Ownership,
         LogLevel::Warn,
@@ -225,11 +223,11 @@
   platform::StorePage state;
   platform::StorePage directory;
   for (bool isDone = false; !isDone && !mDeposed;) {
-    auto page = co_await mStore.List(std::string(kRoot), 3 * kStoreDeadline);
+    auto page = co_await mStore.List(std::string(kRoot), 3 * platform::kStoreDeadline);
     if (page) {
       state = std::move(*page);
       auto workers =
-        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * kStoreDeadline);
+        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
       if (workers) {
         directory = std::move(*workers);
         isDone = true;
@@ -375,7 +373,7 @@
     if (mDeposed)
       co_return;
     if (!page && page.error().mKind == FailureKind::Conflict)
-      page = co_await mStore.List(std::string(kJobPrefix), 3 * kStoreDeadline);
+      page = co_await mStore.List(std::string(kJobPrefix), 3 * platform::kStoreDeadline);
     if (!page) {
       co_await Sleep(kRetryStore);
       continue;
@@ -398,7 +396,8 @@
     if (mDeposed)
       co_return;
     if (!page && page.error().mKind == FailureKind::Conflict) {
-      page = co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * kStoreDeadline);
+      page =
+        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
       if (page) {
         std::set<std::string> listed;
         for (const StoreItem& it : page->mItems)
@@ -465,7 +464,7 @@
       co_await Sleep(kRecordEvery);
       continue;
     }
-    auto outcome = co_await mStore.Commit(std::move(transaction), kStoreDeadline);
+    auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
     if (!outcome) {
       co_await Sleep(kRetryStore);
       continue;
@@ -508,7 +507,7 @@
 Async<void> Holder::CheckHolderKey()
 {
   auto self = shared_from_this();
-  auto holder = co_await mStore.Get(std::string(kHolderKey), kStoreDeadline);
+  auto holder = co_await mStore.Get(std::string(kHolderKey), platform::kStoreDeadline);
   if (holder && (!*holder || (*holder)->mRevision != mGrant.mKeyRevision))
     Depose("another process holds the lease, or its key is gone");
 }
@@ -518,7 +517,7 @@
 Async<bool> Holder::StoreProgressOnce()
 {
   auto self = shared_from_this();
-  ProgressBatch batch = mScheduler.CollectProgress(kJobsPerWrite, BootClock::now());
+  ProgressBatch batch = mScheduler.CollectProgress(kProgressEntries, BootClock::now());
   if (batch.mJobs.empty()) {
     mScheduler.OnProgressStored(batch);
     co_return true;
@@ -526,11 +525,13 @@
   StoreTransaction transaction;
   transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
   for (const StoredProgress& it : batch.mJobs) {
-    // The condition keeps a write that is carried out late from undoing a newer one.
-    transaction.mConditions.emplace_back(MakeProgressKey(it.mJob), mProgressRevisions[it.mJob]);
+    // The condition keeps a write that is carried out late from undoing a newer one. After an end
+    // there is none.
+    if (!IsOver(it.mState))
+      transaction.mConditions.emplace_back(MakeProgressKey(it.mJob), mProgressRevisions[it.mJob]);
     transaction.mWrites.push_back({ MakeProgressKey(it.mJob), it.mBytes });
   }
-  auto outcome = co_await mStore.Commit(std::move(transaction), kStoreDeadline);
+  auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
   if (!outcome) {
     mScheduler.OnProgressLost(batch);
     co_return false;
@@ -546,7 +547,7 @@
       }
     }
     for (const StoredProgress& it : batch.mJobs)
-      if (!present.contains(it.mJob))
+      if (!IsOver(it.mState) && !present.contains(it.mJob))
         mProgressRevisions[it.mJob] = 0;
     if (!mDeposed)
       co_await CheckHolderKey();
@@ -602,7 +603,7 @@
         ids.pop_back();
       }
       // A delete that is lost leaves an ended job, which the next holder forgets.
-      co_await mStore.Commit(std::move(transaction), kStoreDeadline);
+      co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
     }
   }
 }
@@ -1078,13 +1079,12 @@
 Async<StateReply> Holder::GetState(std::string aId)
 {
   auto self = shared_from_this();
-  constexpr int kTries = 20;  // a write takes some 10 ms
+  constexpr int kTries = 80;  // a write takes some 10 ms, on slow days 400
   for (int n = 0;; ++n) {
     const Job* job = mDeposed ? nullptr : mScheduler.FindJob(aId);
     if (!job)
       co_return StateReply{};
-    const bool isOver = job->mState != JobState::Queued && job->mState != JobState::Running;
-    if (!isOver || job->mStoredState == job->mState)
+    if (!IsOver(job->mState) || job->mStoredState == job->mState)
       co_return StateReply{ true, static_cast<std::uint8_t>(job->mState) };
     // An end is shown once it is stored, so that no later holder can run the job again.
     if (n == kTries)
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -74,6 +74,11 @@
   Cancelled   // withdrawn by its caller
 };
 
+[[nodiscard]] inline bool IsOver(JobState aState)
+{
+  return aState != JobState::Queued && aState != JobState::Running;
+}
+
 // Queues
 struct QueueConfig
 {
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+constexpr std::size_t kEndedEntries = 1;  // of a transaction: an ended job's write is its last one
+constexpr std::size_t kRunningEntries = 2;  // a running job's write has a condition, too
+
 struct StageRecord
 {
   std::uint32_t mOccurrence = 0;
@@ -65,8 +68,7 @@
 {
   JobRecord record;
   record.mState = static_cast<std::uint8_t>(aJob.mState);
-  const bool isOver = aJob.mState != JobState::Queued && aJob.mState != JobState::Running;
-  for (std::uint32_t k = 0; k < aJob.mOccurrences.size() && !isOver; ++k) {
+  for (std::uint32_t k = 0; k < aJob.mOccurrences.size() && !IsOver(aJob.mState); ++k) {
     const Occurrence& occurrence = aJob.mOccurrences[k];
     for (std::uint32_t n = 0; n < occurrence.mStages.size(); ++n) {
       const StageRun& stage = occurrence.mStages[n];
@@ -125,17 +127,28 @@
   return static_cast<JobState>(record->mState);
 }
 
-ProgressBatch Scheduler::CollectProgress(std::size_t aMostJobs, TimePoint aNow)
+ProgressBatch Scheduler::CollectProgress(std::size_t aMostEntries, TimePoint aNow)
 {
   ProgressBatch batch;
-  while (!mDirtyJobs.empty() && batch.mJobs.size() < aMostJobs) {
-    const std::string id = *mDirtyJobs.begin();
-    mDirtyJobs.erase(mDirtyJobs.begin());
-    Job* job = FindJobMutable(id);
-    if (!job)
-      continue;
-    job->mDirty = false;
-    batch.mJobs.push_back({ id, EncodeProgress(*job), job->mState });
+  std::size_t entries = 0;
+  // Callers wait for the ends, so these come first: with a slow store not all fits into one write.
+  for (const bool takesEnded : { true, false }) {
+    for (auto it = mDirtyJobs.begin(); it != mDirtyJobs.end();) {
+      Job* job = FindJobMutable(*it);
+      if (job && IsOver(job->mState) != takesEnded) {
+        ++it;
+        continue;
+      }
+      const std::size_t cost = takesEnded ? kEndedEntries : kRunningEntries;
+      if (entries + cost > aMostEntries)
+        break;
+      if (job) {
+        entries += cost;
+        job->mDirty = false;
+        batch.mJobs.push_back({ *it, EncodeProgress(*job), job->mState });
+      }
+      it = mDirtyJobs.erase(it);
+    }
   }
   // An end may be taken note of only when the effects of all ends before it are stored.
   if (mDirtyJobs.empty()) {
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -28,12 +28,6 @@
   return std::find(aItems.begin(), aItems.end(), aItem) != aItems.end();
 }
 
-bool IsEnded(JobState aState)
-{
-  return aState == JobState::Completed || aState == JobState::Failed ||
-         aState == JobState::Cancelled;
-}
-
 std::string GetRack(const Worker& aWorker)
 {
   return aWorker.mEntry.mLabels.size() > 1 ? aWorker.mEntry.mLabels[1] : std::string();
@@ -106,7 +100,7 @@
   if (!aProgress.empty())
     DecodeProgress(*job, aProgress, aNow);
   job->mStoredState = job->mState;
-  if (!IsEnded(job->mState))
+  if (!IsOver(job->mState))
     mActive.insert(job->mSpec.mId);
   else
     job->mEndedAt = aNow;
@@ -155,7 +149,7 @@
   }
   aRun.mFiller = spec.mFiller;
   aRun.mTailTargetMs = spec.mTailTargetMs;
-  if (task->mDone || !task->mWorker.empty() || IsEnded(job->mState) || aRun.mRun < task->mRun)
+  if (task->mDone || !task->mWorker.empty() || IsOver(job->mState) || aRun.mRun < task->mRun)
     return false;
   StageRun& stage = *FindStage(aRun.mRef);
   aRun.mKnown = true;
@@ -175,7 +169,7 @@
 void Scheduler::CancelJob(const std::string& aId, TimePoint aNow)
 {
   Job* job = FindJobMutable(aId);
-  if (!job || IsEnded(job->mState))
+  if (!job || IsOver(job->mState))
     return;
   Log(LogPart::Job, LogLevel::Info, "cancelled", { { "job", aId } });
   EndJob(*job, JobState::Cancelled, aNow);
@@ -207,7 +201,7 @@
 {
   std::vector<std::string> ids;
   for (const auto& [id, job] : mJobs)
-    if (IsEnded(job->mState) && !job->mDirty && aNow - job->mEndedAt > aAge)
+    if (IsOver(job->mState) && !job->mDirty && aNow - job->mEndedAt > aAge)
       ids.push_back(id);
   for (const std::string& id : ids)
     mJobs.erase(id);
@@ -253,7 +247,7 @@
 
 void Scheduler::CheckJobEnd(Job& aJob, TimePoint aNow)
 {
-  if (IsEnded(aJob.mState))
+  if (IsOver(aJob.mState))
     return;
   for (const Occurrence& it : aJob.mOccurrences) {
     if (!it.mStarted)
@@ -518,7 +512,7 @@
     DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
   if (!job)
     aWorker.mOrphanEnds.emplace_back(aNow, aRow);
-  if (!job || !task || task->mDone || IsEnded(job->mState))
+  if (!job || !task || task->mDone || IsOver(job->mState))
     return;
   StageRun& stage = *FindStage(ref);
   const StageSpec& spec = job->mSpec.mStages[ref.mStage];
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -229,7 +229,8 @@
   // Durable progress
   [[nodiscard]] bool HasProgress() const { return !mDirtyJobs.empty() || mHasNewEnds; }
   [[nodiscard]] bool HasEndedJob() const { return mHasEndedJob; }
-  ProgressBatch CollectProgress(std::size_t aMostJobs, TimePoint aNow);
+  // A job that has ended takes one entry of a transaction, any other two.
+  ProgressBatch CollectProgress(std::size_t aMostEntries, TimePoint aNow);
   void OnProgressStored(const ProgressBatch& aBatch);
   void OnProgressLost(const ProgressBatch& aBatch);
   [[nodiscard]] static std::optional<JobState> ReadState(std::string_view aProgress);
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -197,6 +197,42 @@
   CHECK(model.mViolations.empty());
 }
 
+TEST_CASE("fleet: ends are stored before the progress of running jobs")
+{
+  Scheduler scheduler({});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue("q"));
+  scheduler.SetQueues(config);
+  const TimePoint now{ seconds(2000) };
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.0:80";
+  entry.mService = "pool";
+  entry.mMilliCores = 600'000;
+  entry.mMemoryMiB = 900'000;
+  scheduler.ListWorker(entry, true, now);
+  scheduler.OnReport("w0", {}, now, now);
+  // Many running jobs with progress, and one that has ended and comes last by name.
+  WorkerReport report;
+  std::uint64_t number = 1;
+  for (int n = 0; n < 40; ++n)
+    scheduler.AddJob(MakeJob("a" + std::to_string(n), 2), {}, false, now);
+  scheduler.AddJob(MakeJob("z", 1), {}, false, now);
+  for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
+    scheduler.OnStart(it, StartOutcome::Started, now);
+    if (it.mTask.ends_with(".0"))
+      report.mEnded.push_back({ number++, it.mTask, it.mRun, EndKind::Done, "" });
+    else
+      report.mRunning.push_back({ it.mTask, it.mRun, "", 10, 0 });
+  }
+  scheduler.OnReport("w0", report, now + seconds(1), now + seconds(1));
+  REQUIRE(scheduler.FindJob("z")->mState == JobState::Completed);
+  const ProgressBatch batch = scheduler.CollectProgress(31, now + seconds(1));
+  REQUIRE(batch.mJobs.size() == 16);  // one end and 15 others
+  CHECK(batch.mJobs[0].mJob == "z");
+  CHECK(batch.mEnds.empty());  // more is to be stored before ends may be taken note of
+}
+
 TEST_CASE("fleet: an end that is reported before its job is in the book counts when the job comes")
 {
   Scheduler scheduler({ .mEpoch = 2 });
