--- /dev/null
+++ b/src/fleet/entry_election.cpp
@@ -0,0 +1,351 @@
+// The other processes: questions to the holder, and its election.
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "core/json.h"
+#include "fleet/entry_impl.h"
+#include "fleet/keys.h"
+#include "observe/log.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kHolderLease = milliseconds(2000);  // of the scheduler; the store's least is 1 s
+constexpr Duration kPollDeadline = milliseconds(2500);  // the holder keeps a poll for 1.5 s
+constexpr Duration kCampaignSpread = milliseconds(30);  // random delay between candidates
+constexpr Duration kStandBack = milliseconds(400);      // an election takes some 100 ms
+
+}  // namespace
+
+// Fails with NotReady when nobody is known to hold the lease, StoreUnavailable when the holder says
+// so, and as HttpClient::Call.
+Async<Result<std::string>> Entry::AskHolder(const char* aPath,
+                                            std::string aBody,
+                                            Duration aDeadline)
+{
+  HttpRequest request(http::verb::post, aPath, 11);
+  request.body() = std::move(aBody);
+  Result<HttpResponse> response = MakeFailure(FailureKind::StoreUnavailable, "no holder is known");
+  if (IsHolder())
+    response = co_await HandlePeer(std::move(request));
+  else if (mView.mRecord) {
+    HttpAddress address{ mView.mRecord->mHost, mView.mRecord->mPort };
+    const TimePoint sentAt = BootClock::now();
+    response = co_await mClient.Call(std::move(address), std::move(request), aDeadline);
+    if (response)
+      mHolderFailingSince.reset();
+    else if (!mHolderFailingSince)
+      mHolderFailingSince = sentAt;
+  }
+  if (!response) {
+    if (response.error().mKind == FailureKind::EndpointUnreachable)
+      co_return MakeFailure(FailureKind::StoreUnavailable, response.error().mDetail);
+    co_return response.error();
+  }
+  if (response->result() == http::status::service_unavailable)
+    co_return MakeFailure(FailureKind::StoreUnavailable, "the holder can't");
+  if (response->result() != http::status::ok)
+    co_return MakeFailure(FailureKind::PeerUnknown, std::to_string(response->result_int()));
+  co_return std::move(response->body());
+}
+
+Async<HttpResponse> Entry::HandlePeer(HttpRequest aRequest)
+{
+  const std::string_view path(aRequest.target().data(), aRequest.target().size());
+  const auto answer = [](std::string aBody) {
+    HttpResponse response(http::status::ok, 11);
+    response.body() = std::move(aBody);
+    return response;
+  };
+  if (path == "/resign") {
+    auto epoch = DecodeMessage<std::uint64_t>(aRequest.body());
+    if (!epoch)
+      co_return MakeEmpty(http::status::bad_request);
+    if (IsHolder() && mHolder->GetEpoch() <= *epoch)
+      mHolder->Depose("its successor asked");
+    co_return answer({});
+  }
+  if (!IsHolder())
+    co_return MakeEmpty(http::status::service_unavailable);
+  auto holder = mHolder;
+  if (path == "/poll") {
+    auto request = DecodeMessage<PollRequest>(aRequest.body());
+    if (!request || request->mEpoch != holder->GetEpoch())
+      co_return MakeEmpty(http::status::conflict);
+    const PollReply reply = co_await holder->Poll(std::move(*request));
+    co_return answer(EncodeMessage(reply));
+  }
+  if (path == "/state") {
+    auto id = DecodeMessage<std::string>(aRequest.body());
+    if (!id)
+      co_return MakeEmpty(http::status::bad_request);
+    const StateReply reply = co_await holder->GetState(std::move(*id));
+    co_return answer(EncodeMessage(reply));
+  }
+  if (path == "/pending") {
+    auto queue = DecodeMessage<std::string>(aRequest.body());
+    if (!queue)
+      co_return MakeEmpty(http::status::bad_request);
+    const auto pending = holder->CountPending(*queue);
+    if (!pending)
+      co_return MakeEmpty(http::status::service_unavailable);
+    co_return answer(EncodeMessage(std::uint64_t{ *pending }));
+  }
+  if (path == "/submit") {
+    auto request = DecodeMessage<SubmitRequest>(aRequest.body());
+    if (!request)
+      co_return MakeEmpty(http::status::bad_request);
+    if (IsStoreDown())
+      co_return MakeEmpty(http::status::service_unavailable);
+    auto stored = co_await StoreJob(request->mId, request->mValue, kFirstTry);
+    if (!stored)
+      co_return MakeEmpty(stored.error().mKind == FailureKind::WriteUnknown
+                            ? http::status::gateway_timeout
+                            : http::status::service_unavailable);
+    holder->NoteJob(request->mId, request->mValue);
+    co_return answer({});
+  }
+  if (path == "/accepted") {
+    auto job = DecodeMessage<SubmitRequest>(aRequest.body());
+    if (!job)
+      co_return MakeEmpty(http::status::bad_request);
+    holder->NoteJob(job->mId, job->mValue);
+    co_return answer({});
+  }
+  if (path == "/cancelled") {
+    auto id = DecodeMessage<std::string>(aRequest.body());
+    if (!id)
+      co_return MakeEmpty(http::status::bad_request);
+    holder->NoteCancel(*id);
+    co_return answer({});
+  }
+  if (path == "/cancel") {
+    auto id = DecodeMessage<std::string>(aRequest.body());
+    if (!id)
+      co_return MakeEmpty(http::status::bad_request);
+    const HttpResponse response = co_await Cancel(std::move(*id), kFirstTry);
+    if (response.result() == http::status::gone)
+      co_return answer("gone");
+    co_return response.result() == http::status::ok ? answer({})
+                                                    : MakeEmpty(http::status::gateway_timeout);
+  }
+  co_return MakeEmpty(http::status::not_found);
+}
+
+Async<void> Entry::TellHolder(const char* aPath, std::string aBody)
+{
+  auto told = co_await AskHolder(aPath, std::move(aBody), kPeerDeadline);
+  if (!told)
+    Log(LogPart::Peer,
+        LogLevel::Info,
+        "the holder was not told; it reads the store",
+        { { "what", aPath }, { "why", told.error().mDetail } });
+}
+
+Async<void> Entry::PollHolder()
+{
+  std::vector<AdviceResult> results;
+  while (!mStopping) {
+    if (!mView.mRecord || IsHolder() || !mSettings.mAdvice) {
+      co_await Sleep(milliseconds(20));
+      results.clear();
+      continue;
+    }
+    PollRequest poll;
+    poll.mName = mSettings.mName;
+    poll.mEpoch = mView.mRecord->mEpoch;
+    poll.mCores = mSettings.mCores;
+    poll.mStoreServedAgoMs = (BootClock::now() - mStore.GetServedAt()) / milliseconds(1);
+    poll.mResults = std::move(results);
+    results.clear();
+    auto answer = co_await AskHolder("/poll", EncodeMessage(poll), kPollDeadline);
+    if (!answer) {
+      co_await ReplaceLostHolder();
+      co_await Sleep(milliseconds(100));
+      continue;
+    }
+    auto reply = DecodeMessage<PollReply>(*answer);
+    if (!reply)
+      continue;
+    if (reply->mHasResigned && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
+      // The holder can't end its lease itself.
+      co_await mStore.EndLease(mView.mRecord->mLease, platform::kStoreDeadline);
+      co_await Sleep(milliseconds(50));
+      continue;
+    }
+    for (const AdviceOrder& it : reply->mOrders) {
+      const TimePoint askedAt = BootClock::now();
+      auto advice = co_await platform::Advise(
+        mClient, *mSettings.mAdvice, it, milliseconds(it.mExpectedMs) + seconds(1));
+      AdviceResult result;
+      result.mNumber = it.mNumber;
+      result.mAnswered = advice.has_value();
+      result.mTookMs = std::chrono::duration_cast<milliseconds>(BootClock::now() - askedAt).count();
+      if (advice) {
+        result.mAdmitted = std::move(advice->mAdmitted);
+        result.mValidMs = std::chrono::duration_cast<milliseconds>(advice->mValid).count();
+      }
+      results.push_back(std::move(result));
+    }
+  }
+}
+
+// A holder whose machine says that its process is gone needs no wait for its lease to lapse. Should
+// it live after all, it is fenced like any predecessor.
+Async<void> Entry::ReplaceLostHolder()
+{
+  if (!mView.mRecord || IsHolder())
+    co_return;
+  const HolderRecord record = *mView.mRecord;
+  const HttpAddress address{ record.mHost, record.mPort };
+  const bool isGone = co_await IsRefusing(address, kPeerDeadline);
+  if (!isGone || !mView.mRecord || !(*mView.mRecord == record))
+    co_return;
+  Log(LogPart::Ownership,
+      LogLevel::Warn,
+      "the holder's process is gone; its lease is ended",
+      { { "holder", record.mName }, { "epoch", record.mEpoch } });
+  auto ended = co_await mStore.EndLease(record.mLease, platform::kStoreDeadline);
+  if (!ended)
+    Log(LogPart::Ownership,
+        LogLevel::Warn,
+        "the lease could not be ended; it lapses",
+        { { "why", ended.error().mDetail } });
+}
+
+void Entry::TakeHolder(const StoreItem& aItem)
+{
+  if (aItem.mKey != kHolderKey || aItem.mRevision < mView.mRevision)
+    return;
+  mView.mRevision = aItem.mRevision;
+  mView.mRecord.reset();
+  if (!aItem.mDeleted) {
+    auto record = DecodeMessage<HolderRecord>(aItem.mValue);
+    if (record)
+      mView.mRecord = std::move(*record);
+  }
+  if (mHolder && !mHolder->IsDeposed() &&
+      (!mView.mRecord || mView.mRecord->mEpoch != mHolder->GetEpoch()) &&
+      (!mView.mRecord || mView.mRecord->mEpoch > mHolder->GetEpoch() || aItem.mDeleted))
+    mHolder->Depose("the store names another holder");
+}
+
+Async<void> Entry::WatchHolder()
+{
+  std::uint64_t revision = 0;
+  const std::string prefix(kHolderKey);
+  while (!mStopping) {
+    const bool isList = revision == 0;
+    Result<platform::StorePage> page = platform::StorePage{};
+    if (isList)
+      page = co_await mStore.List(prefix, platform::kStoreDeadline);
+    else
+      page = co_await mStore.Watch(prefix, revision, kWatchWait);
+    if (!page) {
+      if (page.error().mKind == FailureKind::Conflict)
+        revision = 0;
+      else
+        co_await Sleep(kRetryStore);
+      continue;
+    }
+    revision = page->mRevision;
+    for (const StoreItem& it : page->mItems)
+      TakeHolder(it);
+    if (isList && page->mItems.empty())
+      TakeHolder({ std::string(kHolderKey), {}, revision, true });
+    mView.mIsKnown = true;
+    if (!mView.mRecord && !mCampaigning && !mStopping)
+      asio::co_spawn(mContext, Campaign(), asio::detached);
+  }
+}
+
+// Small VMs stand back for a while, so that a larger one schedules where there is one.
+Async<void> Entry::Campaign()
+{
+  mCampaigning = true;
+  const auto isOpen = [this] { return !mStopping && !mView.mRecord && !IsHolder(); };
+  const auto random = [this] {
+    return Duration(
+      std::uniform_int_distribution<std::int64_t>(0, kCampaignSpread.count())(mRandom));
+  };
+  co_await Sleep(random());
+  bool hasStoodBack = false;
+  for (; isOpen(); co_await Sleep(kRetryStore + random())) {
+    auto epoch = co_await mStore.Get(std::string(kEpochKey), platform::kStoreDeadline);
+    if (!epoch || !isOpen())
+      continue;
+    HolderGrant grant;
+    if (*epoch) {
+      auto last = DecodeMessage<HolderRecord>((*epoch)->mValue);
+      if (!last) {
+        Log(LogPart::Ownership, LogLevel::Error, "the last holder's record can't be read");
+        continue;
+      }
+      grant.mPredecessor = std::move(*last);
+    }
+    const double largest = grant.mPredecessor ? grant.mPredecessor->mLargestCores : 0;
+    if (mSettings.mCores <= largest / 2 && !hasStoodBack) {
+      hasStoodBack = true;
+      co_await Sleep(kStandBack);
+      continue;
+    }
+    const TimePoint sentAt = BootClock::now();
+    auto lease = co_await mStore.OpenLease(kHolderLease, platform::kStoreDeadline);
+    if (!lease)
+      continue;
+    grant.mLease = *lease;
+    grant.mRenewedAt = sentAt;
+    HolderRecord& record = grant.mRecord;
+    record.mName = mSettings.mName;
+    record.mHost = mSettings.mPeersAdvertised.mHost;
+    record.mPort = mSettings.mPeersAdvertised.mPort;
+    record.mEpoch = (grant.mPredecessor ? grant.mPredecessor->mEpoch : 0) + 1;
+    record.mNonce = mRandom();
+    record.mLease = *lease;
+    record.mLargestCores = std::max(largest, mSettings.mCores);
+    if (!isOpen()) {
+      co_await mStore.EndLease(*lease, platform::kStoreDeadline);
+      break;
+    }
+    StoreTransaction transaction;
+    transaction.mConditions.emplace_back(kHolderKey, 0);
+    transaction.mConditions.emplace_back(kEpochKey, *epoch ? (*epoch)->mRevision : 0);
+    transaction.mWrites.push_back({ std::string(kHolderKey), EncodeMessage(record), *lease });
+    transaction.mWrites.push_back({ std::string(kEpochKey), EncodeMessage(record) });
+    auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    std::uint64_t revision = 0;
+    if (outcome && outcome->mCommitted) {
+      revision = outcome->mRevision;
+    } else if (!outcome && outcome.error().mKind == FailureKind::WriteUnknown) {
+      auto item = co_await mStore.Get(std::string(kHolderKey), platform::kStoreDeadline);
+      if (item && *item) {
+        auto there = DecodeMessage<HolderRecord>((*item)->mValue);
+        if (there && *there == record)
+          revision = (*item)->mRevision;
+      }
+    }
+    if (revision == 0) {
+      // Ending the lease also undoes a write that is carried out late.
+      co_await mStore.EndLease(*lease, platform::kStoreDeadline);
+      continue;
+    }
+    if (mStopping) {
+      co_await mStore.EndLease(*lease, platform::kStoreDeadline);
+      break;
+    }
+    grant.mKeyRevision = revision;
+    if (mHolder)
+      mHolder->Depose("it holds a newer lease");
+    mView.mRevision = std::max(mView.mRevision, revision);
+    mView.mRecord = record;
+    mHolder =
+      std::make_shared<Holder>(mContext, mSettings, mClient, mStore, mMetrics, std::move(grant));
+    mHolder->Start(mConfig);
+    break;
+  }
+  mCampaigning = false;
+}
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/holder_store.cpp
@@ -0,0 +1,413 @@
+// What the holder reads from the store and writes to it.
+#include <algorithm>
+
+#include "fleet/holder_impl.h"
+#include "fleet/keys.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kWatchWait = milliseconds(1500);  // a silent connection is found out by then
+constexpr Duration kWatchPause = milliseconds(200);  // gathers changes into one answer
+constexpr Duration kRecordEvery = milliseconds(60);  // looks for workers to record
+constexpr Duration kRetryStore = milliseconds(100);
+constexpr Duration kStoreEvery = milliseconds(40);  // gathers ends into one write
+constexpr std::size_t kProgressEntries = platform::kMostStoreEntries - 1;  // and the holder's key
+constexpr Duration kForgetEvery = seconds(15);
+
+}  // namespace
+
+Async<void> Holder::Load()
+{
+  auto self = shared_from_this();
+  const TimePoint startedAt = BootClock::now();
+  platform::StorePage state;
+  platform::StorePage directory;
+  for (bool isDone = false; !isDone && !mDeposed;) {
+    auto page = co_await mStore.List(std::string(kRoot), 3 * platform::kStoreDeadline);
+    if (page) {
+      state = std::move(*page);
+      auto workers =
+        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
+      if (workers) {
+        directory = std::move(*workers);
+        isDone = true;
+        break;
+      }
+    }
+    co_await Sleep(kRetryStore);
+  }
+  if (mDeposed)
+    co_return;
+  const bool isInherited = mGrant.mPredecessor.has_value();
+  for (const StoreItem& it : state.mItems) {
+    if (it.mKey.starts_with(kProgressPrefix)) {
+      const std::string id = it.mKey.substr(kProgressPrefix.size());
+      mEarlyProgress[id] = it.mValue;
+      mProgressRevisions[id] = it.mRevision;
+    }
+  }
+  for (const StoreItem& it : state.mItems)
+    TakeJobItem(it, isInherited);
+  for (const StoreItem& it : state.mItems) {
+    if (!it.mKey.starts_with(kWorkerPrefix))
+      continue;
+    auto record = DecodeMessage<WorkerRecord>(it.mValue);
+    if (!record) {
+      Log(LogPart::Task,
+          LogLevel::Error,
+          "a worker's record can't be read",
+          { { "key", it.mKey }, { "what", record.error().mDetail } });
+      continue;
+    }
+    WorkerEntry worker;
+    worker.mId = it.mKey.substr(kWorkerPrefix.size());
+    worker.mAddress = record->mAddress;
+    worker.mService = record->mService;
+    mScheduler.ListWorker(worker, true, BootClock::now());
+    mScheduler.UnlistWorker(worker.mId, BootClock::now());
+    mRecords.insert(worker.mId);
+    if (Worker* known = mScheduler.FindWorker(worker.mId))
+      known->mRecordRevision = it.mRevision;
+    if (record->mIsFinal)
+      mScheduler.SetFinalTasks(worker.mId, std::set(record->mTasks.begin(), record->mTasks.end()));
+  }
+  for (const StoreItem& it : directory.mItems)
+    TakeWorkerItem(it);
+  mEarlyProgress.clear();
+  mEarlyCancels.clear();
+  mLoaded = true;
+  Log(LogPart::Ownership,
+      LogLevel::Info,
+      "read the stored jobs and the directory",
+      { { "items", state.mItems.size() },
+        { "workers", directory.mItems.size() },
+        { "took_ms", BootClock::now() - startedAt } });
+  for (const auto& [id, worker] : mScheduler.GetWorkers())
+    EnsureLoop(id);
+  Spawn(mContext, WatchJobs(state.mRevision));
+  Spawn(mContext, WatchWorkers(directory.mRevision));
+  Spawn(mContext, RecordWorkers());
+  Spawn(mContext, RunPlan());
+  Spawn(mContext, StoreProgress());
+  Spawn(mContext, ForgetEndedJobs());
+  Spawn(mContext, YieldToLarger());
+}
+
+void Holder::TakeJobItem(const StoreItem& aItem, bool aInherited)
+{
+  if (!aItem.mKey.starts_with(kJobPrefix) || aItem.mDeleted)
+    return;
+  std::string id = aItem.mKey.substr(kJobPrefix.size());
+  if (id.ends_with(kCancelSuffix)) {
+    id.resize(id.size() - kCancelSuffix.size());
+    if (mScheduler.FindJob(id))
+      mScheduler.CancelJob(id, BootClock::now());
+    else
+      mEarlyCancels.insert(id);
+    return;
+  }
+  if (mScheduler.FindJob(id))
+    return;
+  auto spec = DecodeMessage<JobSpec>(aItem.mValue);
+  if (!spec) {
+    Log(LogPart::Job,
+        LogLevel::Error,
+        "a stored job can't be read",
+        { { "job", id }, { "what", spec.error().mDetail } });
+    return;
+  }
+  auto progress = mEarlyProgress.find(id);
+  mScheduler.AddJob(std::move(*spec),
+                    progress == mEarlyProgress.end() ? std::string_view() : progress->second,
+                    aInherited,
+                    BootClock::now());
+  if (mEarlyCancels.erase(id) != 0)
+    mScheduler.CancelJob(id, BootClock::now());
+}
+
+void Holder::NoteJob(const std::string& aId, std::string_view aValue)
+{
+  if (!mLoaded || mDeposed)
+    return;
+  TakeJobItem({ MakeJobKey(aId), std::string(aValue), 0, false }, false);
+  WakePlan();
+}
+
+void Holder::NoteCancel(const std::string& aId)
+{
+  if (!mLoaded || mDeposed)
+    return;
+  mScheduler.CancelJob(aId, BootClock::now());
+  WakePlan();
+}
+
+void Holder::TakeWorkerItem(const StoreItem& aItem)
+{
+  if (!aItem.mKey.starts_with(platform::kDirectoryPrefix))
+    return;
+  std::string id = aItem.mKey.substr(platform::kDirectoryPrefix.size());
+  const TimePoint now = BootClock::now();
+  if (aItem.mDeleted) {
+    mScheduler.UnlistWorker(id, now);
+    return;
+  }
+  auto entry = platform::ParseWorkerEntry(id, aItem.mValue);
+  if (!entry) {
+    Log(LogPart::Task,
+        LogLevel::Warn,
+        "an entry of the directory names no worker",
+        { { "worker", id }, { "what", entry.error().mDetail } });
+    mScheduler.UnlistWorker(id, now);
+    return;
+  }
+  mScheduler.ListWorker(std::move(*entry), false, now);
+  if (mLoaded)
+    EnsureLoop(id);
+}
+
+Async<void> Holder::WatchJobs(std::uint64_t aRevision)
+{
+  auto self = shared_from_this();
+  while (!mDeposed) {
+    auto page = co_await mStore.Watch(std::string(kJobPrefix), aRevision, kWatchWait);
+    if (mDeposed)
+      co_return;
+    if (!page && page.error().mKind == FailureKind::Conflict)
+      page = co_await mStore.List(std::string(kJobPrefix), 3 * platform::kStoreDeadline);
+    if (!page) {
+      co_await Sleep(kRetryStore);
+      continue;
+    }
+    aRevision = page->mRevision;
+    if (page->mItems.empty())
+      continue;
+    for (const StoreItem& it : page->mItems)
+      TakeJobItem(it, false);
+    WakePlan();
+    // The processes that accept jobs tell of them; this watch is for what they could not tell.
+    co_await Sleep(kWatchPause);
+  }
+}
+
+Async<void> Holder::WatchWorkers(std::uint64_t aRevision)
+{
+  auto self = shared_from_this();
+  while (!mDeposed) {
+    auto page =
+      co_await mStore.Watch(std::string(platform::kDirectoryPrefix), aRevision, kWatchWait);
+    if (mDeposed)
+      co_return;
+    if (!page && page.error().mKind == FailureKind::Conflict) {
+      page =
+        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
+      if (page) {
+        std::set<std::string> listed;
+        for (const StoreItem& it : page->mItems)
+          listed.insert(it.mKey.substr(platform::kDirectoryPrefix.size()));
+        for (const auto& [id, worker] : mScheduler.GetWorkers())
+          if (!listed.contains(id))
+            mScheduler.UnlistWorker(id, BootClock::now());
+      }
+    }
+    if (!page) {
+      co_await Sleep(kRetryStore);
+      continue;
+    }
+    aRevision = page->mRevision;
+    for (const StoreItem& it : page->mItems)
+      TakeWorkerItem(it);
+    if (!page->mItems.empty())
+      WakePlan();
+  }
+}
+
+// A worker is recorded before it gets its first task, so that a later holder finds it also when its
+// directory entry has lapsed. While it is silent nothing starts there, and the list of what it may
+// run is final; the list is taken back before anything starts there again. Each write is
+// conditional on the record that it replaces: one that is carried out late changes nothing.
+Async<void> Holder::RecordWorkers()
+{
+  auto self = shared_from_this();
+  while (!mDeposed) {
+    StoreTransaction transaction;
+    transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+    std::map<std::string, std::optional<std::set<std::string>>> written;  // and their final tasks
+    const auto isFull = [&transaction] {
+      return transaction.mConditions.size() + transaction.mWrites.size() +
+               transaction.mDeletes.size() + 2 >
+             platform::kMostStoreEntries;
+    };
+    for (const auto& [id, worker] : mScheduler.GetWorkers()) {
+      const bool isSilent = worker.mFinalWanted && !worker.mReachable;
+      const bool takesBack =
+        (worker.mFinalTasks || worker.mFinalWanted) && worker.mReachable && worker.mFenced;
+      const bool isNew = !worker.mRecorded && worker.mListed;
+      if ((!isNew && !isSilent && !takesBack) || isFull())
+        continue;
+      WorkerRecord record{ worker.mEntry.mAddress, worker.mEntry.mService };
+      written[id];
+      if (isSilent) {
+        record.mIsFinal = true;
+        for (const Run& run : worker.mRuns)
+          record.mTasks.push_back(run.mTask);
+        written[id] = std::set(record.mTasks.begin(), record.mTasks.end());
+      }
+      transaction.mConditions.emplace_back(MakeWorkerKey(id), worker.mRecordRevision);
+      transaction.mWrites.push_back({ MakeWorkerKey(id), EncodeMessage(record) });
+    }
+    std::vector<std::string> removed;
+    for (const std::string& id : mRecords) {
+      if (mScheduler.GetWorkers().contains(id) || isFull())
+        continue;
+      transaction.mDeletes.push_back(MakeWorkerKey(id));
+      removed.push_back(id);
+    }
+    if (written.empty() && removed.empty()) {
+      co_await Sleep(kRecordEvery);
+      continue;
+    }
+    auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    if (!outcome) {
+      co_await Sleep(kRetryStore);
+      continue;
+    }
+    if (!outcome->mCommitted) {
+      TakeRecordRevisions(*outcome, written);
+      co_await CheckHolderKey();
+      continue;
+    }
+    for (auto& [id, finalTasks] : written) {
+      mRecords.insert(id);
+      Worker* worker = mScheduler.FindWorker(id);
+      if (!worker)
+        continue;
+      worker->mRecorded = true;
+      worker->mRecordRevision = outcome->mRevision;
+      worker->mFinalWanted = false;
+      worker->mFinalTasks = std::move(finalTasks);
+    }
+    for (const std::string& id : removed)
+      mRecords.erase(id);
+    WakePlan();
+  }
+}
+
+// An earlier write of ours was done without an answer: goes on from what is there.
+void Holder::TakeRecordRevisions(
+  const platform::StoreOutcome& aOutcome,
+  const std::map<std::string, std::optional<std::set<std::string>>>& aWritten)
+{
+  for (const auto& [id, tasks] : aWritten)
+    if (Worker* worker = mScheduler.FindWorker(id))
+      worker->mRecordRevision = 0;
+  for (const StoreItem& it : aOutcome.mCurrent)
+    if (it.mKey.starts_with(kWorkerPrefix))
+      if (Worker* worker = mScheduler.FindWorker(it.mKey.substr(kWorkerPrefix.size())))
+        worker->mRecordRevision = it.mRevision;
+}
+
+Async<void> Holder::CheckHolderKey()
+{
+  auto self = shared_from_this();
+  auto holder = co_await mStore.Get(std::string(kHolderKey), platform::kStoreDeadline);
+  if (holder && (!*holder || (*holder)->mRevision != mGrant.mKeyRevision))
+    Depose("another process holds the lease, or its key is gone");
+}
+
+Async<bool> Holder::StoreProgressOnce()
+{
+  auto self = shared_from_this();
+  ProgressBatch batch = mScheduler.CollectProgress(kProgressEntries, BootClock::now());
+  if (batch.mJobs.empty()) {
+    mScheduler.OnProgressStored(batch);
+    co_return true;
+  }
+  StoreTransaction transaction;
+  transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+  for (const StoredProgress& it : batch.mJobs) {
+    // The condition keeps a write that is carried out late from undoing a newer one. After an end
+    // there is none.
+    if (!IsOver(it.mState))
+      transaction.mConditions.emplace_back(MakeProgressKey(it.mJob), mProgressRevisions[it.mJob]);
+    transaction.mWrites.push_back({ MakeProgressKey(it.mJob), it.mBytes });
+  }
+  auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+  if (!outcome) {
+    mScheduler.OnProgressLost(batch);
+    co_return false;
+  }
+  if (!outcome->mCommitted) {
+    mScheduler.OnProgressLost(batch);
+    std::set<std::string> present;
+    for (const StoreItem& it : outcome->mCurrent) {
+      if (it.mKey.starts_with(kProgressPrefix)) {
+        const std::string id = it.mKey.substr(kProgressPrefix.size());
+        present.insert(id);
+        mProgressRevisions[id] = it.mRevision;
+      }
+    }
+    for (const StoredProgress& it : batch.mJobs)
+      if (!IsOver(it.mState) && !present.contains(it.mJob))
+        mProgressRevisions[it.mJob] = 0;
+    if (!mDeposed)
+      co_await CheckHolderKey();
+    co_return false;
+  }
+  for (const StoredProgress& it : batch.mJobs)
+    mProgressRevisions[it.mJob] = outcome->mRevision;
+  mScheduler.OnProgressStored(batch);
+  co_return true;
+}
+
+Async<void> Holder::StoreProgress()
+{
+  auto self = shared_from_this();
+  while (!mDeposed) {
+    if (!mScheduler.HasProgress()) {
+      mStoreTimer.expires_after(kPlanEvery);
+      co_await mStoreTimer.async_wait(kNoThrow);
+      continue;
+    }
+    const bool isStored = co_await StoreProgressOnce();
+    if (mDeposed)
+      co_return;
+    if (!isStored) {
+      co_await Sleep(kRetryStore);
+      continue;
+    }
+    for (const auto& [id, worker] : mScheduler.GetWorkers())
+      if (worker.mLastEnd == worker.mStoredEnd)
+        WakeWorker(id);
+    mStoreTimer.expires_after(kStoreEvery);
+    co_await mStoreTimer.async_wait(kNoThrow);
+  }
+}
+
+Async<void> Holder::ForgetEndedJobs()
+{
+  auto self = shared_from_this();
+  while (!mDeposed) {
+    co_await Sleep(kForgetEvery);
+    if (mDeposed)
+      co_return;
+    std::vector<std::string> ids =
+      mScheduler.ForgetEnded(BootClock::now(), mSettings.mKeepEnded + seconds(30));
+    while (!ids.empty() && !mDeposed) {
+      StoreTransaction transaction;
+      transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+      for (int n = 0; n < 10 && !ids.empty(); ++n) {
+        transaction.mDeletes.push_back(MakeJobKey(ids.back()));
+        transaction.mDeletes.push_back(MakeCancelKey(ids.back()));
+        transaction.mDeletes.push_back(MakeProgressKey(ids.back()));
+        mProgressRevisions.erase(ids.back());
+        ids.pop_back();
+      }
+      // A delete that is lost leaves an ended job, which the next holder forgets.
+      co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    }
+  }
+}
+
+}  // namespace monsoon::fleet
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -247,6 +247,7 @@
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
+  void StartNewLife(Worker& aWorker);
   void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedRow& aRow, TimePoint aNow);
   void TakeOrphans(Job& aJob, TimePoint aNow);
--- /dev/null
+++ b/src/fleet/scheduler_plan.cpp
@@ -0,0 +1,449 @@
+// What comes next: which stage, on which worker.
+#include <algorithm>
+#include <charconv>
+
+#include "fleet/scheduler_impl.h"
+#include "observe/log.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr std::uint64_t kRunsPerEpoch = 1000;         // run numbers of one task in one epoch
+constexpr Duration kRepeatStop = milliseconds(400);   // a stop without an answer is sent again
+constexpr Duration kTicketMargin = milliseconds(60);  // travel time of a start to its worker
+constexpr Duration kSlowAdvice = milliseconds(200);   // calls above it count as slow ones
+constexpr Duration kCopyAfter = milliseconds(300);    // of silence; a lost answer is noticed sooner
+constexpr std::size_t kMostAdmitted = 16;             // workers named when tickets are renewed
+
+template<class T>
+bool Contains(const std::vector<T>& aItems, const T& aItem)
+{
+  return std::find(aItems.begin(), aItems.end(), aItem) != aItems.end();
+}
+
+std::string GetRack(const Worker& aWorker)
+{
+  return aWorker.mEntry.mLabels.size() > 1 ? aWorker.mEntry.mLabels[1] : std::string();
+}
+
+}  // namespace
+
+bool Scheduler::MayRunSomewhere(const TaskRef& aRef) const
+{
+  return !mMayRun.empty() && mMayRun.contains(FormatTask(aRef));
+}
+
+bool Scheduler::IsStageReady(const Job& aJob,
+                             const Occurrence& aOccurrence,
+                             std::uint32_t aStage) const
+{
+  const StageRun& stage = aOccurrence.mStages[aStage];
+  if (stage.mWaiting == 0)
+    return false;
+  const StageSpec& spec = aJob.mSpec.mStages[aStage];
+  if (spec.mGang && stage.mWaiting < stage.mTasks.size() && !IsGangRepairable(stage))
+    return false;
+  return std::all_of(spec.mAfter.begin(), spec.mAfter.end(), [&](std::uint32_t aIndex) {
+    return aIndex < aOccurrence.mStages.size() &&
+           aOccurrence.mStages[aIndex].mDone == aOccurrence.mStages[aIndex].mTasks.size();
+  });
+}
+
+// Some members of a gang's run are on workers, and those that are missing never began: the same run
+// can still be completed elsewhere.
+bool Scheduler::IsGangRepairable(const StageRun& aStage)
+{
+  std::uint64_t run = 0;
+  for (const Task& it : aStage.mTasks)
+    run = std::max(run, it.mRun);
+  return std::all_of(aStage.mTasks.begin(), aStage.mTasks.end(), [run](const Task& aItem) {
+    return !aItem.mDone && aItem.mRun == run && (!aItem.mWorker.empty() || aItem.mNeverRan);
+  });
+}
+
+std::vector<Scheduler::Ready> Scheduler::CollectReady(TimePoint aNow, std::int64_t aWallMs)
+{
+  std::vector<Ready> ready;
+  // Tasks of an earlier epoch may still run on workers that have not answered this one.
+  bool isResolved = true;
+  mMayRun.clear();
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mFenced)
+      continue;
+    if (worker.mFinalTasks)
+      mMayRun.insert(worker.mFinalTasks->begin(), worker.mFinalTasks->end());
+    else
+      isResolved = false;
+  }
+  for (const std::string& id : mActive) {
+    Job& job = *mJobs.at(id);
+    if (job.mInherited && !isResolved)
+      continue;
+    const QueueConfig* queue = FindQueue(job.mSpec.mQueue);
+    if (!queue)
+      continue;
+    for (std::uint32_t k = 0; k < job.mOccurrences.size(); ++k) {
+      Occurrence& occurrence = job.mOccurrences[k];
+      if (!occurrence.mStarted) {
+        if (aWallMs < job.mSpec.mFirstMs + std::int64_t{ k } * job.mSpec.mIntervalMs)
+          break;
+        MakeOccurrence(job, k, aNow);
+        job.mDueAt = aNow + queue->mSlack +
+                     std::chrono::duration_cast<Duration>(queue->mStretch *
+                                                          EstimateChain(job.mSpec.mStages, *queue));
+      }
+      for (std::uint32_t n = 0; n < occurrence.mStages.size(); ++n)
+        if (IsStageReady(job, occurrence, n))
+          ready.push_back(
+            { &job, queue, &job.mSpec.mStages[n], &occurrence.mStages[n], TaskRef{ id, k, n, 0 } });
+    }
+  }
+  std::sort(ready.begin(), ready.end(), [](const Ready& aLeft, const Ready& aRight) {
+    if (aLeft.mQueue->mPriority != aRight.mQueue->mPriority)
+      return aLeft.mQueue->mPriority < aRight.mQueue->mPriority;
+    return aLeft.mJob->mDueAt < aRight.mJob->mDueAt;
+  });
+  return ready;
+}
+
+bool Scheduler::CanHost(const Worker& aWorker, const Ready& aReady, TimePoint aNow)
+{
+  if (!aWorker.mListed || !aWorker.mRecorded || aWorker.mFinalTasks || aWorker.mFinalWanted ||
+      !aWorker.mFenced || !aWorker.mReachable || aWorker.mEntry.mDraining ||
+      aWorker.mEntry.mService != aReady.mQueue->mService)
+    return false;
+  if (aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mFullUntil)
+    return false;
+  const std::string& label = aReady.mSpec->mRequiredLabel;
+  return label.empty() || Contains(aWorker.mEntry.mLabels, label);
+}
+
+bool Scheduler::HasRoom(const Worker& aWorker, const StageSpec& aSpec)
+{
+  const std::uint32_t milliCores = aSpec.mFiller ? 0 : aSpec.mMilliCores;
+  return aWorker.mUsedMilliCores + milliCores <= aWorker.mEntry.mMilliCores &&
+         aWorker.mUsedMemoryMiB + aSpec.mMemoryMiB <= aWorker.mEntry.mMemoryMiB &&
+         aWorker.mUsedAccelerators + aSpec.mAccelerators <= aWorker.mEntry.mAccelerators;
+}
+
+std::size_t Scheduler::CountOf(const Worker& aWorker, const TaskRef& aStageRef) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& aItem) {
+      return aItem.mRef.mJob == aStageRef.mJob && aItem.mRef.mOccurrence == aStageRef.mOccurrence &&
+             aItem.mRef.mStage == aStageRef.mStage;
+    }));
+}
+
+Worker* Scheduler::PickWorker(const Ready& aReady, const Task& aTask, TimePoint aNow)
+{
+  Worker* best = nullptr;
+  std::tuple<bool, bool, std::int64_t> bestScore;
+  const auto consider = [&](const std::string& aId, Worker& aWorker) {
+    if (!HasRoom(aWorker, *aReady.mSpec) || !CanHost(aWorker, aReady, aNow))
+      return;
+    if (aReady.mSpec->mMaxPerWorker != 0 &&
+        CountOf(aWorker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
+      return;
+    const bool failedHere = Contains(aTask.mFailedOn, aId);
+    const bool isFar =
+      !aReady.mSpec->mDataRack.empty() && GetRack(aWorker) != aReady.mSpec->mDataRack;
+    const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } - aWorker.mUsedMilliCores -
+                              aReady.mSpec->mMilliCores;
+    // Fillers go where most is left; others where least is.
+    const std::tuple score(failedHere, isFar, aReady.mSpec->mFiller ? -left : left);
+    if (!best || score < bestScore) {
+      best = &aWorker;
+      bestScore = score;
+    }
+  };
+  if (!aReady.mQueue->mNeedsAdvice) {
+    for (auto& [id, worker] : mWorkers)
+      consider(id, worker);
+    return best;
+  }
+  for (const auto& [id, ticket] : aReady.mStage->mTickets) {
+    if (ticket.second < aNow + kTicketMargin)
+      continue;
+    if (Worker* worker = FindWorker(id))
+      consider(id, *worker);
+  }
+  return best;
+}
+
+void Scheduler::PlaceTask(const Ready& aReady,
+                          std::uint32_t aIndex,
+                          std::uint64_t aRun,
+                          Worker& aWorker,
+                          TimePoint aNow,
+                          Orders& aOrders)
+{
+  Task& task = aReady.mStage->mTasks[aIndex];
+  Run run;
+  run.mRef = aReady.mRef;
+  run.mRef.mIndex = aIndex;
+  run.mTask = FormatTask(run.mRef);
+  run.mKnown = true;
+  run.mRun = aRun;
+  run.mMilliCores = aReady.mSpec->mFiller ? 0 : aReady.mSpec->mMilliCores;
+  run.mMemoryMiB = aReady.mSpec->mMemoryMiB;
+  run.mAccelerators = aReady.mSpec->mAccelerators;
+  run.mFiller = aReady.mSpec->mFiller;
+  run.mTailTargetMs = aReady.mSpec->mTailTargetMs;
+  run.mSentAt = aNow;
+  run.mProgressAt = aNow;
+  StartOrder order;
+  order.mWorker = aWorker.mEntry.mId;
+  order.mTask = run.mTask;
+  order.mRun = aRun;
+  order.mPayload = aReady.mJob->mSpec.mPayload;
+  order.mCheckpoint = aReady.mSpec->mGang ? aReady.mStage->mGangCheckpoint : task.mCheckpoint;
+  if (auto ticket = aReady.mStage->mTickets.find(order.mWorker);
+      ticket != aReady.mStage->mTickets.end())
+    order.mTicket = ticket->second.first;
+  task.mWorker = order.mWorker;
+  task.mRun = aRun;
+  task.mNeverRan = false;
+  --aReady.mStage->mWaiting;
+  aWorker.mUsedMilliCores += run.mMilliCores;
+  aWorker.mUsedMemoryMiB += run.mMemoryMiB;
+  aWorker.mUsedAccelerators += run.mAccelerators;
+  aWorker.mRuns.push_back(std::move(run));
+  aOrders.mStarts.push_back(std::move(order));
+}
+
+void Scheduler::PlaceStage(const Ready& aReady, TimePoint aNow, Orders& aOrders)
+{
+  const std::uint64_t base = (mSettings.mEpoch - 1) * kRunsPerEpoch;
+  for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n) {
+    Task& task = aReady.mStage->mTasks[n];
+    if (task.mDone || !task.mWorker.empty() ||
+        MayRunSomewhere({ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n }))
+      continue;
+    Worker* worker = PickWorker(aReady, task, aNow);
+    if (!worker)
+      return;
+    PlaceTask(aReady, n, std::max(task.mRun, base) + 1, *worker, aNow, aOrders);
+  }
+}
+
+void Scheduler::PlaceGang(const Ready& aReady, TimePoint aNow, Orders& aOrders)
+{
+  const StageSpec& spec = *aReady.mSpec;
+  std::uint64_t run = (mSettings.mEpoch - 1) * kRunsPerEpoch;
+  for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n)
+    if (MayRunSomewhere({ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n }))
+      return;
+  std::vector<Worker*> hosts;
+  for (const Task& task : aReady.mStage->mTasks) {
+    run = std::max(run, task.mRun);
+    Worker* worker = PickWorker(aReady, task, aNow);
+    if (!worker)
+      break;
+    // Taken for the trial only, so that the next member sees it.
+    worker->mUsedMilliCores += spec.mMilliCores;
+    worker->mUsedMemoryMiB += spec.mMemoryMiB;
+    worker->mUsedAccelerators += spec.mAccelerators;
+    Run trial;
+    trial.mRef = aReady.mRef;
+    worker->mRuns.push_back(std::move(trial));
+    hosts.push_back(worker);
+  }
+  for (Worker* worker : hosts) {
+    worker->mUsedMilliCores -= spec.mMilliCores;
+    worker->mUsedMemoryMiB -= spec.mMemoryMiB;
+    worker->mUsedAccelerators -= spec.mAccelerators;
+    worker->mRuns.pop_back();
+  }
+  if (hosts.size() < aReady.mStage->mTasks.size())
+    return;
+  for (std::uint32_t n = 0; n < hosts.size(); ++n)
+    PlaceTask(aReady, n, run + 1, *hosts[n], aNow, aOrders);
+}
+
+void Scheduler::RepairGang(const Ready& aReady, TimePoint aNow, Orders& aOrders)
+{
+  StageRun& stage = *aReady.mStage;
+  if (stage.mGangBrokenAt == TimePoint{})
+    stage.mGangBrokenAt = aNow;
+  for (std::uint32_t n = 0; n < stage.mTasks.size(); ++n) {
+    Task& task = stage.mTasks[n];
+    if (!task.mWorker.empty())
+      continue;
+    Worker* worker = PickWorker(aReady, task, aNow);
+    if (worker && !Contains(task.mFailedOn, worker->mEntry.mId))
+      PlaceTask(aReady, n, task.mRun, *worker, aNow, aOrders);
+  }
+  if (stage.mWaiting == 0) {
+    stage.mGangBrokenAt = TimePoint{};
+    return;
+  }
+  if (aNow - stage.mGangBrokenAt < mSettings.mGangWait / 2)
+    return;
+  Log(LogPart::Place,
+      LogLevel::Warn,
+      "a gang can't be completed; its members are stopped and start together later",
+      { { "stage", FormatStage(aReady.mRef) }, { "missing", stage.mWaiting } });
+  stage.mGangBrokenAt = TimePoint{};
+  for (auto& [id, worker] : mWorkers)
+    for (Run& run : worker.mRuns)
+      if (run.mRef.mJob == aReady.mRef.mJob && run.mRef.mOccurrence == aReady.mRef.mOccurrence &&
+          run.mRef.mStage == aReady.mRef.mStage && run.mPhase != RunPhase::Starting)
+        run.mPhase = RunPhase::Stopping;
+  for (Task& it : stage.mTasks)
+    it.mNeverRan = false;
+}
+
+void Scheduler::AskAdvice(const Ready& aReady,
+                          TimePoint aNow,
+                          std::size_t& aFree,
+                          std::size_t& aFreeHeavy,
+                          Orders& aOrders)
+{
+  StageRun& stage = *aReady.mStage;
+  if (stage.mAdviceNumber != 0 || aNow < stage.mAskAgainAt || aFree == 0)
+    return;
+  const bool isSlow = aReady.mQueue->mAdviceBase >= kSlowAdvice;
+  if (isSlow && aFreeHeavy == 0)
+    return;
+  std::vector<std::pair<std::int64_t, std::string>> candidates;  // room left, most first
+  bool hasRoom = false;
+  bool isFirst = stage.mTickets.empty() && stage.mRefused.empty();
+  for (const auto& [id, worker] : mWorkers) {
+    if (stage.mRefused.contains(id) || !CanHost(worker, aReady, aNow))
+      continue;
+    const bool fits = HasRoom(worker, *aReady.mSpec);
+    if (!fits && !isFirst)
+      continue;
+    if (aReady.mSpec->mMaxPerWorker != 0 &&
+        CountOf(worker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
+      continue;
+    auto ticket = stage.mTickets.find(id);
+    if (ticket != stage.mTickets.end() && ticket->second.second >= aNow + kTicketMargin)
+      continue;
+    hasRoom = hasRoom || fits;
+    candidates.emplace_back(std::int64_t{ worker.mUsedMilliCores } - worker.mEntry.mMilliCores, id);
+  }
+  if (candidates.empty() || !hasRoom)
+    return;
+  std::sort(candidates.begin(), candidates.end());
+  const std::size_t most = isFirst ? mSettings.mAdviceWorkers : kMostAdmitted;
+  if (candidates.size() > most)
+    candidates.resize(most);
+  AdviceOrder order;
+  order.mNumber = mNextAdvice++;
+  order.mStage = FormatStage(aReady.mRef);
+  for (auto& [left, id] : candidates)
+    order.mWorkers.push_back(std::move(id));
+  const Duration expected =
+    aReady.mQueue->mAdviceBase + order.mWorkers.size() * aReady.mQueue->mAdvicePerWorker;
+  order.mExpectedMs = std::chrono::duration_cast<milliseconds>(expected).count();
+  stage.mAdviceNumber = order.mNumber;
+  mAdviceInFlight[order.mNumber] = isSlow;
+  --aFree;
+  if (isSlow)
+    --aFreeHeavy;
+  aOrders.mAdvice.push_back(std::move(order));
+}
+
+void Scheduler::PlanStops(TimePoint aNow, Orders& aOrders)
+{
+  for (auto& [id, worker] : mWorkers) {
+    if (!worker.mReachable)
+      continue;
+    for (Run& run : worker.mRuns) {
+      if (run.mStopAckedAt != TimePoint{} || aNow - run.mStopSentAt < kRepeatStop)
+        continue;
+      bool mustStop = run.mPhase == RunPhase::Stopping;
+      if (!run.mKnown)
+        mustStop = mustStop || FindJob(run.mRef.mJob) || aNow - run.mProgressAt > kOrphanAge;
+      else if (!mustStop) {
+        const Job* job = FindJob(run.mRef.mJob);
+        const Task* task = FindTask(run.mRef);
+        // An end of the worker's own says when a completed task's room is free.
+        mustStop =
+          !job || !task || job->mState == JobState::Cancelled || job->mState == JobState::Failed ||
+          (!task->mDone && !run.mDetached && (task->mWorker != id || task->mRun != run.mRun)) ||
+          (task->mDone && job->mSpec.mStages[run.mRef.mStage].mSpeculative) ||
+          (run.mPhase == RunPhase::Unconfirmed && worker.mAnsweredAt > run.mSentAt);
+      }
+      if (!mustStop || run.mPhase == RunPhase::Starting)
+        continue;
+      run.mPhase = RunPhase::Stopping;
+      run.mStopSentAt = aNow;
+      aOrders.mStops.push_back({ id, run.mTask, run.mRun });
+    }
+  }
+}
+
+// Copies of a speculative task cost room only, and a worker that is silent may be gone.
+void Scheduler::PlanCopies(TimePoint aNow)
+{
+  for (auto& [id, worker] : mWorkers) {
+    // Before it has answered this epoch, nobody here knows what it runs.
+    if (worker.mReachable || !worker.mFenced || aNow - worker.mSilentSince < kCopyAfter)
+      continue;
+    worker.mFinalWanted = !worker.mFinalTasks.has_value();
+    for (Run& run : worker.mRuns) {
+      const Job* job = run.mKnown && !run.mDetached ? FindJob(run.mRef.mJob) : nullptr;
+      Task* task = job ? FindTask(run.mRef) : nullptr;
+      if (!task || !job->mSpec.mStages[run.mRef.mStage].mSpeculative || task->mDone ||
+          task->mWorker != id || task->mRun != run.mRun)
+        continue;
+      run.mDetached = true;
+      task->mWorker.clear();
+      ++FindStage(run.mRef)->mWaiting;
+    }
+  }
+}
+
+void Scheduler::PlanPace(TimePoint, Orders& aOrders)
+{
+  for (auto& [id, worker] : mWorkers) {
+    bool isNear = false;  // a serving task is close to its target
+    for (const Run& run : worker.mRuns)
+      isNear = isNear || (run.mTailTargetMs > 0 && run.mTailMs > 0.8 * double(run.mTailTargetMs));
+    for (Run& run : worker.mRuns) {
+      const std::uint32_t pace = isNear ? 0 : 100;
+      if (!run.mFiller || run.mPhase != RunPhase::Running || run.mPace == pace)
+        continue;
+      run.mPace = pace;
+      aOrders.mPaces.push_back({ id, run.mTask, run.mRun, pace });
+    }
+  }
+}
+
+Orders Scheduler::Plan(TimePoint aNow,
+                       std::int64_t aWallMs,
+                       bool aMayStart,
+                       std::size_t aFreeAdvisors)
+{
+  Orders orders;
+  PlanStops(aNow, orders);
+  if (!aMayStart)
+    return orders;
+  PlanPace(aNow, orders);
+  PlanCopies(aNow);
+  std::size_t slowInFlight = 0;
+  for (const auto& [number, isSlow] : mAdviceInFlight)
+    slowInFlight += isSlow ? 1 : 0;
+  const std::size_t advisors = aFreeAdvisors + mAdviceInFlight.size();
+  const std::size_t heavy = mSettings.mHeavyAdvisors != 0
+                              ? mSettings.mHeavyAdvisors
+                              : std::max<std::size_t>(1, advisors * 3 / 4);
+  std::size_t freeHeavy = heavy > slowInFlight ? heavy - slowInFlight : 0;
+  for (const Ready& ready : CollectReady(aNow, aWallMs)) {
+    if (ready.mSpec->mGang && ready.mStage->mWaiting < ready.mStage->mTasks.size())
+      RepairGang(ready, aNow, orders);
+    else if (ready.mSpec->mGang)
+      PlaceGang(ready, aNow, orders);
+    else
+      PlaceStage(ready, aNow, orders);
+    if (ready.mStage->mWaiting > 0 && ready.mQueue->mNeedsAdvice)
+      AskAdvice(ready, aNow, aFreeAdvisors, freeHeavy, orders);
+  }
+  return orders;
+}
+
+}  // namespace monsoon::fleet
--- /dev/null
+++ b/src/fleet/scheduler_workers.cpp
@@ -0,0 +1,505 @@
+// What workers report, and what became of orders.
+#include <algorithm>
+#include <charconv>
+
+#include "fleet/scheduler_impl.h"
+#include "observe/log.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kRetryAdvice = milliseconds(150);  // after a call that failed
+constexpr Duration kFullFor = milliseconds(100);      // until a full worker's next report
+constexpr Duration kLapseMargin = milliseconds(200);  // rounding and travel, over the lease itself
+constexpr std::uint32_t kFailStreak = 3;              // failed ends in a row before a quarantine
+constexpr Duration kQuarantine = seconds(2);          // doubled with each one that follows
+constexpr std::uint32_t kLongestQuarantine = 3;       // doublings
+
+}  // namespace
+
+// What workers have reported of a job before it came into the book.
+void Scheduler::TakeOrphans(Job& aJob, TimePoint aNow)
+{
+  const std::string prefix = aJob.mSpec.mId + ".";
+  for (auto& [id, worker] : mWorkers) {
+    std::vector<std::pair<TimePoint, EndedRow>> orphans = std::move(worker.mOrphanEnds);
+    worker.mOrphanEnds.clear();
+    for (auto& [seenAt, row] : orphans) {
+      if (row.mTask.starts_with(prefix))
+        ProcessEnd(worker, row, aNow);
+      else
+        worker.mOrphanEnds.emplace_back(seenAt, std::move(row));
+    }
+    for (Run& run : worker.mRuns)
+      if (!run.mKnown && run.mPhase == RunPhase::Running && run.mTask.starts_with(prefix))
+        AdoptRun(worker, run, aNow);
+  }
+}
+
+// A run that a worker reports, and that no other run of the task stands against, is taken over with
+// its room. False: it must be stopped.
+bool Scheduler::AdoptRun(Worker& aWorker, Run& aRun, TimePoint aNow)
+{
+  EnsureOccurrence(aRun.mRef, aNow);
+  Job* job = FindJobMutable(aRun.mRef.mJob);
+  Task* task = FindTask(aRun.mRef);
+  if (!job || !task)
+    return false;
+  const StageSpec& spec = job->mSpec.mStages[aRun.mRef.mStage];
+  if (aRun.mMemoryMiB == 0 && aRun.mMilliCores == 0 && aRun.mAccelerators == 0) {
+    aRun.mMilliCores = spec.mFiller ? 0 : spec.mMilliCores;
+    aRun.mMemoryMiB = spec.mMemoryMiB;
+    aRun.mAccelerators = spec.mAccelerators;
+    aWorker.mUsedMilliCores += aRun.mMilliCores;
+    aWorker.mUsedMemoryMiB += aRun.mMemoryMiB;
+    aWorker.mUsedAccelerators += aRun.mAccelerators;
+  }
+  aRun.mFiller = spec.mFiller;
+  aRun.mTailTargetMs = spec.mTailTargetMs;
+  if (task->mDone || !task->mWorker.empty() || IsOver(job->mState) || aRun.mRun < task->mRun)
+    return false;
+  StageRun& stage = *FindStage(aRun.mRef);
+  aRun.mKnown = true;
+  task->mWorker = aWorker.mEntry.mId;
+  task->mRun = aRun.mRun;
+  task->mNeverRan = false;
+  --stage.mWaiting;
+  if (!aRun.mCheckpoint.empty()) {
+    task->mCheckpoint = aRun.mCheckpoint;
+    stage.mGangCheckpoint = aRun.mCheckpoint;
+  }
+  if (job->mState == JobState::Queued)
+    job->mState = JobState::Running;
+  return true;
+}
+
+Worker* Scheduler::FindWorker(const std::string& aId)
+{
+  auto it = mWorkers.find(aId);
+  return it == mWorkers.end() ? nullptr : &it->second;
+}
+
+void Scheduler::ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow)
+{
+  // A new life at the address of another: the other one's processes are gone.
+  for (auto it = mWorkers.begin(); it != mWorkers.end();) {
+    if (it->second.mEntry.mAddress == aEntry.mAddress && it->first != aEntry.mId) {
+      Log(LogPart::Task,
+          LogLevel::Info,
+          "a worker was replaced at its address; its tasks are lost",
+          { { "worker", it->first },
+            { "successor", aEntry.mId },
+            { "tasks", it->second.mRuns.size() } });
+      while (!it->second.mRuns.empty())
+        DropRun(it->second, it->second.mRuns.size() - 1);
+      it = mWorkers.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  auto [it, isNew] = mWorkers.try_emplace(aEntry.mId);
+  Worker& worker = it->second;
+  if (isNew)
+    worker.mLeaseSentAt = aNow;  // an earlier holder may have renewed leases until now
+  else if (aEntry.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
+           aEntry.mBornMs > worker.mEntry.mBornMs) {
+    StartNewLife(worker);
+  }
+  const std::int64_t born = std::max(worker.mEntry.mBornMs, aEntry.mBornMs);
+  if (aEntry.mDraining && !worker.mEntry.mDraining)
+    Log(LogPart::Drain, LogLevel::Info, "a worker is draining", { { "worker", aEntry.mId } });
+  worker.mEntry = std::move(aEntry);
+  worker.mEntry.mBornMs = born;
+  worker.mListed = true;
+  worker.mRecorded = worker.mRecorded || aRecorded;
+}
+
+// A worker that started again knows nothing of before. An order under way may reach its new life.
+void Scheduler::StartNewLife(Worker& aWorker)
+{
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "a worker started again under its name; its tasks are lost",
+      { { "worker", aWorker.mEntry.mId }, { "tasks", aWorker.mRuns.size() } });
+  for (std::size_t n = aWorker.mRuns.size(); n-- > 0;)
+    if (aWorker.mRuns[n].mPhase != RunPhase::Starting)
+      DropRun(aWorker, n);
+  aWorker.mLastEnd = 0;
+  aWorker.mStoredEnd = 0;
+}
+
+void Scheduler::UnlistWorker(const std::string& aId, TimePoint aNow)
+{
+  Worker* worker = FindWorker(aId);
+  if (!worker || !worker->mListed)
+    return;
+  worker->mListed = false;
+  worker->mUnlistedAt = aNow;
+}
+
+void Scheduler::OnSilence(const std::string& aId, TimePoint aNow)
+{
+  Worker* worker = FindWorker(aId);
+  if (!worker || !worker->mReachable)
+    return;
+  worker->mReachable = false;
+  worker->mSilentSince = aNow;
+  Log(LogPart::Task,
+      LogLevel::Warn,
+      "a worker does not answer; its tasks count as running until their lease lapses",
+      { { "worker", aId },
+        { "tasks", worker->mRuns.size() },
+        { "answered_ago_ms", aNow - worker->mAnsweredAt } });
+}
+
+void Scheduler::DropLapsed(TimePoint aNow, Duration aGrace)
+{
+  const Duration longest =
+    std::chrono::duration_cast<Duration>(mSettings.mTaskLease * (1 + mSettings.mWorkerClockDrift)) +
+    kLapseMargin;
+  for (auto it = mWorkers.begin(); it != mWorkers.end();) {
+    Worker& worker = it->second;
+    const Duration limit = worker.mFenced ? longest : longest + aGrace;
+    const bool hasLeft = worker.mEntry.mDraining && !worker.mListed && worker.mFenced;
+    if (worker.mReachable || (aNow < worker.mLeaseSentAt + limit && !hasLeft)) {
+      ++it;
+      continue;
+    }
+    if (!worker.mRuns.empty())
+      Log(LogPart::Task,
+          LogLevel::Warn,
+          "leases lapsed on a worker that does not answer; its tasks run again elsewhere",
+          { { "worker", it->first },
+            { "tasks", worker.mRuns.size() },
+            { "listed", worker.mListed ? "yes" : "no" } });
+    while (!worker.mRuns.empty())
+      DropRun(worker, worker.mRuns.size() - 1);
+    if (!worker.mListed)
+      it = mWorkers.erase(it);
+    else {
+      worker.mFenced = true;  // nothing of an earlier epoch can run there
+      ++it;
+    }
+  }
+}
+
+void Scheduler::SetFinalTasks(const std::string& aId, std::set<std::string> aTasks)
+{
+  if (Worker* worker = FindWorker(aId))
+    worker->mFinalTasks = std::move(aTasks);
+}
+
+bool Scheduler::AreAllResolved() const
+{
+  return std::all_of(
+    mWorkers.begin(), mWorkers.end(), [](const auto& aItem) { return aItem.second.mFenced; });
+}
+
+// The task waits again, unless it is done or runs elsewhere by now.
+void Scheduler::ReleaseTask(const Run& aRun, bool aNeverRan)
+{
+  if (!aRun.mKnown)
+    return;
+  Task* task = FindTask(aRun.mRef);
+  if (!task || task->mDone || task->mRun != aRun.mRun || task->mWorker.empty())
+    return;
+  task->mWorker.clear();
+  task->mNeverRan = aNeverRan;
+  ++FindStage(aRun.mRef)->mWaiting;
+}
+
+void Scheduler::DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan)
+{
+  const Run run = std::move(aWorker.mRuns[aIndex]);
+  aWorker.mRuns.erase(aWorker.mRuns.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  aWorker.mUsedMilliCores -= run.mMilliCores;
+  aWorker.mUsedMemoryMiB -= run.mMemoryMiB;
+  aWorker.mUsedAccelerators -= run.mAccelerators;
+  ReleaseTask(run, aNeverRan);
+}
+
+void Scheduler::BlameWorker(Worker& aWorker, const std::string& aJob, bool aFailed, TimePoint aNow)
+{
+  if (!aFailed) {
+    aWorker.mFailStreak = 0;
+    aWorker.mQuarantines = 0;
+    return;
+  }
+  if (aWorker.mFailJob == aJob)  // one bad job says nothing about the worker
+    return;
+  aWorker.mFailJob = aJob;
+  if (++aWorker.mFailStreak < kFailStreak)
+    return;
+  const std::uint32_t doublings = std::min(aWorker.mQuarantines, kLongestQuarantine);
+  aWorker.mQuarantinedUntil = aNow + kQuarantine * (1 << doublings);
+  ++aWorker.mQuarantines;
+  aWorker.mFailStreak = kFailStreak - 1;  // one more failure is enough next time
+  Log(LogPart::Task,
+      LogLevel::Warn,
+      "tasks of several jobs failed in a row on a worker; it gets no new ones for a while",
+      { { "worker", aWorker.mEntry.mId }, { "ms", aWorker.mQuarantinedUntil - aNow } });
+}
+
+void Scheduler::MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow)
+{
+  Task& task = aStage.mTasks[aRef.mIndex];
+  if (task.mDone)
+    return;
+  if (task.mWorker.empty())
+    --aStage.mWaiting;
+  task.mDone = true;
+  ++aStage.mDone;
+  MarkDirty(aJob);
+  if (aStage.mDone < aStage.mTasks.size())
+    return;
+  for (StageRun& it : aJob.mOccurrences[aRef.mOccurrence].mStages)
+    it.mReadyAt = std::max(it.mReadyAt, aNow);
+  CheckJobEnd(aJob, aNow);
+}
+
+void Scheduler::ProcessEnd(Worker& aWorker, const EndedRow& aRow, TimePoint aNow)
+{
+  TaskRef ref;
+  if (!ParseTask(aRow.mTask, ref))
+    return;
+  EnsureOccurrence(ref, aNow);
+  Job* job = FindJobMutable(ref.mJob);
+  Task* task = FindTask(ref);
+  const auto run = std::find_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& aItem) {
+    return aItem.mTask == aRow.mTask && aItem.mRun == aRow.mRun;
+  });
+  const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
+  if (run != aWorker.mRuns.end())
+    DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
+  if (!job)
+    aWorker.mOrphanEnds.emplace_back(aNow, aRow);
+  if (!job || !task || task->mDone || IsOver(job->mState))
+    return;
+  StageRun& stage = *FindStage(ref);
+  const StageSpec& spec = job->mSpec.mStages[ref.mStage];
+  const QueueConfig* queue = FindQueue(job->mSpec.mQueue);
+  if (!aRow.mCheckpoint.empty() && spec.mCheckpointed && aRow.mRun >= task->mRun) {
+    task->mCheckpoint = aRow.mCheckpoint;
+    stage.mGangCheckpoint = aRow.mCheckpoint;
+  }
+  if (aRow.mKind == EndKind::Done && !spec.mLongRunning) {
+    BlameWorker(aWorker, ref.mJob, false, aNow);
+    if (spec.mGang) {
+      for (std::uint32_t n = 0; n < stage.mTasks.size(); ++n)
+        MarkDone(*job, stage, TaskRef{ ref.mJob, ref.mOccurrence, ref.mStage, n }, aNow);
+    } else {
+      MarkDone(*job, stage, ref, aNow);
+    }
+    return;
+  }
+  if (aRow.mKind != EndKind::Failed)
+    return;
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "failed",
+      { { "task", aRow.mTask },
+        { "run", aRow.mRun },
+        { "worker", aWorker.mEntry.mId },
+        { "stopping", wasStopped ? "yes" : "no" } });
+  BlameWorker(aWorker, ref.mJob, true, aNow);
+  task->mFailedOn.push_back(aWorker.mEntry.mId);
+  if (spec.mLongRunning)
+    return;
+  std::uint32_t failures = 0;
+  task->mFailedRuns.insert(aRow.mRun);
+  if (spec.mGang) {
+    stage.mFailedGangRuns.insert(aRow.mRun);
+    failures = static_cast<std::uint32_t>(stage.mFailedGangRuns.size());
+  } else {
+    failures = static_cast<std::uint32_t>(task->mFailedRuns.size());
+  }
+  MarkDirty(*job);
+  if (queue && failures >= queue->mMaxAttempts) {
+    Log(LogPart::Job,
+        LogLevel::Info,
+        "failed: a task failed as often as its queue allows",
+        { { "job", ref.mJob }, { "task", aRow.mTask }, { "failures", failures } });
+    EndJob(*job, JobState::Failed, aNow);
+  }
+}
+
+void Scheduler::OnReport(const std::string& aId,
+                         const WorkerReport& aReport,
+                         TimePoint aSentAt,
+                         TimePoint aNow)
+{
+  Worker* found = FindWorker(aId);
+  if (!found)
+    return;
+  Worker& worker = *found;
+  if (!worker.mReachable && worker.mFenced)
+    Log(LogPart::Task, LogLevel::Info, "a worker answers again", { { "worker", aId } });
+  if (aReport.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
+      aReport.mBornMs > worker.mEntry.mBornMs) {
+    StartNewLife(worker);
+  }
+  if (aReport.mBornMs != 0)
+    worker.mEntry.mBornMs = aReport.mBornMs;
+  worker.mReachable = true;
+  worker.mFenced = true;
+  worker.mAnsweredAt = aNow;
+
+  for (const EndedRow& row : aReport.mEnded) {
+    if (row.mNumber <= worker.mLastEnd)
+      continue;
+    ProcessEnd(worker, row, aNow);
+    worker.mLastEnd = row.mNumber;
+    mHasNewEnds = true;
+  }
+
+  std::map<std::pair<std::string_view, std::uint64_t>, const RunningRow*> listed;
+  for (const RunningRow& row : aReport.mRunning)
+    listed.emplace(std::pair(std::string_view(row.mTask), row.mRun), &row);
+
+  for (std::size_t n = worker.mRuns.size(); n-- > 0;) {
+    Run& run = worker.mRuns[n];
+    auto it = listed.find({ std::string_view(run.mTask), run.mRun });
+    if (it != listed.end()) {
+      const RunningRow& row = *it->second;
+      if (row.mPercent > run.mPercent || !run.mSeen) {
+        run.mPercent = row.mPercent;
+        run.mProgressAt = aNow;
+      }
+      run.mSeen = true;
+      run.mTailMs = row.mTailMs;
+      if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt)
+        run.mPhase = RunPhase::Running;
+      if (run.mKnown && !row.mCheckpoint.empty())
+        if (Task* task = FindTask(run.mRef); task && task->mRun == run.mRun) {
+          task->mCheckpoint = row.mCheckpoint;
+          FindStage(run.mRef)->mGangCheckpoint = row.mCheckpoint;
+        }
+      listed.erase(it);
+      continue;
+    }
+    const bool isGone = (run.mPhase == RunPhase::Running && aSentAt > run.mSentAt) ||
+                        (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
+                         aSentAt > run.mStopAckedAt) ||
+                        !run.mKnown;
+    if (isGone) {
+      const bool neverRan = run.mKnown && !run.mSeen && run.mPhase == RunPhase::Stopping;
+      if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
+        task->mFailedOn.push_back(aId);  // this worker refuses the run number from now on
+      DropRun(worker, n, neverRan);
+    }
+  }
+
+  // What is left runs there without being in the book: adopted after a takeover, stopped otherwise.
+  for (const auto& [key, row] : listed) {
+    Run run;
+    run.mTask = row->mTask;
+    run.mRun = row->mRun;
+    run.mSeen = true;
+    run.mPercent = row->mPercent;
+    run.mTailMs = row->mTailMs;
+    run.mProgressAt = aNow;
+    run.mSentAt = aSentAt;
+    run.mPhase = RunPhase::Running;
+    run.mCheckpoint = row->mCheckpoint;
+    const bool isAdopted = ParseTask(row->mTask, run.mRef) && AdoptRun(worker, run, aNow);
+    Log(LogPart::Task,
+        LogLevel::Info,
+        isAdopted ? "adopted a running task" : "a task runs that is not in the book",
+        { { "task", row->mTask }, { "run", row->mRun }, { "worker", aId } });
+    worker.mRuns.push_back(std::move(run));
+  }
+}
+
+void Scheduler::OnStart(const StartOrder& aOrder, StartOutcome aOutcome, TimePoint aNow)
+{
+  Worker* worker = FindWorker(aOrder.mWorker);
+  if (!worker)
+    return;
+  auto run = std::find_if(worker->mRuns.begin(), worker->mRuns.end(), [&](const Run& aItem) {
+    return aItem.mTask == aOrder.mTask && aItem.mRun == aOrder.mRun;
+  });
+  if (run == worker->mRuns.end())
+    return;
+  TaskRef ref = run->mRef;
+  switch (aOutcome) {
+    case StartOutcome::Started:
+      if (run->mPhase == RunPhase::Starting)
+        run->mPhase = RunPhase::Running;
+      run->mSentAt = aNow;
+      run->mProgressAt = aNow;
+      worker->mReachable = true;
+      worker->mAnsweredAt = aNow;
+      if (Job* job = FindJobMutable(ref.mJob); job && job->mState == JobState::Queued)
+        job->mState = JobState::Running;
+      return;
+    case StartOutcome::Unknown:
+      if (run->mPhase == RunPhase::Starting)
+        run->mPhase = RunPhase::Unconfirmed;
+      run->mSentAt = aNow;
+      return;
+    case StartOutcome::OldRun:
+      // An order of this run or a later one is known there, so the run number must rise. The room
+      // stays taken until a report shows whether it runs.
+      run->mPhase = RunPhase::Unconfirmed;
+      run->mSentAt = aNow;
+      return;
+    case StartOutcome::NoRoom:
+      worker->mFullUntil = aNow + kFullFor;
+      break;
+    case StartOutcome::BadTicket:
+      if (StageRun* stage = FindStage(ref))
+        stage->mTickets.erase(aOrder.mWorker);
+      break;
+    case StartOutcome::NotStarted:
+      worker->mFullUntil = aNow + kFullFor;
+      break;
+    case StartOutcome::OtherLife:
+      worker->mFullUntil = aNow + seconds(1);
+      break;
+  }
+  DropRun(*worker, static_cast<std::size_t>(run - worker->mRuns.begin()), true);
+}
+
+void Scheduler::OnStop(const StopOrder& aOrder, bool aAcked, TimePoint aNow)
+{
+  Worker* worker = FindWorker(aOrder.mWorker);
+  if (!worker)
+    return;
+  for (Run& it : worker->mRuns)
+    if (it.mTask == aOrder.mTask && it.mRun == aOrder.mRun && aAcked)
+      it.mStopAckedAt = aNow;
+}
+
+void Scheduler::OnAdvice(const AdviceOrder& aOrder,
+                         const std::vector<Admission>* aAdmitted,
+                         Duration aValid,
+                         TimePoint aAskedAt,
+                         TimePoint aNow)
+{
+  mAdviceInFlight.erase(aOrder.mNumber);
+  TaskRef ref;
+  if (!ParseTask(aOrder.mStage + ".0", ref))
+    return;
+  StageRun* stage = FindStage(ref);
+  if (!stage || stage->mAdviceNumber != aOrder.mNumber)
+    return;
+  stage->mAdviceNumber = 0;
+  if (!aAdmitted) {
+    stage->mAskAgainAt = aNow + kRetryAdvice;
+    return;
+  }
+  if (aValid <= Duration::zero())  // the answer does not say
+    if (const QueueConfig* queue = FindQueue(FindJob(ref.mJob)->mSpec.mQueue))
+      aValid = queue->mAdviceValid;
+  for (const std::string& id : aOrder.mWorkers)
+    stage->mRefused.insert(id);
+  for (const Admission& it : *aAdmitted) {
+    stage->mRefused.erase(it.mWorker);
+    // The service counts the validity from its answer, which cannot have been before the asking.
+    const TimePoint answered = std::max(aAskedAt + milliseconds(aOrder.mExpectedMs), aAskedAt);
+    stage->mTickets[it.mWorker] = { it.mTicket, std::min(answered, aNow) + aValid };
+  }
+}
+
+}  // namespace monsoon::fleet
