Note no end while an earlier write of progress is not stored; a holder that resigns stores first

Its last write ran beside one of the usual ones; one of the two was refused, and the other's success took note of the ends of both, so the successor ran finished tasks again. Writes of progress go one at a time, a batch takes note of no ends while another is out, and a holder that resigns tries for 1.2 s to store what is open. Ruled out: late writes (their conditions fail), the takeover's own reports. The test fails without the change. The watch loops of an entry share one function.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -125,25 +125,34 @@
     mHolder->SetConfig(mConfig);
 }
 
+// The changes of keys under a prefix since aRevision, or all of them where it is 0; moves aRevision
+// on. Nothing when the store did not answer, or its history is gone: the next call lists again.
+Async<std::optional<platform::StorePage>> Entry::Follow(std::string aPrefix,
+                                                        std::uint64_t& aRevision)
+{
+  Result<platform::StorePage> page = platform::StorePage{};
+  if (aRevision == 0)
+    page = co_await mStore.List(std::move(aPrefix), platform::kStoreDeadline);
+  else
+    page = co_await mStore.Watch(std::move(aPrefix), aRevision, kWatchWait);
+  if (page) {
+    aRevision = page->mRevision;
+    co_return std::move(*page);
+  }
+  if (page.error().mKind == FailureKind::Conflict)
+    aRevision = 0;
+  else
+    co_await Sleep(kRetryStore);
+  co_return std::nullopt;
+}
+
 Async<void> Entry::WatchConfig()
 {
   std::uint64_t revision = 0;
-  const std::string prefix(platform::kOperatorPrefix);
   while (!mStopping) {
-    const bool isList = revision == 0;
-    Result<platform::StorePage> page = platform::StorePage{};
-    if (isList)
-      page = co_await mStore.List(prefix, platform::kStoreDeadline);
-    else
-      page = co_await mStore.Watch(prefix, revision, kWatchWait);
-    if (!page) {
-      if (page.error().mKind == FailureKind::Conflict)
-        revision = 0;
-      else
-        co_await Sleep(kRetryStore);
+    auto page = co_await Follow(std::string(platform::kOperatorPrefix), revision);
+    if (!page)
       continue;
-    }
-    revision = page->mRevision;
     for (const StoreItem& it : page->mItems)
       TakeConfig(it);
   }
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -28,7 +28,6 @@
   {
     std::optional<HolderRecord> mRecord{};
     std::uint64_t mRevision = 0;
-    bool mIsKnown = false;  // read at least once
   };
 
   // Callers
@@ -50,6 +49,7 @@
   [[nodiscard]] bool IsIsolated() const;
   [[nodiscard]] HttpResponse MakeRefusal(http::status aStatus) const;
   // Store
+  Async<std::optional<platform::StorePage>> Follow(std::string aPrefix, std::uint64_t& aRevision);
   Async<void> WatchConfig();
   Async<void> WatchHolder();
   Async<void> Campaign();
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -235,27 +235,15 @@
 Async<void> Entry::WatchHolder()
 {
   std::uint64_t revision = 0;
-  const std::string prefix(kHolderKey);
   while (!mStopping) {
     const bool isList = revision == 0;
-    Result<platform::StorePage> page = platform::StorePage{};
-    if (isList)
-      page = co_await mStore.List(prefix, platform::kStoreDeadline);
-    else
-      page = co_await mStore.Watch(prefix, revision, kWatchWait);
-    if (!page) {
-      if (page.error().mKind == FailureKind::Conflict)
-        revision = 0;
-      else
-        co_await Sleep(kRetryStore);
+    auto page = co_await Follow(std::string(kHolderKey), revision);
+    if (!page)
       continue;
-    }
-    revision = page->mRevision;
     for (const StoreItem& it : page->mItems)
       TakeHolder(it);
     if (isList && page->mItems.empty())
       TakeHolder({ std::string(kHolderKey), {}, revision, true });
-    mView.mIsKnown = true;
     if (!mView.mRecord && !mCampaigning && !mStopping)
       asio::co_spawn(mContext, Campaign(), asio::detached);
   }
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration kRenewEvery = milliseconds(300);       // several tries within one lease
 constexpr Duration kRenewDeadline = milliseconds(600);    // slow days: some 400 ms
+constexpr Duration kResignWithin = milliseconds(1200);    // a slow store takes some 400 ms a write
 constexpr Duration kResignDeadline = milliseconds(300);   // a cross-zone round trip takes 9 ms
 constexpr Duration kTurnedAwayAfter = milliseconds(300);  // of failing calls
 constexpr Duration kTravelMargin = milliseconds(50);      // of a poll, between two clocks' readings
@@ -82,7 +83,11 @@
 Async<void> Holder::Resign(std::string_view aWhy)
 {
   auto self = shared_from_this();
-  co_await StoreProgressOnce();
+  // What is not stored is still listed by the workers, and its successor hears of it.
+  const TimePoint deadline = BootClock::now() + kResignWithin;
+  while (!mDeposed && mScheduler.HasProgress() && BootClock::now() < deadline)
+    if (!co_await StoreProgressOnce())
+      co_await Sleep(milliseconds(20));
   Depose(aWhy);
   auto ended = co_await mStore.EndLease(mGrant.mLease, platform::kStoreDeadline);
   if (!ended)
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -93,7 +93,8 @@
   Async<void> WatchWorkers(std::uint64_t aRevision);
   Async<void> RunPlan();
   Async<void> StoreProgress();
-  Async<bool> StoreProgressOnce();
+  Async<bool> StoreProgressOnce();  // false: not stored, or another write is under way
+  Async<bool> StoreBatch();
   Async<void> RecordWorkers();
   Async<void> CheckHolderKey();
   void TakeRecordRevisions(
@@ -139,6 +140,7 @@
   FleetConfig mConfig{};
   bool mDeposed = false;
   bool mLoaded = false;
+  bool mStoring = false;              // a write of progress is under way
   std::deque<TimePoint> mSilences{};  // recent calls to workers that got no answer
   bool mHasResigned = false;          // for a member that reaches the store
   bool mPredecessorGone = false;      // it has confirmed that it gives no more orders
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -317,6 +317,17 @@
 }
 
 Async<bool> Holder::StoreProgressOnce()
+{
+  auto self = shared_from_this();
+  if (mStoring)
+    co_return false;
+  mStoring = true;
+  const bool isStored = co_await StoreBatch();
+  mStoring = false;
+  co_return isStored;
+}
+
+Async<bool> Holder::StoreBatch()
 {
   auto self = shared_from_this();
   ProgressBatch batch = mScheduler.CollectProgress(kProgressEntries, BootClock::now());
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -151,7 +151,7 @@
     }
   }
   // An end may be taken note of only when the effects of all ends before it are stored.
-  if (mDirtyJobs.empty()) {
+  if (mDirtyJobs.empty() && mBatchesOut == 0) {
     mHasEndedJob = false;
     mHasNewEnds = false;
     for (auto& [id, worker] : mWorkers) {
@@ -162,11 +162,13 @@
       mHasNewEnds = mHasNewEnds || !worker.mOrphanEnds.empty();
     }
   }
+  ++mBatchesOut;
   return batch;
 }
 
 void Scheduler::OnProgressStored(const ProgressBatch& aBatch)
 {
+  --mBatchesOut;
   for (const StoredProgress& it : aBatch.mJobs)
     if (Job* job = FindJobMutable(it.mJob))
       job->mStoredState = it.mState;
@@ -177,6 +179,7 @@
 
 void Scheduler::OnProgressLost(const ProgressBatch& aBatch)
 {
+  --mBatchesOut;
   for (const StoredProgress& it : aBatch.mJobs)
     if (Job* job = FindJobMutable(it.mJob))
       MarkDirty(*job);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -229,7 +229,8 @@
   // Durable progress
   [[nodiscard]] bool HasProgress() const { return !mDirtyJobs.empty() || mHasNewEnds; }
   [[nodiscard]] bool HasEndedJob() const { return mHasEndedJob; }
-  // A job that has ended takes one entry of a transaction, any other two.
+  // A job that has ended takes one entry of a transaction, any other two. Each batch is answered by
+  // OnProgressStored or OnProgressLost; while one is out, the next one takes note of no ends.
   ProgressBatch CollectProgress(std::size_t aMostEntries, TimePoint aNow);
   void OnProgressStored(const ProgressBatch& aBatch);
   void OnProgressLost(const ProgressBatch& aBatch);
@@ -294,6 +295,7 @@
   std::set<std::string> mDirtyJobs{};
   std::set<std::string>
     mMayRun{};  // tasks that unresolved workers may run, while CollectReady's list is used
+  std::size_t mBatchesOut = 0;
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
   std::uint64_t mNextAdvice = 1;
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -233,6 +233,35 @@
   CHECK(batch.mEnds.empty());  // more is to be stored before ends may be taken note of
 }
 
+TEST_CASE("fleet: no end is taken note of while an earlier batch of progress is not stored")
+{
+  Scheduler scheduler({});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue("q"));
+  scheduler.SetQueues(config);
+  const TimePoint now{ seconds(2000) };
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.0:80";
+  scheduler.ListWorker(entry, true, now);
+  scheduler.AddJob(MakeJob("a", 2), {}, false, now);
+  WorkerReport report;
+  report.mEnded.push_back({ 1, "a.0.0.0", 1, EndKind::Done, "" });
+  scheduler.OnReport("w0", report, now, now);
+  const ProgressBatch first = scheduler.CollectProgress(31, now);
+  CHECK(first.mEnds.size() == 1);
+  report.mEnded.push_back({ 2, "a.0.0.1", 1, EndKind::Done, "" });
+  scheduler.OnReport("w0", report, now + seconds(1), now + seconds(1));
+  const ProgressBatch second = scheduler.CollectProgress(31, now + seconds(1));
+  CHECK(second.mEnds.empty());
+  scheduler.OnProgressStored(second);
+  CHECK(scheduler.FindWorker("w0")->mStoredEnd == 0);
+  scheduler.OnProgressLost(first);  // its write was refused: all is written again
+  const ProgressBatch third = scheduler.CollectProgress(31, now + seconds(2));
+  REQUIRE(third.mEnds.size() == 1);
+  CHECK(third.mEnds[0].second == 2);
+}
+
 TEST_CASE("fleet: an end that is reported before its job is in the book counts when the job comes")
 {
   Scheduler scheduler({ .mEpoch = 2 });
