End the former lease of a holder that starts again

Cause: after a kill or power loss of every process the new ones waited until the lease of the killed holder lapsed, up to 2 s: its machine accepts connections again, so no member saw a refused one. Ruled out: a shorter lease (a slow store answers in 400 ms). Now a process that finds its own address in the holder's record, and does not hold, ends that lease. Members poll the holder also where no policy service is set, as they notice its end by that. Soak: its processes and stand-in moved into tests/integration/entry_fleet, which the new test shares.

Test: 2,005 ms from restart to the end of a job before (bound 1,500), passes now.

--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -148,7 +148,7 @@
 {
   std::vector<AdviceResult> results;
   while (!mStopping) {
-    if (!mView.mRecord || IsHolder() || !mSettings.mAdvice) {
+    if (!mView.mRecord || IsHolder()) {
       co_await Sleep(milliseconds(20));
       results.clear();
       continue;
@@ -176,11 +176,19 @@
       continue;
     }
     for (const AdviceOrder& it : reply->mOrders) {
+      AdviceResult result;
+      result.mNumber = it.mNumber;
+      if (!mSettings.mAdvice) {
+        Log(LogPart::Peer,
+            LogLevel::Error,
+            "asked for a policy call, but the settings name no policy service",
+            { { "stage", it.mStage } });
+        results.push_back(std::move(result));
+        continue;
+      }
       const TimePoint askedAt = BootClock::now();
       auto advice = co_await platform::Advise(
         mClient, *mSettings.mAdvice, it, milliseconds(it.mExpectedMs) + seconds(1));
-      AdviceResult result;
-      result.mNumber = it.mNumber;
       result.mAnswered = advice.has_value();
       result.mTookMs = std::chrono::duration_cast<milliseconds>(BootClock::now() - askedAt).count();
       if (advice) {
@@ -192,21 +200,25 @@
   }
 }
 
-// A holder whose machine says that its process is gone needs no wait for its lease to lapse. Should
-// it live after all, it is fenced like any predecessor.
+// A holder whose machine says that its process is gone needs no wait for its lease to lapse, nor
+// does one that was this process before its restart. Should a holder live after all, it is fenced
+// like any predecessor.
 Async<void> Entry::ReplaceLostHolder()
 {
   if (!mView.mRecord || IsHolder())
     co_return;
   const HolderRecord record = *mView.mRecord;
   const HttpAddress address{ record.mHost, record.mPort };
-  const bool isGone = co_await IsRefusing(address, kPeerDeadline);
+  const bool isOwn = address == mSettings.mPeersAdvertised && !mCampaigning;
+  const bool isGone = isOwn || co_await IsRefusing(address, kPeerDeadline);
   if (!isGone || !mView.mRecord || !(*mView.mRecord == record))
     co_return;
   Log(LogPart::Ownership,
       LogLevel::Warn,
       "the holder's process is gone; its lease is ended",
-      { { "holder", record.mName }, { "epoch", record.mEpoch } });
+      { { "holder", record.mName },
+        { "epoch", record.mEpoch },
+        { "seen_by", isOwn ? "its successor at the same address" : "a refused connection" } });
   auto ended = co_await mStore.EndLease(record.mLease, platform::kStoreDeadline);
   if (!ended)
     Log(LogPart::Ownership,
--- /dev/null
+++ b/tests/integration/entry_fleet.cpp
@@ -0,0 +1,130 @@
+#include "tests/integration/entry_fleet.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace monsoon::testing {
+
+namespace {
+
+std::uint16_t FindFreePort()
+{
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+std::string FormatLocal(std::uint16_t aPort)
+{
+  return "\"127.0.0.1:" + std::to_string(aPort) + "\"\n";
+}
+
+}  // namespace
+
+EntryFleet::EntryFleet(asio::io_context& aContext,
+                       const standin::FleetStandinOptions& aPlatform,
+                       std::size_t aProcesses,
+                       std::string aName)
+  : mDirectory(std::filesystem::temp_directory_path() /
+               (aName + "-" + std::to_string(getpid()) + "-" + std::to_string(aPlatform.mSeed)))
+  , mPlatform(std::make_unique<standin::FleetStandin>(aContext, aPlatform))
+  , mProcesses(aProcesses)
+{
+  std::filesystem::create_directories(mDirectory);
+  if (!mPlatform->Start())
+    throw std::runtime_error("the stand-in can't listen");
+  std::mt19937_64 seeds(aPlatform.mSeed);
+  for (std::size_t n = 0; n < aProcesses; ++n) {
+    EntryProcess& it = mProcesses[n];
+    it.mCallers = FindFreePort();
+    it.mReady = FindFreePort();
+    it.mPeers = FindFreePort();
+    it.mStoreLink = std::make_unique<Proxy>(mProxies, mPlatform->GetStorePort(), seeds());
+    it.mPeerLink = std::make_unique<Proxy>(mProxies, it.mPeers, seeds());
+    it.mSettings = mDirectory + "/entry-" + std::to_string(n) + ".toml";
+    it.mLog = mDirectory + "/entry-" + std::to_string(n) + ".log";
+    std::ofstream(it.mSettings) << "[process]\nname = \"entry-" << n << "\"\nzone = \"zone-a\"\n"
+                                << "[listen]\ncallers = " << FormatLocal(it.mCallers)
+                                << "ready = " << FormatLocal(it.mReady)
+                                << "peers = " << FormatLocal(it.mPeers)
+                                << "peers_advertised = " << FormatLocal(it.mPeerLink->GetPort())
+                                << "[store]\naddress = " << FormatLocal(it.mStoreLink->GetPort())
+                                << "[advice]\naddress = "
+                                << FormatLocal(mPlatform->GetAdvicePort());
+    Start(n);
+  }
+}
+
+EntryFleet::~EntryFleet()
+{
+  for (std::size_t n = 0; n < mProcesses.size(); ++n)
+    End(n, SIGKILL);
+  if (!mKeepsFiles)
+    std::filesystem::remove_all(mDirectory);
+}
+
+void EntryFleet::Start(std::size_t aIndex)
+{
+  EntryProcess& process = mProcesses[aIndex];
+  if (process.mPid > 0)
+    return;
+  const int log = open(process.mLog.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644);
+  process.mPid = fork();
+  if (process.mPid == 0) {
+    dup2(log, 1);
+    dup2(log, 2);
+    execl(MONSOONSTAGE_BINARY,
+          "monsoonstage",
+          "entry",
+          "--config",
+          process.mSettings.c_str(),
+          static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  close(log);
+}
+
+void EntryFleet::End(std::size_t aIndex, int aSignal)
+{
+  EntryProcess& process = mProcesses[aIndex];
+  if (process.mPid <= 0)
+    return;
+  kill(process.mPid, aSignal);
+  kill(process.mPid, SIGCONT);
+  waitpid(process.mPid, nullptr, 0);
+  process.mPid = -1;
+}
+
+void EntryFleet::Signal(std::size_t aIndex, int aSignal)
+{
+  if (mProcesses[aIndex].mPid > 0)
+    kill(mProcesses[aIndex].mPid, aSignal);
+}
+
+Async<Result<HttpResponse>> EntryFleet::Call(std::size_t aIndex,
+                                             http::verb aVerb,
+                                             std::string aTarget,
+                                             std::string aBody)
+{
+  HttpRequest request(aVerb, aTarget, 11);
+  request.body() = std::move(aBody);
+  HttpAddress address{ "127.0.0.1", mProcesses[aIndex].mCallers };
+  co_return co_await mClient.Call(std::move(address), std::move(request), seconds(3));
+}
+
+std::string EntryFleet::ReadLog(std::size_t aIndex) const
+{
+  std::ifstream in(mProcesses[aIndex].mLog);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return std::move(text).str();
+}
+
+}  // namespace monsoon::testing
--- /dev/null
+++ b/tests/integration/test_entry_processes.cpp
@@ -0,0 +1,73 @@
+// Entry processes as separate programs, against the platform's stand-in: what callers see when the
+// process that schedules ends.
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+#include "tests/integration/entry_fleet.h"
+
+using namespace monsoon;
+
+namespace {
+
+constexpr const char* kOneTask =
+  R"({"spec":"ms=50","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":50}]})";
+constexpr Duration kPatience = seconds(15);  // for a fleet that starts on a busy machine
+
+// Hands in a job of one task and waits until it is shown as completed.
+Async<bool> RunOneJob(testing::EntryFleet& aFleet, std::string aId)
+{
+  aFleet.GetPlatform().RegisterJob(aId, { standin::StandinStage{ 1, 1000, {} } });
+  const TimePoint deadline = BootClock::now() + kPatience;
+  bool isAccepted = false;
+  for (std::size_t n = 0; BootClock::now() < deadline; n = (n + 1) % aFleet.Count()) {
+    const http::verb verb = isAccepted ? http::verb::get : http::verb::post;
+    auto response = co_await aFleet.Call(n, verb, "/q/" + aId, isAccepted ? "" : kOneTask);
+    const bool isGood = response && response->result() == http::status::ok;
+    if (isAccepted && isGood && response->body().find("completed") != std::string::npos)
+      co_return true;
+    isAccepted = isAccepted || isGood;
+    co_await Sleep(milliseconds(20));
+  }
+  co_return false;
+}
+
+template<class F>
+void RunScript(asio::io_context& aContext, F aScript)
+{
+  asio::co_spawn(
+    aContext,
+    [&]() -> Async<void> {
+      co_await aScript();
+      aContext.stop();
+    },
+    asio::detached);
+  aContext.run();
+}
+
+}  // namespace
+
+TEST_CASE("entry processes that are all killed and started again do not wait for the old lease",
+          "[entry]")
+{
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(context, {}, 3, "entry-restart");
+  bool isDone = false;
+  Duration took{};
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000a1"))
+      co_return;
+    for (std::size_t n = 0; n < fleet.Count(); ++n)
+      fleet.End(n, SIGKILL);
+    for (std::size_t n = 0; n < fleet.Count(); ++n)
+      fleet.Start(n);
+    const TimePoint restartedAt = BootClock::now();
+    isDone = co_await RunOneJob(fleet, "00000000000000a2");
+    took = BootClock::now() - restartedAt;
+  });
+  CAPTURE(took / milliseconds(1));
+  CHECK(isDone);
+  // The lease of the killed holder has 1.7 s to 2 s to go.
+  CHECK(took < milliseconds(1500));
+  CHECK(fleet.GetPlatform().ReadViolations().empty());
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,21 +4,14 @@
 // answers. What must always hold is checked from what callers and workers see.
 //
 //   fleet_soak --seed 7 --seconds 20 --processes 5 --workers 8 --runs 10
-#include <fcntl.h>
-#include <sys/wait.h>
 #include <tclap/CmdLine.h>
-#include <unistd.h>
 
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
+#include <random>
 
 #include "core/json.h"
-#include "http/client.h"
-#include "observe/log.h"
-#include "standin/fleet.h"
-#include "tests/integration/proxy.h"
+#include "tests/integration/entry_fleet.h"
 
 using namespace monsoon;
 
@@ -35,25 +28,6 @@
 
 constexpr Duration kSettle = seconds(90);  // for all accepted jobs to end once the faults are over
 
-std::uint16_t FindFreePort()
-{
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
-}
-
-struct Process
-{
-  std::uint16_t mCallers = 0;
-  std::uint16_t mReady = 0;
-  std::uint16_t mPeers = 0;
-  std::string mSettings{};
-  std::string mLog{};
-  pid_t mPid = -1;
-  std::unique_ptr<testing::Proxy> mStoreLink{};
-  std::unique_ptr<testing::Proxy> mPeerLink{};
-};
-
 struct Submission
 {
   std::string mId{};
@@ -66,12 +40,9 @@
 {
 public:
   explicit Soak(SoakOptions aOptions);
-  ~Soak();
   bool Run();
 
 private:
-  void StartProcess(Process& aProcess);
-  void Kill(Process& aProcess, int aSignal);
   Async<void> SubmitJobs();
   Async<void> InjectFaults();
   Async<void> InjectOne();
@@ -81,96 +52,31 @@
 
   SoakOptions mOptions;
   std::mt19937_64 mRandom;
-  std::string mDirectory{};
-  testing::ProxyThread mProxies{};
   asio::io_context mContext{ 1 };
-  std::unique_ptr<standin::FleetStandin> mPlatform{};
-  HttpClient mClient{};
-  std::vector<Process> mProcesses{};
+  testing::EntryFleet mFleet;
   std::vector<Submission> mSubmissions{};
   std::vector<std::string> mFindings{};
   bool mOver = false;
 };
 
-Soak::Soak(SoakOptions aOptions)
-  : mOptions(aOptions)
-  , mRandom(aOptions.mSeed)
-  , mDirectory(std::filesystem::temp_directory_path() /
-               ("fleet-soak-" + std::to_string(getpid()) + "-" + std::to_string(aOptions.mSeed)))
+standin::FleetStandinOptions MakePlatformOptions(const SoakOptions& aOptions)
 {
-  std::filesystem::create_directories(mDirectory);
   standin::FleetStandinOptions platform;
-  platform.mWorkers = mOptions.mWorkers;
-  platform.mSeed = mOptions.mSeed;
-  mPlatform = std::make_unique<standin::FleetStandin>(mContext, platform);
-  if (!mPlatform->Start())
-    throw std::runtime_error("the stand-in can't listen");
-  mProcesses.resize(mOptions.mProcesses);
-  for (std::uint32_t n = 0; n < mOptions.mProcesses; ++n) {
-    Process& it = mProcesses[n];
-    it.mCallers = FindFreePort();
-    it.mReady = FindFreePort();
-    it.mPeers = FindFreePort();
-    it.mStoreLink =
-      std::make_unique<testing::Proxy>(mProxies, mPlatform->GetStorePort(), mRandom());
-    it.mPeerLink = std::make_unique<testing::Proxy>(mProxies, it.mPeers, mRandom());
-    it.mSettings = mDirectory + "/entry-" + std::to_string(n) + ".toml";
-    it.mLog = mDirectory + "/entry-" + std::to_string(n) + ".log";
-    const auto local = [](std::uint16_t aPort) {
-      return "\"127.0.0.1:" + std::to_string(aPort) + "\"\n";
-    };
-    std::ofstream(it.mSettings) << "[process]\nname = \"entry-" << n << "\"\nzone = \"zone-a\"\n"
-                                << "[listen]\ncallers = " << local(it.mCallers)
-                                << "ready = " << local(it.mReady) << "peers = " << local(it.mPeers)
-                                << "peers_advertised = " << local(it.mPeerLink->GetPort())
-                                << "[store]\naddress = " << local(it.mStoreLink->GetPort())
-                                << "[advice]\naddress = " << local(mPlatform->GetAdvicePort());
-    StartProcess(it);
-  }
+  platform.mWorkers = aOptions.mWorkers;
+  platform.mSeed = aOptions.mSeed;
+  return platform;
 }
 
-Soak::~Soak()
-{
-  for (Process& it : mProcesses)
-    Kill(it, SIGKILL);
-  if (mFindings.empty())
-    std::filesystem::remove_all(mDirectory);
-}
-
-void Soak::StartProcess(Process& aProcess)
-{
-  const int log = open(aProcess.mLog.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644);
-  aProcess.mPid = fork();
-  if (aProcess.mPid == 0) {
-    dup2(log, 1);
-    dup2(log, 2);
-    execl(MONSOONSTAGE_BINARY,
-          "monsoonstage",
-          "entry",
-          "--config",
-          aProcess.mSettings.c_str(),
-          static_cast<char*>(nullptr));
-    _exit(127);
-  }
-  close(log);
-}
-
-void Soak::Kill(Process& aProcess, int aSignal)
+Soak::Soak(SoakOptions aOptions)
+  : mOptions(aOptions)
+  , mRandom(aOptions.mSeed)
+  , mFleet(mContext, MakePlatformOptions(aOptions), aOptions.mProcesses, "fleet-soak")
 {
-  if (aProcess.mPid <= 0)
-    return;
-  kill(aProcess.mPid, aSignal);
-  kill(aProcess.mPid, SIGCONT);
-  waitpid(aProcess.mPid, nullptr, 0);
-  aProcess.mPid = -1;
 }
 
 Async<Result<HttpResponse>> Soak::Call(http::verb aVerb, std::string aId, std::string aBody)
 {
-  HttpRequest request(aVerb, "/q/" + aId, 11);
-  request.body() = std::move(aBody);
-  HttpAddress address{ "127.0.0.1", mProcesses[Draw(mProcesses.size())].mCallers };
-  co_return co_await mClient.Call(std::move(address), std::move(request), seconds(3));
+  co_return co_await mFleet.Call(Draw(mFleet.Count()), aVerb, "/q/" + aId, std::move(aBody));
 }
 
 Async<void> Soak::SubmitJobs()
@@ -200,7 +106,7 @@
       stages.push_back(stage);
       steps.push_back(step);
     }
-    mPlatform->RegisterJob(id, stages);
+    mFleet.GetPlatform().RegisterJob(id, stages);
     const std::string payload = "ms=" + std::to_string(50 + Draw(800)) + " fail=3";
     const std::string body =
       boost::json::serialize(boost::json::object{ { "spec", payload }, { "steps", steps } });
@@ -219,38 +125,32 @@
 
 Async<void> Soak::InjectOne()
 {
-  const std::size_t index = Draw(mProcesses.size());
-  Process& process = mProcesses[index];
+  const std::size_t index = Draw(mFleet.Count());
+  testing::EntryProcess& process = mFleet.Get(index);
   const Duration time = milliseconds(300 + Draw(3500));
   const auto worker = static_cast<std::uint32_t>(Draw(mOptions.mWorkers));
   switch (Draw(10)) {
     case 0:
     case 1:
-      Kill(process, SIGKILL);
+      mFleet.End(index, SIGKILL);
       co_await Sleep(time / 4);
-      if (process.mPid < 0)
-        StartProcess(process);
+      mFleet.Start(index);
       break;
     case 2:
-      if (process.mPid <= 0)
-        break;
-      kill(process.mPid, SIGSTOP);
+      mFleet.Signal(index, SIGSTOP);
       co_await Sleep(time);
-      if (process.mPid > 0)
-        kill(process.mPid, SIGCONT);
+      mFleet.Signal(index, SIGCONT);
       break;
     case 3:
-      if (process.mPid <= 0)
-        break;
-      kill(process.mPid, SIGTERM);
+      mFleet.Signal(index, SIGTERM);
       co_await Sleep(seconds(6));
-      Kill(process, SIGKILL);
-      StartProcess(process);
+      mFleet.End(index, SIGKILL);
+      mFleet.Start(index);
       break;
     case 4:
-      mPlatform->SetStoreMode(static_cast<standin::StoreMode>(1 + Draw(3)));
+      mFleet.GetPlatform().SetStoreMode(static_cast<standin::StoreMode>(1 + Draw(3)));
       co_await Sleep(time);
-      mPlatform->SetStoreMode(standin::StoreMode::Serving);
+      mFleet.GetPlatform().SetStoreMode(standin::StoreMode::Serving);
       break;
     case 5:
     case 6: {
@@ -266,17 +166,17 @@
       break;
     }
     case 7:
-      mPlatform->CrashWorker(worker);
+      mFleet.GetPlatform().CrashWorker(worker);
       break;
     case 8:
-      mPlatform->SetSilent(worker, true);
+      mFleet.GetPlatform().SetSilent(worker, true);
       co_await Sleep(2 * time);
-      mPlatform->SetSilent(worker, false);
+      mFleet.GetPlatform().SetSilent(worker, false);
       break;
     default:
-      mPlatform->SetLostAnswers(0.1);
+      mFleet.GetPlatform().SetLostAnswers(0.1);
       co_await Sleep(time);
-      mPlatform->SetLostAnswers(0);
+      mFleet.GetPlatform().SetLostAnswers(0);
       break;
   }
 }
@@ -295,7 +195,7 @@
   const TimePoint deadline = BootClock::now() + kSettle;
   for (const Submission& it : mSubmissions) {
     if (!it.mAccepted) {
-      if (!it.mMaybe && mPlatform->CountEnds(it.mId) > 0)
+      if (!it.mMaybe && mFleet.GetPlatform().CountEnds(it.mId) > 0)
         mFindings.push_back(it.mId + ": said not to have run, but it ran");
       continue;
     }
@@ -312,10 +212,10 @@
     }
     if (state.find("completed") == std::string::npos)
       mFindings.push_back(it.mId + ": accepted, and not completed: " + state);
-    else if (mPlatform->CountEnds(it.mId) != it.mTasks)
+    else if (mFleet.GetPlatform().CountEnds(it.mId) != it.mTasks)
       mFindings.push_back(it.mId + ": shown as completed with tasks that have not ended");
   }
-  for (std::string& it : mPlatform->ReadViolations())
+  for (std::string& it : mFleet.GetPlatform().ReadViolations())
     mFindings.push_back(std::move(it));
   mContext.stop();
 }
@@ -331,9 +231,8 @@
       co_await Sleep(mOptions.mTime);
       mOver = true;
       co_await Sleep(seconds(10));  // the longest fault under way
-      for (Process& it : mProcesses)
-        if (it.mPid < 0)
-          StartProcess(it);
+      for (std::size_t n = 0; n < mFleet.Count(); ++n)
+        mFleet.Start(n);
       co_await CheckEnds();
     },
     asio::detached);
@@ -342,12 +241,14 @@
   for (const Submission& it : mSubmissions)
     accepted += it.mAccepted ? 1 : 0;
   std::cout << "seed " << mOptions.mSeed << ": " << mSubmissions.size() << " jobs, " << accepted
-            << " accepted, " << mPlatform->CountStarts() << " starts, " << mFindings.size()
-            << " findings\n";
+            << " accepted, " << mFleet.GetPlatform().CountStarts() << " starts, "
+            << mFindings.size() << " findings\n";
   for (const std::string& it : mFindings)
     std::cout << "  " << it << '\n';
-  if (!mFindings.empty())
-    std::cout << "  logs: " << mDirectory << '\n';
+  if (!mFindings.empty()) {
+    mFleet.KeepFiles();
+    std::cout << "  logs: " << mFleet.GetDirectory() << '\n';
+  }
   std::cout.flush();
   return mFindings.empty();
 }
