Find a silent holder by probes of several members; tell an isolated process from an outage

Cause 1: a holder whose machine is silent (power, removal, freeze, cut) was replaced only when its lease lapsed, 2 s: members noticed nothing, as their polls wait up to 1.5 s. Polls now wait 400 ms; a member whose poll and ping fail asks up to three others to ping the holder, and ends its lease when none that answers reaches it. The holder names a few members with each poll's answer. Cause 2: cut processes sent callers away for 1 s instead of to others at once: a deposed holder on the same side of the cut answered 503, which counted as a holder that lives. Processes that don't hold the lease answer 421 now. A process that the store does not serve asks members whether it serves them: callers are sent on at once when it does, or when most are silent; after the outage else.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -97,8 +97,13 @@
           wasDown ? LogLevel::Warn : LogLevel::Info,
           wasDown ? "the store does not serve this process" : "the store serves again");
     }
-    if (mStore.GetFailingSince())
-      co_await mStore.Get(std::string(kHolderKey), kProbeDeadline);
+    if (!mStore.GetFailingSince()) {
+      mTally.reset();
+      continue;
+    }
+    if (IsStoreDown() && !IsHolder() && mHolderFailingSince)
+      mTally = co_await AskMembers(0);
+    co_await mStore.Get(std::string(kHolderKey), kProbeDeadline);
   }
 }
 
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -29,6 +29,13 @@
     std::optional<HolderRecord> mRecord{};
     std::uint64_t mRevision = 0;
   };
+  struct ProbeTally  // what other members say
+  {
+    std::size_t mAsked = 0;
+    std::size_t mAnswered = 0;
+    std::size_t mReachHolder = 0;
+    std::size_t mServedByStore = 0;
+  };
 
   // Callers
   Async<HttpResponse> HandleCaller(HttpRequest aRequest);
@@ -44,6 +51,11 @@
   Async<void> TellHolder(const char* aPath, std::string aBody);
   Async<void> PollHolder();
   Async<void> ReplaceLostHolder();
+  Async<void> AskMember(HttpAddress aAddress,
+                        std::string aProbe,
+                        std::shared_ptr<ProbeTally> aTally);
+  Async<ProbeTally> AskMembers(std::uint64_t aEpoch);
+  Async<bool> PingHolder(HttpAddress aAddress, std::uint64_t aEpoch);
   Async<void> ProbeStore();
   [[nodiscard]] bool IsStoreDown() const;
   [[nodiscard]] bool IsIsolated() const;
@@ -73,6 +85,8 @@
   HolderView mView{};
   std::shared_ptr<Holder> mHolder{};
   std::optional<TimePoint> mHolderFailingSince{};  // first call to it that failed since an answer
+  std::vector<HttpAddress> mMembers{};             // a few others, as the holder last named them
+  std::optional<ProbeTally> mTally{};              // while the store does not serve this process
   bool mStopping = false;
   bool mCampaigning = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
--- a/src/fleet/entry_callers.cpp
+++ b/src/fleet/entry_callers.cpp
@@ -233,13 +233,17 @@
   co_return MakeJsonResponse(http::status::ok, platform::FormatPending(*pending));
 }
 
-// Neither the store nor the holder answers: most likely the links of this VM are cut, and other
-// processes serve.
+// Neither the store nor the holder serves this process, and others fare better or are out of reach:
+// its links are cut. Where members say that the store serves none of them, it is down.
 bool Entry::IsIsolated() const
 {
-  return IsStoreDown() && !IsHolder() &&
-         (!mView.mRecord ||
-          (mHolderFailingSince && BootClock::now() - *mHolderFailingSince > kStoreDownAfter));
+  if (!IsStoreDown() || IsHolder())
+    return false;
+  if (mView.mRecord &&
+      (!mHolderFailingSince || BootClock::now() - *mHolderFailingSince <= kStoreDownAfter))
+    return false;
+  return !mTally || mTally->mServedByStore > 0 || 2 * mTally->mAnswered < mTally->mAsked ||
+         mTally->mAsked == 0;
 }
 
 // An outage of the store lasts seconds, and a caller that comes back too early uses up its retries;
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -13,7 +13,10 @@
 namespace {
 
 constexpr Duration kHolderLease = milliseconds(2000);  // of the scheduler; the store's least is 1 s
-constexpr Duration kPollDeadline = milliseconds(2500);  // the holder keeps a poll for 1.5 s
+constexpr Duration kPollDeadline = milliseconds(700);  // the holder keeps a poll for 400 ms
+constexpr Duration kPingDeadline = milliseconds(250);  // a cross-zone round trip takes 9 ms
+constexpr Duration kProbeDeadline = milliseconds(350);  // of a member that pings the holder
+constexpr std::size_t kMembersAsked = 3;
 constexpr Duration kCampaignSpread = milliseconds(30);  // random delay between candidates
 constexpr Duration kStandBack = milliseconds(400);      // an election takes some 100 ms
 
@@ -34,7 +37,8 @@
     HttpAddress address{ mView.mRecord->mHost, mView.mRecord->mPort };
     const TimePoint sentAt = BootClock::now();
     response = co_await mClient.Call(std::move(address), std::move(request), aDeadline);
-    if (response)
+    const bool isHolder = response && response->result() != http::status::misdirected_request;
+    if (isHolder)
       mHolderFailingSince.reset();
     else if (!mHolderFailingSince)
       mHolderFailingSince = sentAt;
@@ -44,6 +48,8 @@
       co_return MakeFailure(FailureKind::StoreUnavailable, response.error().mDetail);
     co_return response.error();
   }
+  if (response->result() == http::status::misdirected_request)
+    co_return MakeFailure(FailureKind::StoreUnavailable, "it does not hold the lease any more");
   if (response->result() == http::status::service_unavailable)
     co_return MakeFailure(FailureKind::StoreUnavailable, "the holder can't");
   if (response->result() != http::status::ok)
@@ -67,9 +73,26 @@
       mHolder->Depose("its successor asked");
     co_return answer({});
   }
+  if (path == "/probe") {
+    auto request = DecodeMessage<ProbeRequest>(aRequest.body());
+    if (!request)
+      co_return MakeEmpty(http::status::bad_request);
+    ProbeReply reply;
+    reply.mStoreServes = !IsStoreDown();
+    if (request->mEpoch != 0)
+      reply.mHolderAnswers = co_await PingHolder(request->mHolder, request->mEpoch);
+    co_return answer(EncodeMessage(reply));
+  }
   if (!IsHolder())
-    co_return MakeEmpty(http::status::service_unavailable);
+    co_return MakeEmpty(http::status::misdirected_request);
   auto holder = mHolder;
+  if (path == "/ping") {
+    auto epoch = DecodeMessage<std::uint64_t>(aRequest.body());
+    if (!epoch)
+      co_return MakeEmpty(http::status::bad_request);
+    co_return *epoch == holder->GetEpoch() ? answer({})
+                                           : MakeEmpty(http::status::misdirected_request);
+  }
   if (path == "/poll") {
     auto request = DecodeMessage<PollRequest>(aRequest.body());
     if (!request || request->mEpoch != holder->GetEpoch())
@@ -155,6 +178,7 @@
     }
     PollRequest poll;
     poll.mName = mSettings.mName;
+    poll.mAddress = mSettings.mPeersAdvertised;
     poll.mEpoch = mView.mRecord->mEpoch;
     poll.mCores = mSettings.mCores;
     poll.mStoreServedAgoMs = (BootClock::now() - mStore.GetServedAt()) / milliseconds(1);
@@ -167,8 +191,16 @@
       continue;
     }
     auto reply = DecodeMessage<PollReply>(*answer);
-    if (!reply)
+    if (!reply) {
+      Log(LogPart::Peer,
+          LogLevel::Error,
+          "the holder's answer to a poll can't be read",
+          { { "what", reply.error().mDetail } });
+      co_await Sleep(milliseconds(100));
       continue;
+    }
+    if (!reply->mMembers.empty())
+      mMembers = reply->mMembers;
     if (reply->mHasResigned && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
       // The holder can't end its lease itself.
       co_await mStore.EndLease(mView.mRecord->mLease, platform::kStoreDeadline);
@@ -200,25 +232,79 @@
   }
 }
 
-// A holder whose machine says that its process is gone needs no wait for its lease to lapse, nor
-// does one that was this process before its restart. Should a holder live after all, it is fenced
-// like any predecessor.
+Async<bool> Entry::PingHolder(HttpAddress aAddress, std::uint64_t aEpoch)
+{
+  HttpRequest request(http::verb::post, "/ping", 11);
+  request.body() = EncodeMessage(aEpoch);
+  auto response = co_await mClient.Call(std::move(aAddress), std::move(request), kPingDeadline);
+  co_return response && response->result() == http::status::ok;
+}
+
+Async<void> Entry::AskMember(HttpAddress aAddress,
+                             std::string aProbe,
+                             std::shared_ptr<ProbeTally> aTally)
+{
+  HttpRequest request(http::verb::post, "/probe", 11);
+  request.body() = std::move(aProbe);
+  auto response = co_await mClient.Call(std::move(aAddress), std::move(request), kProbeDeadline);
+  if (!response || response->result() != http::status::ok)
+    co_return;
+  auto reply = DecodeMessage<ProbeReply>(response->body());
+  if (!reply)
+    co_return;
+  ++aTally->mAnswered;
+  aTally->mReachHolder += reply->mHolderAnswers ? 1 : 0;
+  aTally->mServedByStore += reply->mStoreServes ? 1 : 0;
+}
+
+// Asks a few members at once what they reach; aEpoch is the holder's that they try, 0: none.
+Async<Entry::ProbeTally> Entry::AskMembers(std::uint64_t aEpoch)
+{
+  auto tally = std::make_shared<ProbeTally>();
+  ProbeRequest probe;
+  if (mView.mRecord)
+    probe.mHolder = HttpAddress{ mView.mRecord->mHost, mView.mRecord->mPort };
+  probe.mEpoch = mView.mRecord ? aEpoch : 0;
+  std::vector<HttpAddress> drawn;
+  std::sample(mMembers.begin(), mMembers.end(), std::back_inserter(drawn), kMembersAsked, mRandom);
+  std::erase(drawn, probe.mHolder);
+  tally->mAsked = drawn.size();
+  const std::string body = EncodeMessage(probe);
+  for (const HttpAddress& it : drawn)
+    asio::co_spawn(mContext, AskMember(it, body, tally), asio::detached);
+  const TimePoint deadline = BootClock::now() + kProbeDeadline;
+  while (tally->mAnswered < tally->mAsked && BootClock::now() < deadline)
+    co_await Sleep(milliseconds(10));
+  co_return *tally;
+}
+
+// Ends the lease of a holder that is lost, so that nobody waits until it lapses: its machine says
+// that the process is gone, or the process was this one before its restart, or neither this process
+// nor the members that it asks get an answer. Should the holder live after all, it is fenced like
+// any predecessor.
 Async<void> Entry::ReplaceLostHolder()
 {
   if (!mView.mRecord || IsHolder())
     co_return;
   const HolderRecord record = *mView.mRecord;
   const HttpAddress address{ record.mHost, record.mPort };
-  const bool isOwn = address == mSettings.mPeersAdvertised && !mCampaigning;
-  const bool isGone = isOwn || co_await IsRefusing(address, kPeerDeadline);
-  if (!isGone || !mView.mRecord || !(*mView.mRecord == record))
+  std::string why;
+  if (address == mSettings.mPeersAdvertised) {
+    if (!mCampaigning)
+      why = "it was this process before its restart";
+  } else if (co_await IsRefusing(address, kPingDeadline)) {
+    why = "its machine refuses connections";
+  } else if (!co_await PingHolder(address, record.mEpoch)) {
+    const ProbeTally tally = co_await AskMembers(record.mEpoch);
+    if (tally.mAnswered > 0 && tally.mReachHolder == 0)
+      why = "no member that was asked reaches it";
+  }
+  if (why.empty() || IsHolder() || !mView.mRecord || !(*mView.mRecord == record))
     co_return;
   Log(LogPart::Ownership,
       LogLevel::Warn,
-      "the holder's process is gone; its lease is ended",
-      { { "holder", record.mName },
-        { "epoch", record.mEpoch },
-        { "seen_by", isOwn ? "its successor at the same address" : "a refused connection" } });
+      "the holder is lost; its lease is ended",
+      { { "holder", record.mName }, { "epoch", record.mEpoch }, { "why", why } });
   auto ended = co_await mStore.EndLease(record.mLease, platform::kStoreDeadline);
   if (!ended)
     Log(LogPart::Ownership,
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -168,7 +168,7 @@
 {
   double cores = mSettings.mCores;
   for (const auto& [name, it] : mMembers)
-    if (BootClock::now() - it.mPolledAt < 2 * kPollWait)
+    if (BootClock::now() - it.mPolledAt < kMemberAge)
       cores = std::max(cores, it.mCores);
   return cores;
 }
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <random>
 #include <variant>
 
 #include "fleet/peer_messages.h"
@@ -75,6 +76,7 @@
   {
     std::unique_ptr<asio::steady_timer> mWaiting{};  // null: no poll waits
     std::optional<AdviceOrder> mOrder{};             // handed out with the waiting poll
+    HttpAddress mAddress{};
     double mCores = 0;
     TimePoint mPolledAt{};
     TimePoint mStoreServedAt{};  // a call of it that the store served
@@ -123,6 +125,7 @@
   void Dispatch(Orders aOrders);
   void LogStarts(const std::vector<StartOrder>& aStarts);
   [[nodiscard]] std::size_t CountFreeAdvisors() const;
+  [[nodiscard]] std::vector<HttpAddress> DrawMembers(const std::string& aExcept);
   [[nodiscard]] bool CanAnotherReachStore() const;
   [[nodiscard]] Duration ChooseHoldWait();
   [[nodiscard]] bool MayStart() const;
@@ -149,6 +152,7 @@
   std::map<std::string, Member> mMembers{};
   std::map<std::uint64_t, AdviceCall> mAdvice{};  // under way
   bool mLocalAdviceBusy = false;
+  std::mt19937_64 mRandom{ std::random_device{}() };
   std::set<std::string> mRecords{};  // workers with a record in the store
   std::map<std::string, std::uint64_t> mProgressRevisions{};
   std::map<std::string, std::string> mEarlyProgress{};  // of jobs that are still to be read
--- a/src/fleet/holder_advice.cpp
+++ b/src/fleet/holder_advice.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kAdviceMargin = milliseconds(1500);  // queueing and travel of a policy call
+constexpr std::size_t kMembersNamed = 4;                // in one answer to a poll
 
 }  // namespace
 
@@ -94,6 +95,18 @@
     FinishAdvice({ number });
 }
 
+// Other members, for probes while this process is silent.
+std::vector<HttpAddress> Holder::DrawMembers(const std::string& aExcept)
+{
+  std::vector<HttpAddress> all;
+  for (const auto& [name, it] : mMembers)
+    if (name != aExcept && BootClock::now() - it.mPolledAt < kMemberAge)
+      all.push_back(it.mAddress);
+  std::vector<HttpAddress> drawn;
+  std::sample(all.begin(), all.end(), std::back_inserter(drawn), kMembersNamed, mRandom);
+  return drawn;
+}
+
 Async<PollReply> Holder::Poll(PollRequest aRequest)
 {
   auto self = shared_from_this();
@@ -109,6 +122,7 @@
   asio::steady_timer* const mine = timer.get();
   member.mWaiting = std::move(timer);
   member.mOrder.reset();
+  member.mAddress = aRequest.mAddress;
   member.mCores = aRequest.mCores;
   member.mStoreServedAt = BootClock::now() - milliseconds(aRequest.mStoreServedAgoMs);
   member.mPolledAt = BootClock::now();
@@ -116,6 +130,7 @@
   co_await mine->async_wait(kNoThrow);
   Member& now = mMembers[aRequest.mName];
   reply.mHasResigned = mHasResigned;
+  reply.mMembers = DrawMembers(aRequest.mName);
   if (now.mWaiting.get() != mine)
     co_return reply;
   if (now.mOrder)
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -4,6 +4,7 @@
 // Index
 //   Lease holder   how the holder is found
 //   Poll           members wait at the holder for policy calls to make
+//   Probe          one member asks another what it can reach
 //   Questions      about jobs
 #pragma once
 
@@ -17,6 +18,17 @@
 
 #include "core/errors.h"
 #include "fleet/model.h"
+#include "http/client.h"
+
+namespace monsoon {
+
+template<class Archive>
+void serialize(Archive& aArchive, HttpAddress& aAddress)
+{
+  aArchive(aAddress.mHost, aAddress.mPort);
+}
+
+}  // namespace monsoon
 
 namespace monsoon::fleet {
 
@@ -97,6 +109,7 @@
 struct PollRequest
 {
   std::string mName{};
+  HttpAddress mAddress{};    // of this process, for other members' probes
   std::uint64_t mEpoch = 0;  // of the holder that is meant
   double mCores = 0;         // share of a core that this process has
   std::int64_t mStoreServedAgoMs =
@@ -106,19 +119,45 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mName, mEpoch, mCores, mStoreServedAgoMs, mResults);
+    aArchive(mName, mAddress, mEpoch, mCores, mStoreServedAgoMs, mResults);
   }
 };
 
 struct PollReply
 {
-  std::vector<AdviceOrder> mOrders{};  // none or one
-  bool mHasResigned = false;           // the holder can't reach the store: its lease is to be ended
+  std::vector<AdviceOrder> mOrders{};   // none or one
+  std::vector<HttpAddress> mMembers{};  // a few others, drawn at random
+  bool mHasResigned = false;  // the holder can't reach the store: its lease is to be ended
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mOrders, mMembers, mHasResigned);
+  }
+};
+
+// Probe
+struct ProbeRequest
+{
+  HttpAddress mHolder{};
+  std::uint64_t mEpoch = 0;  // of the holder that is meant; 0: don't try it
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mHolder, mEpoch);
+  }
+};
+
+struct ProbeReply
+{
+  bool mHolderAnswers = false;
+  bool mStoreServes = false;  // the process that was asked
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mOrders, mHasResigned);
+    aArchive(mHolderAnswers, mStoreServes);
   }
 };
 
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -14,13 +14,15 @@
   R"({"spec":"ms=50","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":50}]})";
 constexpr Duration kPatience = seconds(15);  // for a fleet that starts on a busy machine
 
-// Hands in a job of one task and waits until it is shown as completed.
-Async<bool> RunOneJob(testing::EntryFleet& aFleet, std::string aId)
+// Hands in a job of one task, at any process but aExcept, and waits until it is shown as completed.
+Async<bool> RunOneJob(testing::EntryFleet& aFleet, std::string aId, std::size_t aExcept = SIZE_MAX)
 {
   aFleet.GetPlatform().RegisterJob(aId, { standin::StandinStage{ 1, 1000, {} } });
   const TimePoint deadline = BootClock::now() + kPatience;
   bool isAccepted = false;
   for (std::size_t n = 0; BootClock::now() < deadline; n = (n + 1) % aFleet.Count()) {
+    if (n == aExcept)
+      continue;
     const http::verb verb = isAccepted ? http::verb::get : http::verb::post;
     auto response = co_await aFleet.Call(n, verb, "/q/" + aId, isAccepted ? "" : kOneTask);
     const bool isGood = response && response->result() == http::status::ok;
@@ -32,6 +34,25 @@
   co_return false;
 }
 
+// The process whose log tells of the latest election won. aFleet.Count(): none.
+std::size_t FindHolder(const testing::EntryFleet& aFleet)
+{
+  std::size_t holder = aFleet.Count();
+  unsigned long newest = 0;
+  for (std::size_t n = 0; n < aFleet.Count(); ++n) {
+    const std::string log = aFleet.ReadLog(n);
+    const auto at = log.rfind("schedules now epoch=");
+    if (at == std::string::npos)
+      continue;
+    const unsigned long epoch = std::stoul(log.substr(log.find('=', at) + 1));
+    if (epoch > newest) {
+      newest = epoch;
+      holder = n;
+    }
+  }
+  return holder;
+}
+
 template<class F>
 void RunScript(asio::io_context& aContext, F aScript)
 {
@@ -71,3 +92,30 @@
   CHECK(took < milliseconds(1500));
   CHECK(fleet.GetPlatform().ReadViolations().empty());
 }
+
+TEST_CASE("a holder that is silent is replaced before its lease lapses", "[entry]")
+{
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(context, {}, 4, "entry-silent");
+  bool isDone = false;
+  Duration took{};
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000b1"))
+      co_return;
+    co_await Sleep(seconds(1));  // members learn of each other by their polls
+    const std::size_t holder = FindHolder(fleet);
+    if (holder == fleet.Count())
+      co_return;
+    fleet.Signal(holder, SIGSTOP);
+    const TimePoint stoppedAt = BootClock::now();
+    isDone = co_await RunOneJob(fleet, "00000000000000b2", holder);
+    took = BootClock::now() - stoppedAt;
+    fleet.Signal(holder, SIGCONT);
+    co_await Sleep(seconds(1));
+  });
+  CAPTURE(took / milliseconds(1));
+  CHECK(isDone);
+  // Its lease has 1.7 s to 2 s to go, and then an election follows.
+  CHECK(took < milliseconds(1700));
+  CHECK(fleet.GetPlatform().ReadViolations().empty());
+}
