Use the store at once when it serves again

Cause 2: watches from before the outage hear nothing more; nobody saw for up to 3 s that the lease was gone, and the configuration could be missed as long. Stand-in: a watch that a silent store holds is never answered.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -96,6 +96,8 @@
       Log(LogPart::Store,
           wasDown ? LogLevel::Warn : LogLevel::Info,
           wasDown ? "the store does not serve this process" : "the store serves again");
+      if (!wasDown)
+        co_await CatchUp();
     }
     if (!mStore.GetFailingSince()) {
       mTally.reset();
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -67,6 +67,9 @@
   Async<void> Campaign();
   void TakeConfig(const platform::StoreItem& aItem);
   void TakeHolder(const platform::StoreItem& aItem);
+  Async<void> EndHolderLease(std::uint64_t aLease);
+  void CampaignIfOpen();
+  Async<void> CatchUp();
   // Process
   Async<void> WaitForSignals();
   Async<void> WatchSettings();
--- a/src/fleet/entry_callers.cpp
+++ b/src/fleet/entry_callers.cpp
@@ -166,12 +166,15 @@
 {
   const TimePoint deadline = BootClock::now() + aBudget;
   while (BootClock::now() < deadline && !IsIsolated()) {
-    auto answer = co_await AskHolder("/state", EncodeMessage(aId), kPeerDeadline);
-    if (answer) {
-      auto reply = DecodeMessage<StateReply>(*answer);
-      if (reply && reply->mIsKnown)
-        co_return MakeJsonResponse(http::status::ok,
-                                   platform::FormatState(static_cast<JobState>(reply->mState)));
+    // While the holder fails to answer, the store tells sooner.
+    if (!mHolderFailingSince || IsStoreDown()) {
+      auto answer = co_await AskHolder("/state", EncodeMessage(aId), kPeerDeadline);
+      if (answer) {
+        auto reply = DecodeMessage<StateReply>(*answer);
+        if (reply && reply->mIsKnown)
+          co_return MakeJsonResponse(http::status::ok,
+                                     platform::FormatState(static_cast<JobState>(reply->mState)));
+      }
     }
     auto job = co_await mStore.Get(MakeJobKey(aId), platform::kStoreDeadline);
     if (job && !*job)
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -203,7 +203,7 @@
       mMembers = reply->mMembers;
     if (reply->mHasResigned && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
       // The holder can't end its lease itself.
-      co_await mStore.EndLease(mView.mRecord->mLease, platform::kStoreDeadline);
+      co_await EndHolderLease(mView.mRecord->mLease);
       co_await Sleep(milliseconds(50));
       continue;
     }
@@ -305,12 +305,47 @@
       LogLevel::Warn,
       "the holder is lost; its lease is ended",
       { { "holder", record.mName }, { "epoch", record.mEpoch }, { "why", why } });
-  auto ended = co_await mStore.EndLease(record.mLease, platform::kStoreDeadline);
-  if (!ended)
+  co_await EndHolderLease(record.mLease);
+}
+
+// Does not wait for the watch to show that the key is gone: a watch from before an outage of the
+// store may hear nothing more.
+Async<void> Entry::EndHolderLease(std::uint64_t aLease)
+{
+  auto ended = co_await mStore.EndLease(aLease, platform::kStoreDeadline);
+  if (!ended) {
     Log(LogPart::Ownership,
         LogLevel::Warn,
         "the lease could not be ended; it lapses",
         { { "why", ended.error().mDetail } });
+    co_return;
+  }
+  if (mView.mRecord && mView.mRecord->mLease == aLease)
+    mView.mRecord.reset();
+  CampaignIfOpen();
+}
+
+void Entry::CampaignIfOpen()
+{
+  if (!mView.mRecord && !mCampaigning && !mStopping && !IsHolder())
+    asio::co_spawn(mContext, Campaign(), asio::detached);
+}
+
+// Reads what the watches may have missed while the store was out of reach.
+Async<void> Entry::CatchUp()
+{
+  auto holder = co_await mStore.List(std::string(kHolderKey), platform::kStoreDeadline);
+  if (holder) {
+    for (const StoreItem& it : holder->mItems)
+      TakeHolder(it);
+    if (holder->mItems.empty())
+      TakeHolder({ std::string(kHolderKey), {}, holder->mRevision, true });
+    CampaignIfOpen();
+  }
+  auto config = co_await mStore.List(std::string(platform::kConfigKey), platform::kStoreDeadline);
+  if (config)
+    for (const StoreItem& it : config->mItems)
+      TakeConfig(it);
 }
 
 void Entry::TakeHolder(const StoreItem& aItem)
@@ -319,6 +354,7 @@
     return;
   mView.mRevision = aItem.mRevision;
   mView.mRecord.reset();
+  mHolderFailingSince.reset();  // it says nothing of another holder
   if (!aItem.mDeleted) {
     auto record = DecodeMessage<HolderRecord>(aItem.mValue);
     if (record)
@@ -342,8 +378,7 @@
       TakeHolder(it);
     if (isList && page->mItems.empty())
       TakeHolder({ std::string(kHolderKey), {}, revision, true });
-    if (!mView.mRecord && !mCampaigning && !mStopping)
-      asio::co_spawn(mContext, Campaign(), asio::detached);
+    CampaignIfOpen();
   }
 }
 
@@ -412,6 +447,9 @@
           revision = (*item)->mRevision;
       }
     }
+    if (outcome && !outcome->mCommitted)
+      for (const StoreItem& it : outcome->mCurrent)
+        TakeHolder(it);
     if (revision == 0) {
       // Ending the lease also undoes a write that is carried out late.
       co_await mStore.EndLease(*lease, platform::kStoreDeadline);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -89,6 +89,7 @@
   Async<HttpResponse> HandleStore(HttpRequest aRequest);
   Async<HttpResponse> HandleAdvice(HttpRequest aRequest);
   Async<HttpResponse> HandleWorker(std::uint32_t aWorker, HttpRequest aRequest);
+  static Async<HttpResponse> NeverAnswer();
   Async<HttpResponse> Watch(std::string aPrefix, std::uint64_t aAfter, Duration aWait);
   Async<HttpResponse> Hold(std::uint32_t aWorker, boost::json::value aBody);
   HttpResponse Commit(const boost::json::value& aBody);
--- a/standin/fleet_store.cpp
+++ b/standin/fleet_store.cpp
@@ -125,10 +125,19 @@
     json::object{ { "items", items }, { "more_pages", isMore }, { "store_revision", mRevision } });
 }
 
+// A connection on which an answer is lost returns nothing further.
+Async<HttpResponse> FleetStandin::NeverAnswer()
+{
+  co_await Sleep(seconds(10));  // callers give up well before
+  co_return MakeJsonResponse(kNoAnswer, "");
+}
+
 Async<HttpResponse> FleetStandin::Watch(std::string aPrefix, std::uint64_t aAfter, Duration aWait)
 {
   const TimePoint deadline = BootClock::now() + aWait;
   for (;;) {
+    if (mMode == StoreMode::Silent)
+      co_return co_await NeverAnswer();
     json::array events;
     std::uint64_t revision = 0;
     {
@@ -152,10 +161,8 @@
   const StoreMode mode = mMode;
   if (mode == StoreMode::Busy)
     co_return MakeJsonResponse(http::status::service_unavailable, "{}");
-  if (mode == StoreMode::Silent) {
-    co_await Sleep(seconds(10));
-    co_return MakeJsonResponse(kNoAnswer, "");
-  }
+  if (mode == StoreMode::Silent)
+    co_return co_await NeverAnswer();
   const std::string target(aRequest.target());
   const std::string_view path = GetPath(target);
   auto body = ParseJson(aRequest.body().empty() ? "{}" : aRequest.body());
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -119,3 +119,32 @@
   CHECK(took < milliseconds(1700));
   CHECK(fleet.GetPlatform().ReadViolations().empty());
 }
+
+TEST_CASE("a store that serves again after a silence is used at once", "[entry]")
+{
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(context, {}, 4, "entry-outage");
+  bool isDone = false;
+  Duration took{};
+  std::string log;
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000c1"))
+      co_return;
+    const std::size_t holder = FindHolder(fleet);
+    if (holder == fleet.Count())
+      co_return;
+    fleet.GetPlatform().SetStoreMode(standin::StoreMode::Silent);
+    co_await Sleep(seconds(2));
+    fleet.End(holder, SIGKILL);
+    co_await Sleep(milliseconds(1500));
+    fleet.GetPlatform().SetStoreMode(standin::StoreMode::Serving);
+    const TimePoint servedAt = BootClock::now();
+    isDone = co_await RunOneJob(fleet, "00000000000000c2", holder);
+    took = BootClock::now() - servedAt;
+  });
+  CAPTURE(took / milliseconds(1));
+  CHECK(isDone);
+  // A probe each 150 ms, an election of some 100 ms, a job of 50 ms; silent calls take up to 1 s.
+  CHECK(took < milliseconds(1500));
+  CHECK(fleet.GetPlatform().ReadViolations().empty());
+}
