Ask members at once when the holder is silent; let probes of a silent store overlap

Members' pings say the same as one's own, so they are asked first; a probe of the store goes out each 150 ms.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration kProbeEvery = milliseconds(150);
 constexpr Duration kProbeDeadline = milliseconds(700);  // slow days: some 400 ms
+constexpr std::size_t kMostProbes = 5;                  // one each kProbeEvery, until its deadline
 constexpr Duration kSettingsEvery = seconds(1);
 constexpr Duration kStopMargin = milliseconds(1500);  // before SIGKILL
 constexpr Duration kDrainFor = milliseconds(2200);    // the balancer takes two misses, 1 s apart
@@ -85,6 +86,13 @@
   return since && BootClock::now() - *since > kStoreDownAfter;
 }
 
+Async<void> Entry::ProbeStoreOnce()
+{
+  ++mProbesOut;
+  co_await mStore.Get(std::string(kHolderKey), kProbeDeadline);
+  --mProbesOut;
+}
+
 // While calls fail, finds out when the store serves again.
 Async<void> Entry::ProbeStore()
 {
@@ -105,7 +113,9 @@
     }
     if (IsStoreDown() && !IsHolder() && mHolderFailingSince)
       mTally = co_await AskMembers(0);
-    co_await mStore.Get(std::string(kHolderKey), kProbeDeadline);
+    // A silent store holds each call until its deadline, so the next ones do not wait for it.
+    if (mProbesOut < kMostProbes)
+      asio::co_spawn(mContext, ProbeStoreOnce(), asio::detached);
   }
 }
 
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -57,6 +57,7 @@
   Async<ProbeTally> AskMembers(std::uint64_t aEpoch);
   Async<bool> PingHolder(HttpAddress aAddress, std::uint64_t aEpoch);
   Async<void> ProbeStore();
+  Async<void> ProbeStoreOnce();
   [[nodiscard]] bool IsStoreDown() const;
   [[nodiscard]] bool IsIsolated() const;
   [[nodiscard]] HttpResponse MakeRefusal(http::status aStatus) const;
@@ -90,6 +91,7 @@
   std::optional<TimePoint> mHolderFailingSince{};  // first call to it that failed since an answer
   std::vector<HttpAddress> mMembers{};             // a few others, as the holder last named them
   std::optional<ProbeTally> mTally{};              // while the store does not serve this process
+  std::size_t mProbesOut = 0;                      // of the store, unanswered
   bool mStopping = false;
   bool mCampaigning = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -278,10 +278,10 @@
   co_return *tally;
 }
 
-// Ends the lease of a holder that is lost, so that nobody waits until it lapses: its machine says
-// that the process is gone, or the process was this one before its restart, or neither this process
-// nor the members that it asks get an answer. Should the holder live after all, it is fenced like
-// any predecessor.
+// Ends the lease of a holder that did not answer this process and is lost, so that nobody waits
+// until it lapses: it was this process before its restart, or the members that are asked get no
+// answer either, or its machine says that the process is gone. Should it live after all, it is
+// fenced like any predecessor.
 Async<void> Entry::ReplaceLostHolder()
 {
   if (!mView.mRecord || IsHolder())
@@ -292,12 +292,12 @@
   if (address == mSettings.mPeersAdvertised) {
     if (!mCampaigning)
       why = "it was this process before its restart";
-  } else if (co_await IsRefusing(address, kPingDeadline)) {
-    why = "its machine refuses connections";
-  } else if (!co_await PingHolder(address, record.mEpoch)) {
+  } else {
     const ProbeTally tally = co_await AskMembers(record.mEpoch);
     if (tally.mAnswered > 0 && tally.mReachHolder == 0)
       why = "no member that was asked reaches it";
+    else if (tally.mAnswered == 0 && co_await IsRefusing(address, kPingDeadline))
+      why = "its machine refuses connections";
   }
   if (why.empty() || IsHolder() || !mView.mRecord || !(*mView.mRecord == record))
     co_return;
