Members that the store is closed to learn of a new holder from other members

Members that are asked what they reach name the holder that they know, and a record of a later epoch is taken. A holder keeps a few members' addresses, as it may be the one that is turned away.

--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -28,6 +28,7 @@
   {
     std::optional<HolderRecord> mRecord{};
     std::uint64_t mRevision = 0;
+    std::uint64_t mNewestEpoch = 0;  // of any record seen
   };
   struct ProbeTally  // what other members say
   {
@@ -68,6 +69,7 @@
   Async<void> Campaign();
   void TakeConfig(const platform::StoreItem& aItem);
   void TakeHolder(const platform::StoreItem& aItem);
+  void SetHolder(HolderRecord aRecord);
   Async<void> EndHolderLease(std::uint64_t aLease);
   void CampaignIfOpen();
   Async<void> CatchUp();
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -79,6 +79,7 @@
       co_return MakeEmpty(http::status::bad_request);
     ProbeReply reply;
     reply.mStoreServes = !IsStoreDown();
+    reply.mHolder = mView.mRecord.value_or(HolderRecord{});
     if (request->mEpoch != 0)
       reply.mHolderAnswers = co_await PingHolder(request->mHolder, request->mEpoch);
     co_return answer(EncodeMessage(reply));
@@ -172,6 +173,8 @@
   std::vector<AdviceResult> results;
   while (!mStopping) {
     if (!mView.mRecord || IsHolder()) {
+      if (IsHolder())
+        mMembers = mHolder->DrawMembers(mSettings.mName);
       co_await Sleep(milliseconds(20));
       results.clear();
       continue;
@@ -255,6 +258,13 @@
   ++aTally->mAnswered;
   aTally->mReachHolder += reply->mHolderAnswers ? 1 : 0;
   aTally->mServedByStore += reply->mStoreServes ? 1 : 0;
+  if (reply->mHolder.mEpoch > mView.mNewestEpoch && !IsHolder()) {
+    Log(LogPart::Ownership,
+        LogLevel::Info,
+        "a member names a newer holder",
+        { { "holder", reply->mHolder.mName }, { "epoch", reply->mHolder.mEpoch } });
+    SetHolder(std::move(reply->mHolder));
+  }
 }
 
 // Asks a few members at once what they reach; aEpoch is the holder's that they try, 0: none.
@@ -299,6 +309,8 @@
     else if (tally.mAnswered == 0 && co_await IsRefusing(address, kPingDeadline))
       why = "its machine refuses connections";
   }
+  if (IsStoreDown())
+    co_return;  // the lease can't be ended from here
   if (why.empty() || IsHolder() || !mView.mRecord || !(*mView.mRecord == record))
     co_return;
   Log(LogPart::Ownership,
@@ -348,17 +360,23 @@
       TakeConfig(it);
 }
 
+void Entry::SetHolder(HolderRecord aRecord)
+{
+  mView.mNewestEpoch = std::max(mView.mNewestEpoch, aRecord.mEpoch);
+  mView.mRecord = std::move(aRecord);
+  mHolderFailingSince.reset();  // it says nothing of another holder
+}
+
 void Entry::TakeHolder(const StoreItem& aItem)
 {
   if (aItem.mKey != kHolderKey || aItem.mRevision < mView.mRevision)
     return;
   mView.mRevision = aItem.mRevision;
   mView.mRecord.reset();
-  mHolderFailingSince.reset();  // it says nothing of another holder
   if (!aItem.mDeleted) {
     auto record = DecodeMessage<HolderRecord>(aItem.mValue);
     if (record)
-      mView.mRecord = std::move(*record);
+      SetHolder(std::move(*record));
   }
   if (mHolder && !mHolder->IsDeposed() &&
       (!mView.mRecord || mView.mRecord->mEpoch != mHolder->GetEpoch()) &&
@@ -463,7 +481,7 @@
     if (mHolder)
       mHolder->Depose("it holds a newer lease");
     mView.mRevision = std::max(mView.mRevision, revision);
-    mView.mRecord = record;
+    SetHolder(record);
     mHolder =
       std::make_shared<Holder>(mContext, mSettings, mClient, mStore, mMetrics, std::move(grant));
     mHolder->Start(mConfig);
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -58,6 +58,7 @@
   Async<StateReply> GetState(std::string aId);
   [[nodiscard]] std::optional<std::size_t> CountPending(const std::string& aQueue) const;
   Async<PollReply> Poll(PollRequest aRequest);
+  [[nodiscard]] std::vector<HttpAddress> DrawMembers(const std::string& aExcept);
   void NoteCancel(const std::string& aId);
   void NoteJob(const std::string& aId, std::string_view aValue);
 
@@ -125,7 +126,6 @@
   void Dispatch(Orders aOrders);
   void LogStarts(const std::vector<StartOrder>& aStarts);
   [[nodiscard]] std::size_t CountFreeAdvisors() const;
-  [[nodiscard]] std::vector<HttpAddress> DrawMembers(const std::string& aExcept);
   [[nodiscard]] bool CanAnotherReachStore() const;
   [[nodiscard]] Duration ChooseHoldWait();
   [[nodiscard]] bool MayStart() const;
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -153,11 +153,12 @@
 {
   bool mHolderAnswers = false;
   bool mStoreServes = false;  // the process that was asked
+  HolderRecord mHolder{};     // that it knows; epoch 0: none
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mHolderAnswers, mStoreServes);
+    aArchive(mHolderAnswers, mStoreServes, mHolder);
   }
 };
 
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -14,15 +14,17 @@
   R"({"spec":"ms=50","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":50}]})";
 constexpr Duration kPatience = seconds(15);  // for a fleet that starts on a busy machine
 
-// Hands in a job of one task, at any process but aExcept, and waits until it is shown as completed.
-Async<bool> RunOneJob(testing::EntryFleet& aFleet, std::string aId, std::size_t aExcept = SIZE_MAX)
+// Hands in a job of one task, at one of aProcesses in turn, and waits until it is shown as
+// completed.
+Async<bool> RunOneJob(testing::EntryFleet& aFleet,
+                      std::string aId,
+                      std::vector<std::size_t> aProcesses)
 {
   aFleet.GetPlatform().RegisterJob(aId, { standin::StandinStage{ 1, 1000, {} } });
   const TimePoint deadline = BootClock::now() + kPatience;
   bool isAccepted = false;
-  for (std::size_t n = 0; BootClock::now() < deadline; n = (n + 1) % aFleet.Count()) {
-    if (n == aExcept)
-      continue;
+  for (std::size_t k = 0; BootClock::now() < deadline; ++k) {
+    const std::size_t n = aProcesses[k % aProcesses.size()];
     const http::verb verb = isAccepted ? http::verb::get : http::verb::post;
     auto response = co_await aFleet.Call(n, verb, "/q/" + aId, isAccepted ? "" : kOneTask);
     const bool isGood = response && response->result() == http::status::ok;
@@ -34,6 +36,17 @@
   co_return false;
 }
 
+// All processes of the fleet but aExcept.
+std::vector<std::size_t> ListProcesses(const testing::EntryFleet& aFleet,
+                                       std::size_t aExcept = SIZE_MAX)
+{
+  std::vector<std::size_t> processes;
+  for (std::size_t n = 0; n < aFleet.Count(); ++n)
+    if (n != aExcept)
+      processes.push_back(n);
+  return processes;
+}
+
 // The process whose log tells of the latest election won. aFleet.Count(): none.
 std::size_t FindHolder(const testing::EntryFleet& aFleet)
 {
@@ -76,14 +89,14 @@
   bool isDone = false;
   Duration took{};
   RunScript(context, [&]() -> Async<void> {
-    if (!co_await RunOneJob(fleet, "00000000000000a1"))
+    if (!co_await RunOneJob(fleet, "00000000000000a1", ListProcesses(fleet)))
       co_return;
     for (std::size_t n = 0; n < fleet.Count(); ++n)
       fleet.End(n, SIGKILL);
     for (std::size_t n = 0; n < fleet.Count(); ++n)
       fleet.Start(n);
     const TimePoint restartedAt = BootClock::now();
-    isDone = co_await RunOneJob(fleet, "00000000000000a2");
+    isDone = co_await RunOneJob(fleet, "00000000000000a2", ListProcesses(fleet));
     took = BootClock::now() - restartedAt;
   });
   CAPTURE(took / milliseconds(1));
@@ -100,7 +113,7 @@
   bool isDone = false;
   Duration took{};
   RunScript(context, [&]() -> Async<void> {
-    if (!co_await RunOneJob(fleet, "00000000000000b1"))
+    if (!co_await RunOneJob(fleet, "00000000000000b1", ListProcesses(fleet)))
       co_return;
     co_await Sleep(seconds(1));  // members learn of each other by their polls
     const std::size_t holder = FindHolder(fleet);
@@ -108,7 +121,7 @@
       co_return;
     fleet.Signal(holder, SIGSTOP);
     const TimePoint stoppedAt = BootClock::now();
-    isDone = co_await RunOneJob(fleet, "00000000000000b2", holder);
+    isDone = co_await RunOneJob(fleet, "00000000000000b2", ListProcesses(fleet, holder));
     took = BootClock::now() - stoppedAt;
     fleet.Signal(holder, SIGCONT);
     co_await Sleep(seconds(1));
@@ -128,7 +141,7 @@
   Duration took{};
   std::string log;
   RunScript(context, [&]() -> Async<void> {
-    if (!co_await RunOneJob(fleet, "00000000000000c1"))
+    if (!co_await RunOneJob(fleet, "00000000000000c1", ListProcesses(fleet)))
       co_return;
     const std::size_t holder = FindHolder(fleet);
     if (holder == fleet.Count())
@@ -139,7 +152,7 @@
     co_await Sleep(milliseconds(1500));
     fleet.GetPlatform().SetStoreMode(standin::StoreMode::Serving);
     const TimePoint servedAt = BootClock::now();
-    isDone = co_await RunOneJob(fleet, "00000000000000c2", holder);
+    isDone = co_await RunOneJob(fleet, "00000000000000c2", ListProcesses(fleet, holder));
     took = BootClock::now() - servedAt;
   });
   CAPTURE(took / milliseconds(1));
@@ -148,3 +161,36 @@
   CHECK(took < milliseconds(1500));
   CHECK(fleet.GetPlatform().ReadViolations().empty());
 }
+
+TEST_CASE("a process that only the store is closed to learns of a new holder from others",
+          "[entry]")
+{
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(context, {}, 5, "entry-closed");
+  bool isDone = false;
+  Duration took{};
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000d1", ListProcesses(fleet)))
+      co_return;
+    co_await Sleep(seconds(1));  // members learn of each other by their polls
+    const std::size_t holder = FindHolder(fleet);
+    if (holder == fleet.Count())
+      co_return;
+    const std::size_t other = (holder + 1) % fleet.Count();
+    testing::LinkFaults faults;
+    faults.mCut = true;
+    fleet.Get(holder).mStoreLink->SetFaults(faults);
+    fleet.Get(other).mStoreLink->SetFaults(faults);
+    co_await Sleep(seconds(3));  // the holder's lease ends, and another is elected
+    const TimePoint askedAt = BootClock::now();
+    const std::vector<std::size_t> asked{ other };
+    isDone = co_await RunOneJob(fleet, "00000000000000d2", asked);
+    took = BootClock::now() - askedAt;
+    fleet.Get(holder).mStoreLink->SetFaults({});
+    fleet.Get(other).mStoreLink->SetFaults({});
+  });
+  CAPTURE(took / milliseconds(1));
+  CHECK(isDone);
+  CHECK(took < milliseconds(1000));  // a relayed write and a job of 50 ms
+  CHECK(fleet.GetPlatform().ReadViolations().empty());
+}
