Hand over to the largest process in one step

A holder writes the largest size that polls it into that record before it resigns. A resigning process also no longer ends its own lease as one from before a restart: it campaigned at once.

--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -294,7 +294,10 @@
 // fenced like any predecessor.
 Async<void> Entry::ReplaceLostHolder()
 {
-  if (!mView.mRecord || IsHolder())
+  const auto isResigning = [this] {  // it ends its lease itself, once its progress is stored
+    return mHolder && mView.mRecord && mHolder->GetEpoch() == mView.mRecord->mEpoch;
+  };
+  if (!mView.mRecord || IsHolder() || isResigning())
     co_return;
   const HolderRecord record = *mView.mRecord;
   const HttpAddress address{ record.mHost, record.mPort };
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -181,7 +181,16 @@
     co_await Sleep(kYieldAfter);
     if (mDeposed)
       co_return;
-    if (GetLargestCores() >= kLargerBy * mSettings.mCores)
+    if (GetLargestCores() < kLargerBy * mSettings.mCores)
+      continue;
+    // Candidates read there that they are to stand back.
+    HolderRecord record = mGrant.mRecord;
+    record.mLargestCores = std::max(record.mLargestCores, GetLargestCores());
+    platform::StoreTransaction transaction;
+    transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+    transaction.mWrites.push_back({ std::string(kEpochKey), EncodeMessage(record) });
+    auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    if (outcome && outcome->mCommitted && !mDeposed)
       co_await Resign("a larger process is there");
   }
 }
--- a/tests/integration/entry_fleet.cpp
+++ b/tests/integration/entry_fleet.cpp
@@ -30,18 +30,18 @@
 
 EntryFleet::EntryFleet(asio::io_context& aContext,
                        const standin::FleetStandinOptions& aPlatform,
-                       std::size_t aProcesses,
+                       const std::vector<double>& aCores,
                        std::string aName)
   : mDirectory(std::filesystem::temp_directory_path() /
                (aName + "-" + std::to_string(getpid()) + "-" + std::to_string(aPlatform.mSeed)))
   , mPlatform(std::make_unique<standin::FleetStandin>(aContext, aPlatform))
-  , mProcesses(aProcesses)
+  , mProcesses(aCores.size())
 {
   std::filesystem::create_directories(mDirectory);
   if (!mPlatform->Start())
     throw std::runtime_error("the stand-in can't listen");
   std::mt19937_64 seeds(aPlatform.mSeed);
-  for (std::size_t n = 0; n < aProcesses; ++n) {
+  for (std::size_t n = 0; n < aCores.size(); ++n) {
     EntryProcess& it = mProcesses[n];
     it.mCallers = FindFreePort();
     it.mReady = FindFreePort();
@@ -50,7 +50,8 @@
     it.mPeerLink = std::make_unique<Proxy>(mProxies, it.mPeers, seeds());
     it.mSettings = mDirectory + "/entry-" + std::to_string(n) + ".toml";
     it.mLog = mDirectory + "/entry-" + std::to_string(n) + ".log";
-    std::ofstream(it.mSettings) << "[process]\nname = \"entry-" << n << "\"\nzone = \"zone-a\"\n"
+    std::ofstream(it.mSettings) << "[process]\nname = \"entry-" << n
+                                << "\"\nzone = \"zone-a\"\ncores = " << aCores[n] << "\n"
                                 << "[listen]\ncallers = " << FormatLocal(it.mCallers)
                                 << "ready = " << FormatLocal(it.mReady)
                                 << "peers = " << FormatLocal(it.mPeers)
--- a/tests/integration/entry_fleet.h
+++ b/tests/integration/entry_fleet.h
@@ -29,10 +29,11 @@
 class EntryFleet
 {
 public:
-  // Starts the stand-in and aProcesses entry processes. Throws std::runtime_error.
+  // Starts the stand-in and an entry process for each of aCores, its share of processor cores.
+  // Throws std::runtime_error.
   EntryFleet(asio::io_context& aContext,
              const standin::FleetStandinOptions& aPlatform,
-             std::size_t aProcesses,
+             const std::vector<double>& aCores,
              std::string aName);
   ~EntryFleet();  // ends the processes and removes their files, unless KeepFiles was called
   EntryFleet(const EntryFleet&) = delete;
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -85,7 +85,7 @@
           "[entry]")
 {
   asio::io_context context{ 1 };
-  testing::EntryFleet fleet(context, {}, 3, "entry-restart");
+  testing::EntryFleet fleet(context, {}, std::vector<double>(3, 1.0), "entry-restart");
   bool isDone = false;
   Duration took{};
   RunScript(context, [&]() -> Async<void> {
@@ -109,7 +109,7 @@
 TEST_CASE("a holder that is silent is replaced before its lease lapses", "[entry]")
 {
   asio::io_context context{ 1 };
-  testing::EntryFleet fleet(context, {}, 4, "entry-silent");
+  testing::EntryFleet fleet(context, {}, std::vector<double>(4, 1.0), "entry-silent");
   bool isDone = false;
   Duration took{};
   RunScript(context, [&]() -> Async<void> {
@@ -136,7 +136,7 @@
 TEST_CASE("a store that serves again after a silence is used at once", "[entry]")
 {
   asio::io_context context{ 1 };
-  testing::EntryFleet fleet(context, {}, 4, "entry-outage");
+  testing::EntryFleet fleet(context, {}, std::vector<double>(4, 1.0), "entry-outage");
   bool isDone = false;
   Duration took{};
   std::string log;
@@ -166,7 +166,7 @@
           "[entry]")
 {
   asio::io_context context{ 1 };
-  testing::EntryFleet fleet(context, {}, 5, "entry-closed");
+  testing::EntryFleet fleet(context, {}, std::vector<double>(5, 1.0), "entry-closed");
   bool isDone = false;
   Duration took{};
   RunScript(context, [&]() -> Async<void> {
@@ -194,3 +194,20 @@
   CHECK(took < milliseconds(1000));  // a relayed write and a job of 50 ms
   CHECK(fleet.GetPlatform().ReadViolations().empty());
 }
+
+TEST_CASE("small processes hand over to the largest at once", "[entry]")
+{
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(
+    context, {}, { 0.12, 0.12, 0.12, 0.25, 0.12, 0.12, 0.5 }, "entry-sizes");
+  RunScript(context, [&]() -> Async<void> { co_await Sleep(seconds(6)); });
+  CHECK(FindHolder(fleet) == 6);
+  std::size_t elections = 0;
+  for (std::size_t n = 0; n < fleet.Count(); ++n) {
+    const std::string log = fleet.ReadLog(n);
+    for (auto at = log.find("schedules now"); at != std::string::npos;
+         at = log.find("schedules now", at + 1))
+      ++elections;
+  }
+  CHECK(elections <= 2);
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -70,7 +70,10 @@
 Soak::Soak(SoakOptions aOptions)
   : mOptions(aOptions)
   , mRandom(aOptions.mSeed)
-  , mFleet(mContext, MakePlatformOptions(aOptions), aOptions.mProcesses, "fleet-soak")
+  , mFleet(mContext,
+           MakePlatformOptions(aOptions),
+           std::vector<double>(aOptions.mProcesses, 1.0),
+           "fleet-soak")
 {
 }
 
