Move tasks that crawl to other workers

Reports give the speed of each run over a window. One at under a third of the estimated speed, on a worker whose other runs are not sound and in a stage that is not slow everywhere, is stopped (copied where it may be) and starts again elsewhere when that ends 1.5 times sooner; the worker comes last for 1.5 s. Reports come each 500 ms while short tasks run. The decision is src/policy/straggler, without input or output.

Tests: a stalled worker in the fleet's model (8 s stall: not done in 3 s before, done now), a stage that is slow everywhere stays, the policy alone; stalls are among the random faults of the model's seeds.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -127,7 +127,7 @@
   void LogStarts(const std::vector<StartOrder>& aStarts);
   [[nodiscard]] std::size_t CountFreeAdvisors() const;
   [[nodiscard]] bool CanAnotherReachStore() const;
-  [[nodiscard]] Duration ChooseHoldWait();
+  [[nodiscard]] Duration ChooseHoldWait(const Worker& aWorker);
   [[nodiscard]] bool MayStart() const;
   [[nodiscard]] bool MayRenewTaskLeases() const;
   [[nodiscard]] std::int64_t ReadWorkerClock(const Channel& aChannel) const;
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kOrderDeadline = milliseconds(400);  // a cross-zone round trip takes 9 ms
 constexpr Duration kHoldWait = milliseconds(1000);      // a report at least so often
 constexpr Duration kHoldMargin = milliseconds(400);
+constexpr Duration kBriskHoldWait = milliseconds(500);  // while a short task runs: it may crawl
+constexpr Duration kShortTask = seconds(2);
 constexpr Duration kShortHoldWait = milliseconds(250);  // while answers get lost
 constexpr std::size_t kSilencesForShort = 3;            // within kSilenceAge, in the whole fleet
 constexpr Duration kSilenceAge = seconds(3);
@@ -123,12 +125,18 @@
 
 // A lost answer hides what ended on its worker until the call is given up, so calls are kept short
 // while answers get lost.
-Duration Holder::ChooseHoldWait()
+Duration Holder::ChooseHoldWait(const Worker& aWorker)
 {
   const TimePoint now = BootClock::now();
   while (!mSilences.empty() && now - mSilences.front() > kSilenceAge)
     mSilences.pop_front();
-  return mSilences.size() >= kSilencesForShort ? kShortHoldWait : kHoldWait;
+  if (mSilences.size() >= kSilencesForShort)
+    return kShortHoldWait;
+  const bool hasShort =
+    std::any_of(aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const Run& aItem) {
+      return aItem.mEstimate > Duration::zero() && aItem.mEstimate <= kShortTask;
+    });
+  return hasShort ? kBriskHoldWait : kHoldWait;
 }
 
 Async<void> Holder::ProbeWorker(std::string aId)
@@ -157,7 +165,8 @@
     } else {
       const bool mayWait =
         wasReachable && worker->mFenced && !hasUnstoredEnds && !isUnsure && !isIdle;
-      const bool isAnswered = co_await HoldOnce(aId, mayWait ? ChooseHoldWait() : Duration::zero());
+      const bool isAnswered =
+        co_await HoldOnce(aId, mayWait ? ChooseHoldWait(*worker) : Duration::zero());
       if (mDeposed)
         break;
       worker = mScheduler.FindWorker(aId);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -18,6 +18,7 @@
 #include <unordered_map>
 
 #include "fleet/model.h"
+#include "policy/straggler.h"
 
 namespace monsoon::fleet {
 
@@ -66,7 +67,9 @@
   TimePoint mStopSentAt{};   // zero: none
   TimePoint mStopAckedAt{};  // zero: none
   double mPercent = 0;
-  TimePoint mProgressAt{};    // when mPercent last rose
+  TimePoint mProgressAt{};  // when mPercent last rose
+  Duration mEstimate{};     // of its run time; zero: its speed says nothing
+  RunProgress mProgress{};
   bool mDetached = false;     // a copy of the task may run elsewhere too
   std::uint32_t mPace = 100;  // share at which a filler may work
   double mTailMs = 0;
@@ -83,6 +86,7 @@
   std::string mCheckpoint{};
   std::vector<std::string> mFailedOn{};  // workers to avoid
   bool mNeverRan = false;                // its last run certainly did not begin
+  std::uint32_t mMoves = 0;              // from workers that were too slow
 };
 
 struct StageRun
@@ -147,6 +151,7 @@
   TimePoint mQuarantinedUntil{};
   std::uint32_t mQuarantines = 0;
   TimePoint mFullUntil{};  // refused for want of room
+  TimePoint mSlowUntil{};  // its tasks stand still or crawl: others are preferred
 };
 
 struct Orders
@@ -281,6 +286,8 @@
                  Orders& aOrders);
   void PlanStops(TimePoint aNow, Orders& aOrders);
   void PlanCopies(TimePoint aNow);
+  void PlanMoves(TimePoint aNow);
+  void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow);
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(TimePoint aNow, Orders& aOrders);
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -27,6 +27,16 @@
   return longest;
 }
 
+inline constexpr Duration kLeastEstimate = milliseconds(150);  // short ones are too often wrong
+
+// The run time by which a task's speed is judged; zero where its progress is no measure.
+inline Duration GetJudgedEstimate(const StageSpec& aSpec)
+{
+  if (aSpec.mLongRunning || aSpec.mFiller || aSpec.mGang)
+    return Duration::zero();
+  return std::max<Duration>(kLeastEstimate, milliseconds(aSpec.mEstimateMs));
+}
+
 struct Scheduler::Ready
 {
   Job* mJob = nullptr;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -56,6 +56,7 @@
     aWorker.mUsedAccelerators += aRun.mAccelerators;
   }
   aRun.mFiller = spec.mFiller;
+  aRun.mEstimate = GetJudgedEstimate(spec);
   aRun.mTailTargetMs = spec.mTailTargetMs;
   if (task->mDone || !task->mWorker.empty() || IsOver(job->mState) || aRun.mRun < task->mRun)
     return false;
@@ -367,6 +368,7 @@
         run.mProgressAt = aNow;
       }
       run.mSeen = true;
+      ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
       run.mTailMs = row.mTailMs;
       if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt)
         run.mPhase = RunPhase::Running;
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -1,6 +1,7 @@
 #include "fleet_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoon::fleet {
 
@@ -100,8 +101,25 @@
     ++mFailures[it.mOrder.mTask];
 }
 
+// Progress of the work, in whole percents as workers report it.
+double FleetModel::ReadPercent(const Running& aRunning) const
+{
+  const double all = static_cast<double>((aRunning.mEndAt - aRunning.mArrivedAt).count());
+  const double done = static_cast<double>((mNow - aRunning.mArrivedAt).count());
+  return all <= 0 ? 100 : std::floor(100 * done / all);
+}
+
 void FleetModel::Advance(Node& aNode)
 {
+  // Work stands still while the worker is stalled: its beginning and end move along.
+  const Duration stalled = std::min(mNow, aNode.mStalledUntil) - aNode.mAdvancedAt;
+  if (aNode.mAdvancedAt != TimePoint{} && stalled > Duration::zero())
+    for (Running& it : aNode.mRunning)
+      if (it.mEnd != EndKind::Stopped) {
+        it.mArrivedAt += stalled;
+        it.mEndAt += stalled;
+      }
+  aNode.mAdvancedAt = mNow;
   for (std::size_t n = aNode.mRunning.size(); n-- > 0;) {
     if (aNode.mRunning[n].mEndAt <= mNow)
       End(aNode, n, aNode.mRunning[n].mEnd);
@@ -299,7 +317,7 @@
   for (const EndedRow& row : node.mEnded)
     mAloneEnds += row.mKind == EndKind::Alone ? 1 : 0;
   for (const Running& it : node.mRunning)
-    report.mRunning.push_back({ it.mOrder.mTask, it.mOrder.mRun, "", 50, 0 });
+    report.mRunning.push_back({ it.mOrder.mTask, it.mOrder.mRun, "", ReadPercent(it), 0 });
   mScheduler->OnReport(aId, report, mNow, mNow);
 }
 
@@ -374,6 +392,10 @@
   for (const std::string& id : ids) {
     if (Happens(mFaults.mSilencePerS * tick))
       mNodes[id].mSilentUntil = mNow + milliseconds(500 + mRandom() % 7500);
+    if (Happens(mFaults.mStallPerS * tick)) {
+      Advance(mNodes[id]);
+      mNodes[id].mStalledUntil = mNow + milliseconds(500 + mRandom() % 5500);
+    }
     if (!Happens(mFaults.mCrashPerS * tick))
       continue;
     Node& node = mNodes[id];
@@ -411,6 +433,17 @@
   At(kTick, [this] { Tick(); });
 }
 
+void FleetModel::Stall(const std::string& aTask, Duration aTime)
+{
+  for (auto& [id, node] : mNodes)
+    for (const Running& it : node.mRunning)
+      if (it.mOrder.mTask == aTask) {
+        Advance(node);
+        node.mStalledUntil = mNow + aTime;
+        return;
+      }
+}
+
 void FleetModel::Silence(const std::string& aTask, Duration aTime)
 {
   for (auto& [id, node] : mNodes)
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -18,6 +18,7 @@
   double mNoConnection = 0;  // share of starts that never reach their worker
   double mCrashPerS = 0;     // of each worker; it is back under another id after a second
   double mSilencePerS = 0;   // of each worker; it runs on and answers nothing for up to 8 s
+  double mStallPerS = 0;     // of each worker; its tasks stand still for up to 6 s
   double mTakeoverPerS = 0;  // the scheduler is replaced by an empty one
 };
 
@@ -41,6 +42,8 @@
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
   // The worker that runs this task runs on and answers nothing for so long.
   void Silence(const std::string& aTask, Duration aTime);
+  // The tasks of the worker that runs this one stand still for so long.
+  void Stall(const std::string& aTask, Duration aTime);
   // The next start order, and only it, gets this outcome without reaching its worker.
   void FailNextStart(StartOutcome aOutcome) { mNextStart = aOutcome; }
 
@@ -60,6 +63,8 @@
     WorkerEntry mEntry{};
     bool mUp = true;
     TimePoint mSilentUntil{};
+    TimePoint mStalledUntil{};
+    TimePoint mAdvancedAt{};
     TimePoint mLeaseUntil{};
     std::uint64_t mToken = 0;
     std::vector<Running> mRunning{};
@@ -73,6 +78,7 @@
   void Tick();
   void Hold(const std::string& aId);
   void Advance(Node& aNode);
+  [[nodiscard]] double ReadPercent(const Running& aRunning) const;
   void End(Node& aNode, std::size_t aIndex, EndKind aKind);
   void Deliver(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt);
   void SendStart(const StartOrder& aOrder);
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -158,6 +158,36 @@
   CHECK(model.CountStarts("a.0.0.0") == 2);
 }
 
+TEST_CASE("fleet: a task that stands still on its worker is moved to another")
+{
+  FleetModel model(1, {}, 2);
+  model.SetQueue(MakeQueue("q"));
+  JobSpec job = MakeJob("a", 1);
+  job.mStages[0].mSpeculative = GENERATE(false, true);
+  model.SetRunTime("a", milliseconds(1000));
+  model.Submit(job);
+  model.RunFor(milliseconds(200));
+  model.Stall("a.0.0.0", seconds(8));
+  model.RunFor(seconds(3));  // far less than the stall
+  CHECK(GetState(model, "a") == JobState::Completed);
+  CHECK(model.CountStarts("a.0.0.0") == 2);
+  CHECK(model.mViolations.empty());
+}
+
+TEST_CASE("fleet: a stage whose tasks are all slower than estimated is left where it runs")
+{
+  FleetModel model(1, {}, 6);
+  model.SetQueue(MakeQueue("q"));
+  JobSpec job = MakeJob("a", 6);
+  job.mStages[0].mMilliCores = 9000;  // one on each worker
+  model.SetRunTime("a", seconds(8));  // of an estimated one
+  model.Submit(job);
+  model.RunFor(seconds(12));
+  CHECK(GetState(model, "a") == JobState::Completed);
+  for (int n = 0; n < 6; ++n)
+    CHECK(model.CountStarts("a.0.0." + std::to_string(n)) == 1);
+}
+
 TEST_CASE("fleet: a silent worker holds back only what it may run after a takeover")
 {
   FleetModel model(1, {}, 3);
@@ -301,6 +331,7 @@
   faults.mCrashPerS = 0.01;
   faults.mSilencePerS = 0.02;
   faults.mTakeoverPerS = 0.1;
+  faults.mStallPerS = 0.03;
   FleetModel model(seed, faults, 8);
   model.SetQueue(MakeQueue("q", seed % 2 == 0, 20));
   std::mt19937_64 random(seed);
