--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -320,6 +320,37 @@
   CHECK(scheduler.FindJob("a")->mState == JobState::Completed);
 }
 
+TEST_CASE("fleet: a stage starts only where its label, its pool and its limit on each worker allow")
+{
+  const TimePoint now{ seconds(2000) };
+  Scheduler scheduler(SchedulerSettings{});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue("q"));
+  scheduler.SetQueues(config);
+  for (const std::string id : { "plain", "labelled", "elsewhere", "draining" }) {
+    WorkerEntry entry;
+    entry.mId = id;
+    entry.mAddress = id + ":80";
+    entry.mService = id == "elsewhere" ? "other" : "pool";
+    entry.mMilliCores = 32'000;
+    entry.mMemoryMiB = 128'000;
+    if (id != "plain")
+      entry.mLabels = { "ssd", "rack-1" };
+    entry.mDraining = id == "draining";
+    scheduler.ListWorker(entry, true, now);
+    scheduler.OnReport(id, {}, now, now);
+  }
+  JobSpec job = MakeJob("a", 6);
+  job.mStages[0].mRequiredLabel = "ssd";
+  job.mStages[0].mMaxPerWorker = 4;
+  scheduler.AddJob(job, {}, false, now);
+  const Orders orders = scheduler.Plan(now, 0, true, 0);
+  CHECK(orders.mStarts.size() == 4);
+  for (const StartOrder& it : orders.mStarts)
+    CHECK(it.mWorker == "labelled");
+  CHECK(scheduler.Plan(now + seconds(1), 0, true, 0).mStarts.empty());
+}
+
 TEST_CASE("fleet: what must always hold, over seeds of random faults")
 {
   const auto seed = GENERATE(range(1U, 41U));
