--- a/src/fleet/entry_impl.h
+++ b/src/fleet/entry_impl.h
@@ -11,7 +11,8 @@
 inline constexpr Duration kFirstTry = milliseconds(800);    // of a write; then it is relayed
 inline constexpr Duration kWatchWait = milliseconds(2500);  // bounds a silent connection
 inline constexpr Duration kRetryStore = milliseconds(100);
-inline constexpr Duration kPeerDeadline = milliseconds(900);    // covers a slow store
+inline constexpr Duration kPeerDeadline = milliseconds(900);  // covers a slow store
+inline constexpr Duration kPingDeadline = milliseconds(250);  // a cross-zone round trip takes 9 ms
 inline constexpr Duration kStoreDownAfter = milliseconds(300);  // of failing calls
 inline constexpr std::string_view kRetryAfterOutage = "2";  // s; the store's outages last seconds
 
--- /dev/null
+++ b/src/fleet/entry_peers.cpp
@@ -0,0 +1,283 @@
+// Questions to the holder and to other members, and answers to theirs.
+#include <algorithm>
+
+#include "fleet/entry_impl.h"
+#include "observe/log.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kPollDeadline = milliseconds(700);   // the holder keeps a poll for 400 ms
+constexpr Duration kProbeDeadline = milliseconds(350);  // of a member that pings the holder
+constexpr std::size_t kMembersAsked = 3;
+
+}  // namespace
+
+// Fails with NotReady when nobody is known to hold the lease, StoreUnavailable when the holder says
+// so, and as HttpClient::Call.
+Async<Result<std::string>> Entry::AskHolder(const char* aPath,
+                                            std::string aBody,
+                                            Duration aDeadline)
+{
+  HttpRequest request(http::verb::post, aPath, 11);
+  request.body() = std::move(aBody);
+  Result<HttpResponse> response = MakeFailure(FailureKind::StoreUnavailable, "no holder is known");
+  if (IsHolder())
+    response = co_await HandlePeer(std::move(request));
+  else if (mView.mRecord) {
+    HttpAddress address{ mView.mRecord->mHost, mView.mRecord->mPort };
+    const TimePoint sentAt = BootClock::now();
+    response = co_await mClient.Call(std::move(address), std::move(request), aDeadline);
+    const bool isHolder = response && response->result() != http::status::misdirected_request;
+    if (isHolder)
+      mHolderFailingSince.reset();
+    else if (!mHolderFailingSince)
+      mHolderFailingSince = sentAt;
+  }
+  if (!response) {
+    if (response.error().mKind == FailureKind::EndpointUnreachable)
+      co_return MakeFailure(FailureKind::StoreUnavailable, response.error().mDetail);
+    co_return response.error();
+  }
+  if (response->result() == http::status::misdirected_request)
+    co_return MakeFailure(FailureKind::StoreUnavailable, "it does not hold the lease any more");
+  if (response->result() == http::status::service_unavailable)
+    co_return MakeFailure(FailureKind::StoreUnavailable, "the holder can't");
+  if (response->result() != http::status::ok)
+    co_return MakeFailure(FailureKind::PeerUnknown, std::to_string(response->result_int()));
+  co_return std::move(response->body());
+}
+
+Async<HttpResponse> Entry::HandlePeer(HttpRequest aRequest)
+{
+  const std::string_view path(aRequest.target().data(), aRequest.target().size());
+  const auto answer = [](std::string aBody) {
+    HttpResponse response(http::status::ok, 11);
+    response.body() = std::move(aBody);
+    return response;
+  };
+  if (path == "/resign") {
+    auto epoch = DecodeMessage<std::uint64_t>(aRequest.body());
+    if (!epoch)
+      co_return MakeEmpty(http::status::bad_request);
+    if (IsHolder() && mHolder->GetEpoch() <= *epoch)
+      mHolder->Depose("its successor asked");
+    co_return answer({});
+  }
+  if (path == "/probe") {
+    auto request = DecodeMessage<ProbeRequest>(aRequest.body());
+    if (!request)
+      co_return MakeEmpty(http::status::bad_request);
+    ProbeReply reply;
+    reply.mStoreServes = !IsStoreDown();
+    reply.mHolder = mView.mRecord.value_or(HolderRecord{});
+    if (request->mEpoch != 0)
+      reply.mHolderAnswers = co_await PingHolder(request->mHolder, request->mEpoch);
+    co_return answer(EncodeMessage(reply));
+  }
+  if (!IsHolder())
+    co_return MakeEmpty(http::status::misdirected_request);
+  auto holder = mHolder;
+  if (path == "/ping") {
+    auto epoch = DecodeMessage<std::uint64_t>(aRequest.body());
+    if (!epoch)
+      co_return MakeEmpty(http::status::bad_request);
+    co_return *epoch == holder->GetEpoch() ? answer({})
+                                           : MakeEmpty(http::status::misdirected_request);
+  }
+  if (path == "/poll") {
+    auto request = DecodeMessage<PollRequest>(aRequest.body());
+    if (!request || request->mEpoch != holder->GetEpoch())
+      co_return MakeEmpty(http::status::conflict);
+    const PollReply reply = co_await holder->Poll(std::move(*request));
+    co_return answer(EncodeMessage(reply));
+  }
+  if (path == "/state") {
+    auto id = DecodeMessage<std::string>(aRequest.body());
+    if (!id)
+      co_return MakeEmpty(http::status::bad_request);
+    const StateReply reply = co_await holder->GetState(std::move(*id));
+    co_return answer(EncodeMessage(reply));
+  }
+  if (path == "/pending") {
+    auto queue = DecodeMessage<std::string>(aRequest.body());
+    if (!queue)
+      co_return MakeEmpty(http::status::bad_request);
+    const auto pending = holder->CountPending(*queue);
+    if (!pending)
+      co_return MakeEmpty(http::status::service_unavailable);
+    co_return answer(EncodeMessage(std::uint64_t{ *pending }));
+  }
+  if (path == "/submit") {
+    auto request = DecodeMessage<SubmitRequest>(aRequest.body());
+    if (!request)
+      co_return MakeEmpty(http::status::bad_request);
+    if (IsStoreDown())
+      co_return MakeEmpty(http::status::service_unavailable);
+    auto stored = co_await StoreJob(request->mId, request->mValue, kFirstTry);
+    if (!stored)
+      co_return MakeEmpty(stored.error().mKind == FailureKind::WriteUnknown
+                            ? http::status::gateway_timeout
+                            : http::status::service_unavailable);
+    holder->NoteJob(request->mId, request->mValue);
+    co_return answer({});
+  }
+  if (path == "/accepted") {
+    auto job = DecodeMessage<SubmitRequest>(aRequest.body());
+    if (!job)
+      co_return MakeEmpty(http::status::bad_request);
+    holder->NoteJob(job->mId, job->mValue);
+    co_return answer({});
+  }
+  if (path == "/cancelled") {
+    auto id = DecodeMessage<std::string>(aRequest.body());
+    if (!id)
+      co_return MakeEmpty(http::status::bad_request);
+    holder->NoteCancel(*id);
+    co_return answer({});
+  }
+  if (path == "/cancel") {
+    auto id = DecodeMessage<std::string>(aRequest.body());
+    if (!id)
+      co_return MakeEmpty(http::status::bad_request);
+    const HttpResponse response = co_await Cancel(std::move(*id), kFirstTry);
+    if (response.result() == http::status::gone)
+      co_return answer("gone");
+    co_return response.result() == http::status::ok ? answer({})
+                                                    : MakeEmpty(http::status::gateway_timeout);
+  }
+  co_return MakeEmpty(http::status::not_found);
+}
+
+Async<void> Entry::TellHolder(const char* aPath, std::string aBody)
+{
+  auto told = co_await AskHolder(aPath, std::move(aBody), kPeerDeadline);
+  if (!told)
+    Log(LogPart::Peer,
+        LogLevel::Info,
+        "the holder was not told; it reads the store",
+        { { "what", aPath }, { "why", told.error().mDetail } });
+}
+
+Async<void> Entry::PollHolder()
+{
+  std::vector<AdviceResult> results;
+  while (!mStopping) {
+    if (!mView.mRecord || IsHolder()) {
+      if (IsHolder())
+        mMembers = mHolder->DrawMembers(mSettings.mName);
+      co_await Sleep(milliseconds(20));
+      results.clear();
+      continue;
+    }
+    PollRequest poll;
+    poll.mName = mSettings.mName;
+    poll.mAddress = mSettings.mPeersAdvertised;
+    poll.mEpoch = mView.mRecord->mEpoch;
+    poll.mCores = mSettings.mCores;
+    poll.mStoreServedAgoMs = (BootClock::now() - mStore.GetServedAt()) / milliseconds(1);
+    poll.mResults = std::move(results);
+    results.clear();
+    auto answer = co_await AskHolder("/poll", EncodeMessage(poll), kPollDeadline);
+    if (!answer) {
+      co_await ReplaceLostHolder();
+      co_await Sleep(milliseconds(100));
+      continue;
+    }
+    auto reply = DecodeMessage<PollReply>(*answer);
+    if (!reply) {
+      Log(LogPart::Peer,
+          LogLevel::Error,
+          "the holder's answer to a poll can't be read",
+          { { "what", reply.error().mDetail } });
+      co_await Sleep(milliseconds(100));
+      continue;
+    }
+    if (!reply->mMembers.empty())
+      mMembers = reply->mMembers;
+    if (reply->mHasResigned && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
+      // The holder can't end its lease itself.
+      co_await EndHolderLease(mView.mRecord->mLease);
+      co_await Sleep(milliseconds(50));
+      continue;
+    }
+    for (const AdviceOrder& it : reply->mOrders) {
+      AdviceResult result;
+      result.mNumber = it.mNumber;
+      if (!mSettings.mAdvice) {
+        Log(LogPart::Peer,
+            LogLevel::Error,
+            "asked for a policy call, but the settings name no policy service",
+            { { "stage", it.mStage } });
+        results.push_back(std::move(result));
+        continue;
+      }
+      const TimePoint askedAt = BootClock::now();
+      auto advice = co_await platform::Advise(
+        mClient, *mSettings.mAdvice, it, milliseconds(it.mExpectedMs) + seconds(1));
+      result.mAnswered = advice.has_value();
+      result.mTookMs = std::chrono::duration_cast<milliseconds>(BootClock::now() - askedAt).count();
+      if (advice) {
+        result.mAdmitted = std::move(advice->mAdmitted);
+        result.mValidMs = std::chrono::duration_cast<milliseconds>(advice->mValid).count();
+      }
+      results.push_back(std::move(result));
+    }
+  }
+}
+
+Async<bool> Entry::PingHolder(HttpAddress aAddress, std::uint64_t aEpoch)
+{
+  HttpRequest request(http::verb::post, "/ping", 11);
+  request.body() = EncodeMessage(aEpoch);
+  auto response = co_await mClient.Call(std::move(aAddress), std::move(request), kPingDeadline);
+  co_return response && response->result() == http::status::ok;
+}
+
+Async<void> Entry::AskMember(HttpAddress aAddress,
+                             std::string aProbe,
+                             std::shared_ptr<ProbeTally> aTally)
+{
+  HttpRequest request(http::verb::post, "/probe", 11);
+  request.body() = std::move(aProbe);
+  auto response = co_await mClient.Call(std::move(aAddress), std::move(request), kProbeDeadline);
+  if (!response || response->result() != http::status::ok)
+    co_return;
+  auto reply = DecodeMessage<ProbeReply>(response->body());
+  if (!reply)
+    co_return;
+  ++aTally->mAnswered;
+  aTally->mReachHolder += reply->mHolderAnswers ? 1 : 0;
+  aTally->mServedByStore += reply->mStoreServes ? 1 : 0;
+  if (reply->mHolder.mEpoch > mView.mNewestEpoch && !IsHolder()) {
+    Log(LogPart::Ownership,
+        LogLevel::Info,
+        "a member names a newer holder",
+        { { "holder", reply->mHolder.mName }, { "epoch", reply->mHolder.mEpoch } });
+    SetHolder(std::move(reply->mHolder));
+  }
+}
+
+// Asks a few members at once what they reach; aEpoch is the holder's that they try, 0: none.
+Async<Entry::ProbeTally> Entry::AskMembers(std::uint64_t aEpoch)
+{
+  auto tally = std::make_shared<ProbeTally>();
+  ProbeRequest probe;
+  if (mView.mRecord)
+    probe.mHolder = HttpAddress{ mView.mRecord->mHost, mView.mRecord->mPort };
+  probe.mEpoch = mView.mRecord ? aEpoch : 0;
+  std::vector<HttpAddress> drawn;
+  std::sample(mMembers.begin(), mMembers.end(), std::back_inserter(drawn), kMembersAsked, mRandom);
+  std::erase(drawn, probe.mHolder);
+  tally->mAsked = drawn.size();
+  const std::string body = EncodeMessage(probe);
+  for (const HttpAddress& it : drawn)
+    asio::co_spawn(mContext, AskMember(it, body, tally), asio::detached);
+  const TimePoint deadline = BootClock::now() + kProbeDeadline;
+  while (tally->mAnswered < tally->mAsked && BootClock::now() < deadline)
+    co_await Sleep(milliseconds(10));
+  co_return *tally;
+}
+
+}  // namespace monsoon::fleet
