--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -245,8 +245,13 @@
   if (!response || response->result() != http::status::ok)
     co_return;
   auto reply = DecodeMessage<ProbeReply>(response->body());
-  if (!reply)
+  if (!reply) {
+    Log(LogPart::Peer,
+        LogLevel::Error,
+        "a member's answer to a probe can't be read",
+        { { "what", reply.error().mDetail } });
     co_return;
+  }
   ++aTally->mAnswered;
   aTally->mReachHolder += reply->mHolderAnswers ? 1 : 0;
   aTally->mServedByStore += reply->mStoreServes ? 1 : 0;
