Jobs keep their place in the order through takeovers; idle processes take slow policy calls

The due time counts from the acceptance now. A quarter of the processes is kept free for quick policy calls; after 2 s without any, slow ones may take them too. Ruled out: the newcomer's directory or progress (the job was in the book).

Test: an old job with a longer chain starts before a newer one after a takeover.

--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -118,11 +118,16 @@
         { { "job", id }, { "what", spec.error().mDetail } });
     return;
   }
+  // VMs' times of day differ by little, and one that jumped is bounded by what is kept.
+  const std::int64_t age = aInherited ? ReadWallMillis() - spec->mAcceptedMs : 0;
+  const Duration waited =
+    std::clamp<Duration>(milliseconds(age), Duration::zero(), mSettings.mKeepEnded);
   auto progress = mEarlyProgress.find(id);
   mScheduler.AddJob(std::move(*spec),
                     progress == mEarlyProgress.end() ? std::string_view() : progress->second,
                     aInherited,
-                    BootClock::now());
+                    BootClock::now(),
+                    waited);
   if (mEarlyCancels.erase(id) != 0)
     mScheduler.CancelJob(id, BootClock::now());
 }
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -22,7 +22,11 @@
 {
 }
 
-void Scheduler::AddJob(JobSpec aSpec, std::string_view aProgress, bool aInherited, TimePoint aNow)
+void Scheduler::AddJob(JobSpec aSpec,
+                       std::string_view aProgress,
+                       bool aInherited,
+                       TimePoint aNow,
+                       Duration aAge)
 {
   if (mJobs.contains(aSpec.mId))
     return;
@@ -36,9 +40,9 @@
   if (const QueueConfig* queue = FindQueue(job->mSpec.mQueue)) {
     const Duration chain = EstimateChain(job->mSpec.mStages, *queue);
     job->mDueAt =
-      aNow + queue->mSlack + std::chrono::duration_cast<Duration>(queue->mStretch * chain);
+      aNow - aAge + queue->mSlack + std::chrono::duration_cast<Duration>(queue->mStretch * chain);
   } else {
-    job->mDueAt = aNow + seconds(5);
+    job->mDueAt = aNow - aAge + seconds(5);
   }
   if (!aProgress.empty())
     DecodeProgress(*job, aProgress, aNow);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -193,7 +193,12 @@
   explicit Scheduler(SchedulerSettings aSettings);
 
   // Jobs
-  void AddJob(JobSpec aSpec, std::string_view aProgress, bool aInherited, TimePoint aNow);
+  // aAge: since its acceptance, as its place in the order comes from it.
+  void AddJob(JobSpec aSpec,
+              std::string_view aProgress,
+              bool aInherited,
+              TimePoint aNow,
+              Duration aAge = Duration::zero());
   void CancelJob(const std::string& aId, TimePoint aNow);
   [[nodiscard]] const Job* FindJob(const std::string& aId) const;
   [[nodiscard]] std::size_t CountPending(std::string_view aQueue) const;  // jobs without a start
@@ -306,6 +311,7 @@
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
   std::uint64_t mNextAdvice = 1;
+  TimePoint mQuickAskedAt{};                        // last quick policy call
   std::map<std::uint64_t, bool> mAdviceInFlight{};  // call → whether it is a slow one
 };
 
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -12,7 +12,8 @@
 constexpr std::uint64_t kRunsPerEpoch = 1000;         // run numbers of one task in one epoch
 constexpr Duration kTicketMargin = milliseconds(60);  // travel time of a start to its worker
 constexpr Duration kSlowAdvice = milliseconds(200);   // calls above it count as slow ones
-constexpr std::size_t kMostAdmitted = 16;             // workers named when tickets are renewed
+constexpr Duration kQuickIdle = seconds(2);  // without quick calls no advisor is kept for them
+constexpr std::size_t kMostAdmitted = 16;    // workers named when tickets are renewed
 
 template<class T>
 bool Contains(const std::vector<T>& aItems, const T& aItem)
@@ -344,6 +345,8 @@
   --aFree;
   if (isSlow)
     --aFreeHeavy;
+  else
+    mQuickAskedAt = aNow;
   aOrders.mAdvice.push_back(std::move(order));
 }
 
@@ -364,9 +367,10 @@
   for (const auto& [number, isSlow] : mAdviceInFlight)
     slowInFlight += isSlow ? 1 : 0;
   const std::size_t advisors = aFreeAdvisors + mAdviceInFlight.size();
-  const std::size_t heavy = mSettings.mHeavyAdvisors != 0
-                              ? mSettings.mHeavyAdvisors
-                              : std::max<std::size_t>(1, advisors * 3 / 4);
+  std::size_t heavy = mSettings.mHeavyAdvisors;
+  if (heavy == 0)
+    heavy =
+      aNow - mQuickAskedAt > kQuickIdle ? advisors : std::max<std::size_t>(1, advisors * 3 / 4);
   std::size_t freeHeavy = heavy > slowInFlight ? heavy - slowInFlight : 0;
   for (const Ready& ready : CollectReady(aNow, aWallMs)) {
     if (ready.mSpec->mGang && ready.mStage->mWaiting < ready.mStage->mTasks.size())
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -351,6 +351,28 @@
   CHECK(scheduler.Plan(now + seconds(1), 0, true, 0).mStarts.empty());
 }
 
+TEST_CASE("fleet: a job that waited through a takeover keeps its place before newer ones")
+{
+  const TimePoint now{ seconds(2000) };
+  Scheduler scheduler({ .mEpoch = 2 });
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue("q"));
+  scheduler.SetQueues(config);
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.0:80";
+  entry.mService = "pool";
+  entry.mMilliCores = 3000;  // room for one task
+  entry.mMemoryMiB = 128'000;
+  scheduler.ListWorker(entry, true, now);
+  scheduler.OnReport("w0", {}, now, now);
+  scheduler.AddJob(MakeJob("new", 1, 1), {}, true, now, milliseconds(500));
+  scheduler.AddJob(MakeJob("old", 1, 4), {}, true, now, seconds(30));  // its chain is longer
+  const Orders orders = scheduler.Plan(now, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  CHECK(orders.mStarts[0].mTask == "old.0.0.0");
+}
+
 TEST_CASE("fleet: what must always hold, over seeds of random faults")
 {
   const auto seed = GENERATE(range(1U, 41U));
