Order the incarnations of a worker, recheck queued starts, and wait where tokens are not checked

Now the start time and the creation revision of the entries must agree; while they don't, both are kept and the answer of the address (another incarnation) decides. The scheduler is asked again right before an order is sent. - A start order could take effect up to 6 s after it was sent. Only an entry removed soon after an answer shows now that the worker has left. - A record of the previous holder that can't be decoded stopped every election. Its revision serves as the epoch now.

Ruled out: taking the newest entry by start time alone, as the time of day of machines may jump.

--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -30,6 +30,7 @@
     std::optional<HolderRecord> mRecord{};
     std::uint64_t mRevision = 0;
     std::uint64_t mNewestEpoch = 0;  // highest of all records seen
+    TimePoint mNewestSeenAt{};       // when the first record with that epoch was seen
   };
   struct ProbeTally  // counts of members, from one round of probes
   {
@@ -97,6 +98,7 @@
   std::optional<ProbeTally> mTally{};  // set while the store does not serve this process
   std::size_t mPendingProbes = 0;      // calls of ProbeStoreOnce in progress
   bool mStopping = false;
+  const TimePoint mStartedAt = BootClock::now();
   bool mCampaigning = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
   std::unique_ptr<HttpServer> mCallers{};
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -91,6 +91,8 @@
 
 void Entry::SetHolder(HolderRecord aRecord)
 {
+  if (aRecord.mEpoch > mView.mNewestEpoch)
+    mView.mNewestSeenAt = BootClock::now();
   mView.mNewestEpoch = std::max(mView.mNewestEpoch, aRecord.mEpoch);
   mView.mRecord = std::move(aRecord);
   mHolderFailingSince.reset();  // the failed calls went to another holder
@@ -148,11 +150,18 @@
     HolderGrant grant;
     if (*epoch) {
       auto last = DecodeMessage<HolderRecord>((*epoch)->mValue);
-      if (!last) {
-        Log(LogPart::Ownership, LogLevel::Error, "the previous holder's record can't be decoded");
-        continue;
+      if (last) {
+        grant.mPreviousHolder = std::move(*last);
+      } else {
+        // Each election raises the revision of this key by one or more, so no epoch is above it.
+        Log(LogPart::Ownership,
+            LogLevel::Error,
+            "the previous holder's record can't be decoded; waiting until its orders have expired",
+            { { "what", last.error().mDetail }, { "revision", (*epoch)->mRevision } });
+        grant.mPreviousHolder = HolderRecord{ .mEpoch = (*epoch)->mRevision };
       }
-      grant.mPreviousHolder = std::move(*last);
+      const bool isSeen = grant.mPreviousHolder->mEpoch == mView.mNewestEpoch;
+      grant.mPreviousSeenAt = isSeen ? mView.mNewestSeenAt : BootClock::now();
     }
     const double largest = grant.mPreviousHolder ? grant.mPreviousHolder->mLargestCores : 0;
     if (mSettings.mCores <= largest / 2 && !hasYielded) {
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -64,7 +64,9 @@
       co_return MakeEmptyResponse(http::status::bad_request);
     if (IsHolder() && mHolder->GetEpoch() <= *epoch)
       mHolder->StepDown("the next holder asked it to");
-    co_return answer({});
+    const Duration quiet = mHolder ? mHolder->GetQuietTime() : BootClock::now() - mStartedAt;
+    co_return answer(EncodeMessage(ResignReply{
+      static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(quiet).count()) }));
   }
   if (path == "/probe") {
     auto request = DecodeMessage<ProbeRequest>(aRequest.body());
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -32,8 +32,9 @@
   , mStore(aStore)
   , mMetrics(aMetrics)
   , mGrant(std::move(aGrant))
-  , mScheduler(
-      SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch, .mTaskLease = aSettings.mTaskLease })
+  , mScheduler(SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch,
+                                  .mTaskLease = aSettings.mTaskLease,
+                                  .mWorkerHeartbeat = aSettings.mWorkerHeartbeat })
   , mElectedAt(BootClock::now())
   , mPlanTimer(aContext)
   , mStoreTimer(aContext)
@@ -49,6 +50,8 @@
   mMetrics.GetCounter("fleet_takeovers_total").Add();
   SetConfig(aConfig);
   mPreviousHolderStopped = !mGrant.mPreviousHolder.has_value();
+  if (!mPreviousHolderStopped)
+    SetPredecessorQuietAt(mElectedAt + GetStartGrace() + kStartEffect);
   Spawn(mContext, KeepLease());
   Spawn(mContext, Load());
   if (!mPreviousHolderStopped)
@@ -133,24 +136,53 @@
   });
 }
 
-// Returns whether orders to workers are still safe. Another process can become the holder as soon
-// as this one's lease has expired, but it starts tasks only after this process has confirmed that
-// it stepped down, after every worker has answered the new holder, or after kOutageGrace. Orders
-// may therefore continue for kOutageGrace after the last renewal, and an outage of the store alone
+// Returns whether orders to workers, other than starts, are still safe. Another process can become
+// the holder as soon as this one's lease has expired, but it gives up the tasks of an unresponsive
+// worker only when their leases have expired, counted from kOutageGrace after its election. Orders
+// may therefore continue for that long after the last renewal, and an outage of the store alone
 // stops no task.
 bool Holder::MayRenewTaskLeases() const
 {
   return !mSteppedDown && BootClock::now() < mGrant.mRenewedAt + kOutageGrace;
 }
 
-// Returns whether tasks may start: the stored state is loaded, and the previous holder can no
-// longer start any.
+// Returns how long starts may continue after the last renewal. A successor starts tasks only after
+// this process has confirmed that it stepped down, after every worker has answered the successor
+// and so refuses the older token, or after this time. Without checked tokens the second way is
+// missing.
+Duration Holder::GetStartGrace() const
+{
+  return mSettings.mTokensChecked ? kOutageGrace : kUncheckedGrace;
+}
+
+Duration Holder::GetQuietTime() const
+{
+  Duration quiet = kQuiet;
+  for (const auto& [number, sentAt] : mUnsettledStarts)
+    quiet = std::min(quiet, BootClock::now() - sentAt);
+  return quiet;
+}
+
+// Sets when the last order of an earlier holder has taken effect. Until then the reports of workers
+// that don't check tokens do not tell what will run there.
+void Holder::SetPredecessorQuietAt(TimePoint aAt)
+{
+  mPredecessorQuietAt = aAt;
+  if (!mSettings.mTokensChecked)
+    mScheduler.SetFencedFrom(aAt);
+}
+
+// Returns whether tasks may start: the stored state is loaded, no successor can have started any,
+// and the previous holder can no longer start any.
 bool Holder::MayStart() const
 {
-  if (!mLoaded || !MayRenewTaskLeases())
+  const TimePoint now = BootClock::now();
+  if (!mLoaded || mSteppedDown || now >= mGrant.mRenewedAt + GetStartGrace())
     return false;
+  if (!mSettings.mTokensChecked)
+    return now >= mPredecessorQuietAt;
   return mPreviousHolderStopped || mScheduler.AreAllResolved() ||
-         BootClock::now() > mElectedAt + kOutageGrace;
+         now > mElectedAt + GetStartGrace();
 }
 
 // Asks the previous holder to step down, so that this one need not wait for kOutageGrace.
@@ -165,6 +197,12 @@
     auto response = co_await mClient.Call(std::move(address), std::move(request), kResignDeadline);
     if (response && response->result() == http::status::ok) {
       mPreviousHolderStopped = true;
+      const auto reply = DecodeMessage<ResignReply>(response->body());
+      const Duration quiet = reply ? Duration(milliseconds(reply->mQuietMs)) : Duration::zero();
+      // The holder before that one was quiet at the latest when it had been replaced for so long.
+      const TimePoint earlierQuietAt = mGrant.mPreviousSeenAt + GetStartGrace() + kStartEffect;
+      SetPredecessorQuietAt(std::min(
+        mPredecessorQuietAt, std::max(earlierQuietAt, BootClock::now() + (kStartEffect - quiet))));
       WakePlan();
       co_return;
     }
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -32,6 +32,7 @@
   std::uint64_t mLease = 0;
   TimePoint mRenewedAt{};  // when the last successful renewal was sent
   std::optional<HolderRecord> mPreviousHolder{};
+  TimePoint mPreviousSeenAt{};  // when this process first saw that one hold the lease
 };
 
 // Holder
@@ -50,6 +51,8 @@
   void StepDown(std::string_view aWhy);       // stops sending orders at once
   Async<void> Resign(std::string_view aWhy);  // stores unsaved progress, then ends the lease
   [[nodiscard]] bool HasSteppedDown() const { return mSteppedDown; }
+  // Time since the newest start order was sent that may still take effect; at most kQuiet.
+  [[nodiscard]] Duration GetQuietTime() const;
   [[nodiscard]] std::uint64_t GetEpoch() const { return mGrant.mRecord.mEpoch; }
 
   [[nodiscard]] double GetLargestCores() const;  // of this process and its members
@@ -129,6 +132,8 @@
   [[nodiscard]] bool CanAnotherReachStore() const;
   [[nodiscard]] Duration ChooseReportWait(const Worker& aWorker);
   [[nodiscard]] bool MayStart() const;
+  [[nodiscard]] Duration GetStartGrace() const;
+  void SetPredecessorQuietAt(TimePoint aAt);
   [[nodiscard]] bool MayRenewTaskLeases() const;
   [[nodiscard]] std::int64_t EstimateWorkerClock(const Channel& aChannel) const;
   [[nodiscard]] std::optional<platform::WorkerTarget> MakeTarget(const std::string& aId);
@@ -143,10 +148,13 @@
   FleetConfig mConfig{};
   bool mSteppedDown = false;
   bool mLoaded = false;
-  bool mStoring = false;                               // StoreBatch is running
-  std::deque<TimePoint> mUnansweredAt{};               // times of recent polls without an answer
-  bool mRequestsLeaseEnd = false;                      // asks members to end its lease
-  bool mPreviousHolderStopped = false;                 // confirmed that it sends no orders
+  bool mStoring = false;                  // StoreBatch is running
+  std::deque<TimePoint> mUnansweredAt{};  // times of recent polls without an answer
+  bool mRequestsLeaseEnd = false;         // asks members to end its lease
+  bool mPreviousHolderStopped = false;    // confirmed that it sends no orders
+  TimePoint mPredecessorQuietAt{};  // from then on no order of an earlier holder can take effect
+  std::map<std::uint64_t, TimePoint> mUnsettledStarts{};  // by number: sent, effect not known yet
+  std::uint64_t mNextStart = 0;
   TimePoint mElectedAt{};                              // when this Holder was constructed
   std::map<std::string, Channel> mChannels{};          // by worker
   std::map<std::string, Member> mMembers{};            // by process name
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -67,6 +67,8 @@
     worker.mId = it.mKey.substr(kWorkerPrefix.size());
     worker.mAddress = record->mAddress;
     worker.mService = record->mService;
+    worker.mBornMs = record->mBornMs;
+    worker.mCreatedRevision = record->mCreatedRevision;
     mScheduler.ListWorker(worker, true, BootClock::now());
     mScheduler.UnlistWorker(worker.mId, BootClock::now());
     mRecordedWorkers.insert(worker.mId);
@@ -169,6 +171,7 @@
     mScheduler.UnlistWorker(id, now);
     return;
   }
+  entry->mCreatedRevision = aItem.mCreated;
   mScheduler.ListWorker(std::move(*entry), false, now);
   if (mLoaded)
     EnsureWatched(id);
@@ -256,6 +259,8 @@
       if ((!isNew && !isUnresponsive && !clearsFinal) || isFull())
         continue;
       WorkerRecord record{ worker.mEntry.mAddress, worker.mEntry.mService };
+      record.mBornMs = worker.mEntry.mBornMs;
+      record.mCreatedRevision = worker.mEntry.mCreatedRevision;
       written[id];
       if (isUnresponsive) {
         record.mIsFinal = true;
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -114,6 +114,11 @@
       StepDown("a worker has seen a later epoch");
       co_return false;
     }
+    if (report.error().mKind == FailureKind::NotFound) {
+      mScheduler.OnReplaced(aId);
+      WakePlan();
+      co_return false;
+    }
     mMetrics.GetCounter("fleet_silent_reports_total").Add();
     mUnansweredAt.push_back(BootClock::now());
     mScheduler.OnSilence(aId, BootClock::now());
@@ -184,7 +189,7 @@
           wasReachable ? Duration::zero() : kUnreachablePollInterval;  // one answer may be lost
       else if (!wasReachable)
         pause = Duration::zero();
-      else if (worker->mLastEnd > worker->mStoredEnd || isUnsure)
+      else if (worker->mLastEnd > worker->mStoredEnd || isUnsure || !worker->mFenced)
         pause = milliseconds(100);  // or until WakeWorker, once the ends are stored
     }
     if (pause > Duration::zero()) {
@@ -224,13 +229,26 @@
     mScheduler.OnStart(aOrder, StartOutcome::NotStarted, BootClock::now());
     co_return;
   }
+  if (!mScheduler.IsStartWanted(aOrder)) {
+    Log(LogPart::Place,
+        LogLevel::Info,
+        "withdrew a start before it was sent",
+        { { "task", aOrder.mTask }, { "run", aOrder.mRun }, { "worker", aId } });
+    mScheduler.OnStart(aOrder, StartOutcome::Withdrawn, BootClock::now());
+    WakePlan();
+    co_return;
+  }
   const TimePoint sentAt = BootClock::now();
-  if (Worker* worker = mScheduler.FindWorker(aId))
-    worker->mLeaseSentAt = sentAt;
-  const std::int64_t until = EstimateWorkerClock(mChannels[aId]) +
-                             std::chrono::duration_cast<milliseconds>(mSettings.mTaskLease).count();
+  // The worker refuses an order that arrives after this time. Polls renew the tasks' leases.
+  const std::int64_t until = EstimateWorkerClock(mChannels[aId]) + kStartValidity.count();
+  std::erase_if(mUnsettledStarts,
+                [&](const auto& aItem) { return sentAt - aItem.second > kStartEffect; });
+  const std::uint64_t number = ++mNextStart;
+  mUnsettledStarts.emplace(number, sentAt);
   const auto answer =
     co_await platform::StartTask(mClient, std::move(*target), aOrder, until, kOrderDeadline);
+  if (answer.mOutcome != StartOutcome::Unknown)
+    mUnsettledStarts.erase(number);
   if (mSteppedDown)
     co_return;
   Log(LogPart::Place,
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -83,11 +83,26 @@
   std::string mService{};
   bool mIsFinal = false;  // it did not answer; mTasks lists all that it may run
   std::vector<std::string> mTasks{};
+  std::int64_t mBornMs = 0;            // as in WorkerEntry
+  std::uint64_t mCreatedRevision = 0;  // as in WorkerEntry
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mAddress, mService, mIsFinal, mTasks);
+    aArchive(mAddress, mService, mIsFinal, mTasks, mBornMs, mCreatedRevision);
+  }
+};
+
+// Resignation
+struct ResignReply  // of a process that was the holder and now sends no more orders
+{
+  // Since it sent the last order whose effect is unknown; without such an order, a long time.
+  std::uint64_t mQuietMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mQuietMs);
   }
 };
 
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -30,7 +30,8 @@
   std::uint64_t mEpoch = 1;          // epoch of this holder; run numbers start higher in each epoch
   Duration mTaskLease = seconds(6);  // a worker kills tasks whose lease is not renewed in time
   double mWorkerClockDrift = 0.02;   // a worker's clock may be this much slower
-  Duration mGangWait = seconds(3);   // members of a gang wait this long for the others
+  Duration mWorkerHeartbeat = milliseconds(1500);  // interval at which workers renew their entries
+  Duration mGangWait = seconds(3);       // members of a gang wait this long for the others
   std::uint32_t mMaxAdviceWorkers = 60;  // workers that one policy call may name
   std::uint32_t mSlowAdvisors = 0;       // advisors for slow policy calls; 0: chosen by Plan
 };
@@ -138,8 +139,8 @@
   bool mFenced = false;     // answered in this epoch, or its older leases expired
   bool mReachable = false;  // answered the last call
   TimePoint mAnsweredAt{};
-  TimePoint mLeaseSentAt{};  // when the last order that renewed its tasks' leases was sent
-  TimePoint mUnlistedAt{};
+  TimePoint mLeaseSentAt{};      // when the last order that renewed its tasks' leases was sent
+  TimePoint mUnlistedAt{};       // when its directory entry was last removed
   std::uint64_t mLastEnd = 0;    // highest EndedTask::mNumber that was processed
   std::uint64_t mStoredEnd = 0;  // highest EndedTask::mNumber whose effect is stored
   std::uint32_t mUsedMilliCores = 0;
@@ -184,6 +185,7 @@
 {
   Started,
   NotStarted,        // certainly not started: the order did not arrive, or the worker refused it
+  Withdrawn,         // not sent
   NoCapacity,        // refused: the worker has no free capacity
   StaleRun,          // refused: the worker has seen this run or a later one
   BadTicket,         // refused: the ticket is not valid
@@ -220,16 +222,24 @@
   // Sets the list, stored by a previous holder, of all tasks that an unresponsive worker may run.
   void SetFinalTasks(const std::string& aId, std::set<std::string> aTasks);
   void UnlistWorker(const std::string& aId, TimePoint aNow);
+  // Reports requested earlier do not tell what a worker will run: an order of a previous holder
+  // may still take effect there.
+  void SetFencedFrom(TimePoint aFrom) { mFencedFrom = aFrom; }
   // Applies a worker's report, the answer to a poll that was sent at aSentAt.
   void OnReport(const std::string& aId,
                 const WorkerReport& aReport,
                 TimePoint aSentAt,
                 TimePoint aNow);
   void OnSilence(const std::string& aId, TimePoint aNow);  // a call was not answered
+  // Another incarnation answered at the worker's address, so this one has ended for good.
+  void OnReplaced(const std::string& aId);
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
 
   // Orders
+  // Returns whether a planned start is still to be sent: its task may have ended elsewhere, or its
+  // worker may have become unresponsive, while the order waited for its turn.
+  [[nodiscard]] bool IsStartWanted(const StartOrder& aOrder);
   void OnStart(const StartOrder& aOrder, StartOutcome aOutcome, TimePoint aNow);
   void OnStop(const StopOrder& aOrder, bool aAcked, TimePoint aNow);
   void OnAdvice(const AdviceOrder& aOrder,
@@ -275,6 +285,7 @@
   void MarkDirty(Job& aJob);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   void ResetForNewIncarnation(Worker& aWorker);
+  bool ApplySuccession(const WorkerEntry& aEntry);
   void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedTask& aRow, TimePoint aNow);
   void ApplyOrphanReports(Job& aJob, TimePoint aNow);
@@ -321,9 +332,12 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
   std::set<std::string> mActive{};  // jobs that have not ended
   std::map<std::string, Worker> mWorkers{};
+  std::map<std::string, std::int64_t>
+    mReplaced{};  // worker whose address has a successor → mBornMs
   std::set<std::string> mDirtyJobs{};
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
+  TimePoint mFencedFrom{};
   std::size_t mBatchesInFlight = 0;
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -12,6 +12,23 @@
 
 }  // namespace
 
+bool Scheduler::IsStartWanted(const StartOrder& aOrder)
+{
+  const Worker* worker = FindWorker(aOrder.mWorker);
+  if (!worker || !worker->mReachable)
+    return false;
+  const auto run =
+    std::find_if(worker->mRuns.begin(), worker->mRuns.end(), [&aOrder](const Run& aItem) {
+      return aItem.mTask == aOrder.mTask && aItem.mRun == aOrder.mRun;
+    });
+  if (run == worker->mRuns.end() || run->mPhase != RunPhase::Starting)
+    return false;
+  const Job* job = FindJob(run->mRef.mJob);
+  const Task* task = FindTask(run->mRef);
+  return job && task && !IsOver(job->mState) && !task->mDone && task->mRun == aOrder.mRun &&
+         task->mWorker == aOrder.mWorker;
+}
+
 void Scheduler::OnStart(const StartOrder& aOrder, StartOutcome aOutcome, TimePoint aNow)
 {
   Worker* worker = FindWorker(aOrder.mWorker);
@@ -58,6 +75,8 @@
     case StartOutcome::OtherIncarnation:
       worker->mFullUntil = aNow + seconds(1);
       break;
+    case StartOutcome::Withdrawn:
+      break;
   }
   DropRun(*worker, static_cast<std::size_t>(run - worker->mRuns.begin()), true);
 }
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -15,6 +15,17 @@
 constexpr Duration kBaseQuarantine = seconds(2);  // doubled for each further quarantine in a row
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 
+// Returns whether the first is certainly an earlier incarnation at the same address. The time of
+// day of a machine may jump, and the entry of an ended incarnation may be created again by a write
+// that was delayed, so both orders must agree where both are known.
+bool IsEarlierIncarnation(const WorkerEntry& aLeft, const WorkerEntry& aRight)
+{
+  const bool hasTimes = aLeft.mBornMs != 0 && aRight.mBornMs != 0;
+  const bool hasRevisions = aLeft.mCreatedRevision != 0 && aRight.mCreatedRevision != 0;
+  return (hasTimes || hasRevisions) && (!hasTimes || aLeft.mBornMs < aRight.mBornMs) &&
+         (!hasRevisions || aLeft.mCreatedRevision < aRight.mCreatedRevision);
+}
+
 }  // namespace
 
 // Applies the ends and running tasks that workers reported of a job before it was added.
@@ -82,24 +93,63 @@
   return it == mWorkers.end() ? nullptr : &it->second;
 }
 
-void Scheduler::ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow)
+// Applies what a directory entry says about the incarnations at its address: a worker that was
+// replaced there has lost its tasks. Returns false if the entry itself is the replaced one. The
+// directory may show the entry of an ended incarnation for seconds, also after that of its
+// successor, so the order in which entries are read decides nothing. While the order is unknown,
+// all are kept: the one that has ended is found when its address answers as another (OnReplaced).
+bool Scheduler::ApplySuccession(const WorkerEntry& aEntry)
 {
-  // Another worker at the same address has replaced the old one, whose processes are gone.
+  if (auto it = mReplaced.find(aEntry.mId); it != mReplaced.end()) {
+    if (aEntry.mBornMs <= it->second)
+      return false;
+    mReplaced.erase(it);  // the id started again
+  }
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
-    if (it->second.mEntry.mAddress == aEntry.mAddress && it->first != aEntry.mId) {
-      Log(LogPart::Task,
-          LogLevel::Info,
-          "a worker was replaced at its address; its tasks are lost",
-          { { "worker", it->first },
-            { "successor", aEntry.mId },
-            { "tasks", it->second.mRuns.size() } });
-      while (!it->second.mRuns.empty())
-        DropRun(it->second, it->second.mRuns.size() - 1);
-      it = mWorkers.erase(it);
-    } else {
+    Worker& other = it->second;
+    if (other.mEntry.mAddress != aEntry.mAddress || it->first == aEntry.mId) {
       ++it;
+      continue;
     }
+    if (IsEarlierIncarnation(aEntry, other.mEntry)) {
+      mReplaced[aEntry.mId] = aEntry.mBornMs;
+      return false;
+    }
+    if (!IsEarlierIncarnation(other.mEntry, aEntry)) {
+      ++it;
+      continue;
+    }
+    Log(LogPart::Task,
+        LogLevel::Info,
+        "a worker was replaced at its address; its tasks are lost",
+        { { "worker", it->first }, { "successor", aEntry.mId }, { "tasks", other.mRuns.size() } });
+    while (!other.mRuns.empty())
+      DropRun(other, other.mRuns.size() - 1);
+    mReplaced[it->first] = other.mEntry.mBornMs;
+    it = mWorkers.erase(it);
   }
+  return true;
+}
+
+void Scheduler::OnReplaced(const std::string& aId)
+{
+  Worker* worker = FindWorker(aId);
+  if (!worker)
+    return;
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "another incarnation answers at the address of a worker; its tasks are lost",
+      { { "worker", aId }, { "tasks", worker->mRuns.size() } });
+  mReplaced[aId] = worker->mEntry.mBornMs;
+  while (!worker->mRuns.empty())
+    DropRun(*worker, worker->mRuns.size() - 1);
+  mWorkers.erase(aId);
+}
+
+void Scheduler::ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow)
+{
+  if (!ApplySuccession(aEntry))
+    return;
   auto [it, isNew] = mWorkers.try_emplace(aEntry.mId);
   Worker& worker = it->second;
   if (isNew)
@@ -164,7 +214,11 @@
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     Worker& worker = it->second;
     const Duration limit = worker.mFenced ? longest : longest + aGrace;
-    const bool hasLeft = worker.mEntry.mDraining && !worker.mListed && worker.mFenced;
+    // The entry of a worker that is only silent stays listed for two more heartbeats at least; one
+    // that disappears sooner after an answer was removed because the worker left.
+    const bool hasLeft =
+      worker.mEntry.mDraining && !worker.mListed && worker.mFenced &&
+      worker.mUnlistedAt - worker.mAnsweredAt < 2 * mSettings.mWorkerHeartbeat - kExpiryMargin;
     if (worker.mReachable || (aNow < worker.mLeaseSentAt + limit && !hasLeft)) {
       ++it;
       continue;
@@ -348,7 +402,7 @@
   if (aReport.mBornMs != 0)
     worker.mEntry.mBornMs = aReport.mBornMs;
   worker.mReachable = true;
-  worker.mFenced = true;
+  worker.mFenced = worker.mFenced || aSentAt >= mFencedFrom;
   worker.mAnsweredAt = aNow;
 
   for (const EndedTask& row : aReport.mEnded) {
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -62,6 +62,16 @@
     else
       aOut = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
   }
+  void ReadFlag(const char* aSection, const char* aKey, bool& aOut)
+  {
+    const toml::node* node = Find(aSection, aKey, false);
+    if (!node)
+      return;
+    if (const auto value = node->value<bool>(); value && node->is_boolean())
+      aOut = *value;
+    else
+      AddError(*node, aSection, aKey, "expected true or false");
+  }
   void ReadShare(const char* aSection, const char* aKey, double& aOut)
   {
     const toml::node* node = Find(aSection, aKey, false);
@@ -136,6 +146,8 @@
   reader.ReadMillis("bounds", "task_lease_ms", out.mTaskLease);
   reader.ReadMillis("bounds", "shutdown_ms", out.mShutdown);
   reader.ReadMillis("bounds", "keep_ended_ms", out.mKeepEnded);
+  reader.ReadMillis("bounds", "worker_heartbeat_ms", out.mWorkerHeartbeat);
+  reader.ReadFlag("workers", "tokens_checked", out.mTokensChecked);
   reader.CheckUnknown();
   return result;
 }
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -26,9 +26,12 @@
   HttpAddress mStore{};
   std::optional<HttpAddress> mAdvice{};  // policy service; unset if no queue needs it
   // [bounds], in ms
-  Duration mTaskLease = seconds(6);    // longest lease of a task on a worker
-  Duration mShutdown = seconds(6);     // from SIGTERM to SIGKILL
+  Duration mTaskLease = seconds(6);                // longest lease of a task on a worker
+  Duration mWorkerHeartbeat = milliseconds(1500);  // interval at which workers renew their entries
+  Duration mShutdown = seconds(6);                 // from SIGTERM to SIGKILL
   Duration mKeepEnded = seconds(120);  // a job's state stays readable after the job's end
+  // [workers]
+  bool mTokensChecked = false;  // workers refuse orders with an older fencing token
 };
 
 struct EntrySettingsResult
--- /dev/null
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -0,0 +1,226 @@
+// Incarnations of workers: which of several ids at one address is the living one, and what a
+// silent or departed worker still runs.
+#include <catch2/catch.hpp>
+
+#include "fleet/scheduler.h"
+
+using namespace monsoon;
+using namespace monsoon::fleet;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds(2000) };
+
+Scheduler MakeScheduler(std::uint64_t aEpoch = 1)
+{
+  Scheduler scheduler({ .mEpoch = aEpoch });
+  QueueConfig queue;
+  queue.mName = "q";
+  queue.mService = "pool";
+  queue.mMaxAttempts = 3;
+  FleetConfig config;
+  config.mQueues.push_back(queue);
+  scheduler.SetQueues(config);
+  return scheduler;
+}
+
+WorkerEntry MakeEntry(std::string aId, std::int64_t aBornMs)
+{
+  WorkerEntry entry;
+  entry.mId = std::move(aId);
+  entry.mAddress = "10.0.0.7:80";
+  entry.mService = "pool";
+  entry.mMilliCores = 8000;
+  entry.mMemoryMiB = 16'000;
+  entry.mBornMs = aBornMs;
+  return entry;
+}
+
+JobSpec MakeJob(std::string aId)
+{
+  JobSpec job;
+  job.mId = std::move(aId);
+  job.mQueue = "q";
+  job.mService = "pool";
+  StageSpec stage;
+  stage.mCount = 1;
+  stage.mMilliCores = 1000;
+  stage.mMemoryMiB = 1000;
+  stage.mEstimateMs = 1000;
+  job.mStages.push_back(stage);
+  return job;
+}
+
+WorkerReport MakeReport(std::int64_t aBornMs)
+{
+  WorkerReport report;
+  report.mBornMs = aBornMs;
+  return report;
+}
+
+// Starts the only task of job "a" on the given worker, and returns the order.
+StartOrder StartOn(Scheduler& aScheduler, const std::string& aWorker, std::int64_t aBornMs)
+{
+  aScheduler.OnReport(aWorker, MakeReport(aBornMs), kStart, kStart);
+  aScheduler.AddJob(MakeJob("a"), {}, false, kStart);
+  const Orders orders = aScheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  REQUIRE(orders.mStarts[0].mWorker == aWorker);
+  aScheduler.OnStart(orders.mStarts[0], StartOutcome::Started, kStart);
+  return orders.mStarts[0];
+}
+
+}  // namespace
+
+TEST_CASE("fleet: a stale directory entry does not replace the worker that succeeded it")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("old", 1000), true, kStart);
+  scheduler.ListWorker(MakeEntry("new", 2000), true, kStart);
+  CHECK(!scheduler.FindWorker("old"));
+  StartOn(scheduler, "new", 2000);
+  scheduler.ListWorker(MakeEntry("old", 1000), false, kStart + seconds(1));
+  CHECK(!scheduler.FindWorker("old"));
+  REQUIRE(scheduler.FindWorker("new"));
+  CHECK(scheduler.FindWorker("new")->mRuns.size() == 1);
+  CHECK(scheduler.Plan(kStart + seconds(1), 0, true, 0).mStarts.empty());
+}
+
+TEST_CASE("fleet: the order in which a new holder reads the directory does not matter")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  scheduler.ListWorker(MakeEntry("new", 2000), false, kStart);
+  scheduler.ListWorker(MakeEntry("old", 1000), false, kStart);
+  CHECK(scheduler.FindWorker("new"));
+  CHECK(!scheduler.FindWorker("old"));
+}
+
+TEST_CASE("fleet: a stored record without a start time does not end the worker at its address")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  scheduler.ListWorker(MakeEntry("living", 0), true, kStart);
+  scheduler.UnlistWorker("living", kStart);
+  scheduler.ListWorker(MakeEntry("older", 0), true, kStart);
+  scheduler.UnlistWorker("older", kStart);
+  CHECK(scheduler.FindWorker("living"));
+  CHECK(scheduler.FindWorker("older"));
+}
+
+TEST_CASE("fleet: a draining worker that is silent and unlisted keeps its tasks")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  StartOn(scheduler, "w0", 1000);
+  WorkerEntry draining = MakeEntry("w0", 1000);
+  draining.mDraining = true;
+  scheduler.ListWorker(draining, true, kStart);
+  scheduler.FindWorker("w0")->mLeaseSentAt = kStart;
+  // A partition: no answers, and after three missed heartbeats no directory entry.
+  scheduler.OnSilence("w0", kStart + seconds(1));
+  scheduler.UnlistWorker("w0", kStart + milliseconds(4500));
+  scheduler.DropLapsed(kStart + milliseconds(4600), Duration::zero());
+  REQUIRE(scheduler.FindWorker("w0"));
+  CHECK(scheduler.FindWorker("w0")->mRuns.size() == 1);
+  scheduler.DropLapsed(kStart + milliseconds(6400), Duration::zero());
+  CHECK(!scheduler.FindWorker("w0"));
+}
+
+TEST_CASE("fleet: the tasks of a draining worker that left start elsewhere at once")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  StartOn(scheduler, "w0", 1000);
+  WorkerEntry draining = MakeEntry("w0", 1000);
+  draining.mDraining = true;
+  scheduler.ListWorker(draining, true, kStart);
+  scheduler.FindWorker("w0")->mLeaseSentAt = kStart;
+  scheduler.OnReport(
+    "w0",
+    [] {
+      WorkerReport report = MakeReport(1000);
+      report.mRunning.push_back({ "a.0.0.0", 1, "", 10 });
+      return report;
+    }(),
+    kStart + milliseconds(900),
+    kStart + milliseconds(900));
+  scheduler.UnlistWorker("w0", kStart + milliseconds(1200));
+  scheduler.OnSilence("w0", kStart + milliseconds(1300));
+  scheduler.DropLapsed(kStart + milliseconds(1350), Duration::zero());
+  CHECK(!scheduler.FindWorker("w0"));
+}
+
+TEST_CASE("fleet: a start that waits in a queue is not sent once its task is done elsewhere")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  scheduler.OnReport("w0", MakeReport(1000), kStart, kStart);
+  JobSpec job = MakeJob("a");
+  scheduler.AddJob(job, {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  const StartOrder& order = orders.mStarts[0];
+  CHECK(scheduler.IsStartWanted(order));
+
+  SECTION("done elsewhere")
+  {
+    WorkerEntry other = MakeEntry("w1", 1000);
+    other.mAddress = "10.0.0.8:80";
+    scheduler.ListWorker(other, true, kStart);
+    WorkerReport report = MakeReport(1000);
+    report.mEnded.push_back({ 1, order.mTask, order.mRun + 1, EndKind::Done, "" });
+    scheduler.OnReport("w1", report, kStart, kStart);
+  }
+  SECTION("cancelled")
+  {
+    scheduler.CancelJob("a", kStart);
+  }
+  SECTION("the worker no longer answers")
+  {
+    scheduler.OnSilence("w0", kStart);
+  }
+  SECTION("the worker was replaced")
+  {
+    scheduler.OnReplaced("w0");
+  }
+  CHECK(!scheduler.IsStartWanted(order));
+}
+
+TEST_CASE("fleet: an id whose address answers as another incarnation stays gone")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  StartOn(scheduler, "w0", 1000);
+  scheduler.OnReplaced("w0");
+  CHECK(!scheduler.FindWorker("w0"));
+  scheduler.ListWorker(MakeEntry("w0", 1000), false, kStart);
+  CHECK(!scheduler.FindWorker("w0"));
+  scheduler.ListWorker(MakeEntry("w0", 3000), false, kStart);  // the id started again
+  CHECK(scheduler.FindWorker("w0"));
+}
+
+TEST_CASE("fleet: contradicting signs of order keep both workers")
+{
+  Scheduler scheduler = MakeScheduler();
+  WorkerEntry first = MakeEntry("w0", 1000);
+  first.mCreatedRevision = 90;  // listed again by a write that was delayed
+  WorkerEntry second = MakeEntry("w1", 2000);
+  second.mCreatedRevision = 80;
+  scheduler.ListWorker(first, true, kStart);
+  scheduler.ListWorker(second, true, kStart);
+  CHECK(scheduler.FindWorker("w0"));
+  CHECK(scheduler.FindWorker("w1"));
+}
+
+TEST_CASE("fleet: where tokens are not checked, only reports after the last old order count")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  scheduler.SetFencedFrom(kStart + seconds(3));
+  scheduler.AddJob(MakeJob("a"), {}, true, kStart);
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  scheduler.OnReport("w0", MakeReport(1000), kStart + seconds(1), kStart + seconds(1));
+  CHECK(!scheduler.AreAllResolved());
+  CHECK(scheduler.Plan(kStart + seconds(1), 0, true, 0).mStarts.empty());
+  scheduler.OnReport("w0", MakeReport(1000), kStart + seconds(3), kStart + seconds(3));
+  CHECK(scheduler.AreAllResolved());
+  CHECK(scheduler.Plan(kStart + seconds(3), 0, true, 0).mStarts.size() == 1);
+}
