Let a new holder know how long its predecessors may act

Cause: without checked tokens each takeover waited 2.15 s, also where the previous holder was this process itself, or where only one holder could have acted before; and a process that won again asked its own new scheduler, which knew nothing of the orders of the one before.

Change: a holder whose predecessors can no longer act records that; a process that was the holder itself takes its own quiet time.

--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -73,6 +73,8 @@
   void ApplyConfig(const platform::StoreItem& aItem);
   void ApplyHolderItem(const platform::StoreItem& aItem);
   void SetHolder(HolderRecord aRecord);
+  [[nodiscard]] bool IsSelf(const HolderRecord& aRecord) const;
+  [[nodiscard]] Duration GetQuietTime() const;
   Async<void> EndHolderLease(std::uint64_t aLease);
   void CampaignIfVacant();
   Async<void> RefreshAfterOutage();
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -28,7 +28,7 @@
   const HolderRecord record = *mView.mRecord;
   const HttpAddress address{ record.mHost, record.mPort };
   std::string why;
-  if (address == mSettings.mPeersAdvertised) {
+  if (IsSelf(record)) {
     if (!mCampaigning)
       why = "the holder was this process before its restart";
   } else {
@@ -89,6 +89,17 @@
       ApplyConfig(it);
 }
 
+bool Entry::IsSelf(const HolderRecord& aRecord) const
+{
+  return HttpAddress{ aRecord.mHost, aRecord.mPort } == mSettings.mPeersAdvertised;
+}
+
+// Returns the time since this process last sent a start order that may still take effect.
+Duration Entry::GetQuietTime() const
+{
+  return mHolder ? mHolder->GetQuietTime() : BootClock::now() - mStartedAt;
+}
+
 void Entry::SetHolder(HolderRecord aRecord)
 {
   if (aRecord.mEpoch > mView.mNewestEpoch)
@@ -183,6 +194,7 @@
     record.mNonce = mRandom();
     record.mLease = *lease;
     record.mLargestCores = std::max(largest, mSettings.mCores);
+    record.mSettled = !grant.mPreviousHolder;
     if (!isVacant()) {
       co_await mStore.EndLease(*lease, platform::kStoreDeadline);
       break;
@@ -219,6 +231,8 @@
     grant.mKeyRevision = revision;
     if (mHolder)
       mHolder->StepDown("this process holds a newer lease");
+    if (grant.mPreviousHolder && IsSelf(*grant.mPreviousHolder))
+      grant.mOwnQuietTime = GetQuietTime();
     mView.mRevision = std::max(mView.mRevision, revision);
     SetHolder(record);
     mHolder =
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -64,9 +64,8 @@
       co_return MakeEmptyResponse(http::status::bad_request);
     if (IsHolder() && mHolder->GetEpoch() <= *epoch)
       mHolder->StepDown("the next holder asked it to");
-    const Duration quiet = mHolder ? mHolder->GetQuietTime() : BootClock::now() - mStartedAt;
-    co_return answer(EncodeMessage(ResignReply{
-      static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(quiet).count()) }));
+    co_return answer(EncodeMessage(ResignReply{ static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(GetQuietTime()).count()) }));
   }
   if (path == "/probe") {
     auto request = DecodeMessage<ProbeRequest>(aRequest.body());
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -54,8 +54,12 @@
     SetPredecessorQuietAt(mElectedAt + GetStartGrace() + kStartEffect);
   Spawn(mContext, KeepLease());
   Spawn(mContext, Load());
-  if (!mPreviousHolderStopped)
+  if (mGrant.mOwnQuietTime)
+    OnPredecessorStopped(*mGrant.mOwnQuietTime);
+  else if (!mPreviousHolderStopped)
     Spawn(mContext, AskPreviousHolder());
+  if (!mSettings.mTokensChecked)
+    Spawn(mContext, RecordSettled());
 }
 
 void Holder::SetConfig(const FleetConfig& aConfig)
@@ -185,6 +189,41 @@
          now > mElectedAt + GetStartGrace();
 }
 
+void Holder::OnPredecessorStopped(Duration aQuiet)
+{
+  mPreviousHolderStopped = true;
+  TimePoint quietAt = BootClock::now() + std::max(Duration::zero(), kStartEffect - aQuiet);
+  // Unless the previous holder had waited for its own predecessor, that one counts as well. It was
+  // replaced when the previous holder was first seen, at the latest.
+  if (!mGrant.mPreviousHolder->mSettled)
+    quietAt = std::max(quietAt, mGrant.mPreviousSeenAt + GetStartGrace() + kStartEffect);
+  SetPredecessorQuietAt(std::min(mPredecessorQuietAt, quietAt));
+  WakePlan();
+}
+
+// Records that no order of an earlier holder can take effect, so that the next holder need not wait
+// for more than this one.
+Async<void> Holder::RecordSettled()
+{
+  auto self = shared_from_this();
+  while (!mSteppedDown && !mGrant.mRecord.mSettled) {
+    if (BootClock::now() < mPredecessorQuietAt) {
+      co_await Sleep(kPlanInterval);
+      continue;
+    }
+    HolderRecord record = mGrant.mRecord;
+    record.mSettled = true;
+    platform::StoreTransaction transaction;
+    transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+    transaction.mWrites.push_back({ std::string(kEpochKey), EncodeMessage(record) });
+    auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    if (outcome && outcome->mCommitted)
+      mGrant.mRecord.mSettled = true;
+    else
+      co_await Sleep(milliseconds(100));
+  }
+}
+
 // Asks the previous holder to step down, so that this one need not wait for kOutageGrace.
 Async<void> Holder::AskPreviousHolder()
 {
@@ -196,14 +235,8 @@
     HttpAddress address{ it.mHost, it.mPort };
     auto response = co_await mClient.Call(std::move(address), std::move(request), kResignDeadline);
     if (response && response->result() == http::status::ok) {
-      mPreviousHolderStopped = true;
       const auto reply = DecodeMessage<ResignReply>(response->body());
-      const Duration quiet = reply ? Duration(milliseconds(reply->mQuietMs)) : Duration::zero();
-      // The holder before that one was quiet at the latest when it had been replaced for so long.
-      const TimePoint earlierQuietAt = mGrant.mPreviousSeenAt + GetStartGrace() + kStartEffect;
-      SetPredecessorQuietAt(std::min(
-        mPredecessorQuietAt, std::max(earlierQuietAt, BootClock::now() + (kStartEffect - quiet))));
-      WakePlan();
+      OnPredecessorStopped(reply ? Duration(milliseconds(reply->mQuietMs)) : Duration::zero());
       co_return;
     }
     co_await Sleep(milliseconds(100));
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -33,6 +33,8 @@
   TimePoint mRenewedAt{};  // when the last successful renewal was sent
   std::optional<HolderRecord> mPreviousHolder{};
   TimePoint mPreviousSeenAt{};  // when this process first saw that one hold the lease
+  // If this process was the previous holder, before or since its restart: its quiet time.
+  std::optional<Duration> mOwnQuietTime{};
 };
 
 // Holder
@@ -134,6 +136,8 @@
   [[nodiscard]] bool MayStart() const;
   [[nodiscard]] Duration GetStartGrace() const;
   void SetPredecessorQuietAt(TimePoint aAt);
+  void OnPredecessorStopped(Duration aQuiet);  // aQuiet: as in ResignReply
+  Async<void> RecordSettled();
   [[nodiscard]] bool MayRenewTaskLeases() const;
   [[nodiscard]] std::int64_t EstimateWorkerClock(const Channel& aChannel) const;
   [[nodiscard]] std::optional<platform::WorkerTarget> MakeTarget(const std::string& aId);
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -67,12 +67,13 @@
   std::uint64_t mNonce = 0;  // lets a candidate recognize its own write
   double mLargestCores = 0;  // of any process seen; smaller ones delay their candidacy
   std::uint64_t mLease = 0;  // that the holder's key is attached to
+  bool mSettled = false;     // no order of an earlier holder can take effect any more
   bool operator==(const HolderRecord&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mName, mHost, mPort, mEpoch, mNonce, mLargestCores, mLease);
+    aArchive(mName, mHost, mPort, mEpoch, mNonce, mLargestCores, mLease, mSettled);
   }
 };
 
