--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -28,7 +28,7 @@
   const HolderRecord record = *mView.mRecord;
   const HttpAddress address{ record.mHost, record.mPort };
   std::string why;
-  if (address == mSettings.mPeersAdvertised) {
+  if (IsSelf(record)) {
     if (!mCampaigning)
       why = "the holder was this process before its restart";
   } else {
@@ -89,8 +89,21 @@
       ApplyConfig(it);
 }
 
+bool Entry::IsSelf(const HolderRecord& aRecord) const
+{
+  return HttpAddress{ aRecord.mHost, aRecord.mPort } == mSettings.mPeersAdvertised;
+}
+
+// Returns the time since this process last sent a start order that may still take effect.
+Duration Entry::GetQuietTime() const
+{
+  return mHolder ? mHolder->GetQuietTime() : BootClock::now() - mStartedAt;
+}
+
 void Entry::SetHolder(HolderRecord aRecord)
 {
+  if (aRecord.mEpoch > mView.mNewestEpoch)
+    mView.mNewestSeenAt = BootClock::now();
   mView.mNewestEpoch = std::max(mView.mNewestEpoch, aRecord.mEpoch);
   mView.mRecord = std::move(aRecord);
   mHolderFailingSince.reset();  // the failed calls went to another holder
@@ -148,11 +161,18 @@
     HolderGrant grant;
     if (*epoch) {
       auto last = DecodeMessage<HolderRecord>((*epoch)->mValue);
-      if (!last) {
-        Log(LogPart::Ownership, LogLevel::Error, "the previous holder's record can't be decoded");
-        continue;
+      if (last) {
+        grant.mPreviousHolder = std::move(*last);
+      } else {
+        // Each election raises the revision of this key by one or more, so no epoch is above it.
+        Log(LogPart::Ownership,
+            LogLevel::Error,
+            "the previous holder's record can't be decoded; waiting until its orders have expired",
+            { { "what", last.error().mDetail }, { "revision", (*epoch)->mRevision } });
+        grant.mPreviousHolder = HolderRecord{ .mEpoch = (*epoch)->mRevision };
       }
-      grant.mPreviousHolder = std::move(*last);
+      const bool isSeen = grant.mPreviousHolder->mEpoch == mView.mNewestEpoch;
+      grant.mPreviousSeenAt = isSeen ? mView.mNewestSeenAt : BootClock::now();
     }
     const double largest = grant.mPreviousHolder ? grant.mPreviousHolder->mLargestCores : 0;
     if (mSettings.mCores <= largest / 2 && !hasYielded) {
@@ -174,6 +194,7 @@
     record.mNonce = mRandom();
     record.mLease = *lease;
     record.mLargestCores = std::max(largest, mSettings.mCores);
+    record.mSettled = !grant.mPreviousHolder;
     if (!isVacant()) {
       co_await mStore.EndLease(*lease, platform::kStoreDeadline);
       break;
@@ -210,6 +231,8 @@
     grant.mKeyRevision = revision;
     if (mHolder)
       mHolder->StepDown("this process holds a newer lease");
+    if (grant.mPreviousHolder && IsSelf(*grant.mPreviousHolder))
+      grant.mOwnQuietTime = GetQuietTime();
     mView.mRevision = std::max(mView.mRevision, revision);
     SetHolder(record);
     mHolder =
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -32,8 +32,9 @@
   , mStore(aStore)
   , mMetrics(aMetrics)
   , mGrant(std::move(aGrant))
-  , mScheduler(
-      SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch, .mTaskLease = aSettings.mTaskLease })
+  , mScheduler(SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch,
+                                  .mTaskLease = aSettings.mTaskLease,
+                                  .mWorkerHeartbeat = aSettings.mWorkerHeartbeat })
   , mElectedAt(BootClock::now())
   , mPlanTimer(aContext)
   , mStoreTimer(aContext)
@@ -49,10 +50,16 @@
   mMetrics.GetCounter("fleet_takeovers_total").Add();
   SetConfig(aConfig);
   mPreviousHolderStopped = !mGrant.mPreviousHolder.has_value();
+  if (!mPreviousHolderStopped)
+    SetPredecessorQuietAt(mElectedAt + GetStartGrace() + kStartEffect);
   Spawn(mContext, KeepLease());
   Spawn(mContext, Load());
-  if (!mPreviousHolderStopped)
+  if (mGrant.mOwnQuietTime)
+    OnPredecessorStopped(*mGrant.mOwnQuietTime);
+  else if (!mPreviousHolderStopped)
     Spawn(mContext, AskPreviousHolder());
+  if (!mSettings.mTokensChecked)
+    Spawn(mContext, RecordSettled());
 }
 
 void Holder::SetConfig(const FleetConfig& aConfig)
@@ -133,24 +140,88 @@
   });
 }
 
-// Returns whether orders to workers are still safe. Another process can become the holder as soon
-// as this one's lease has expired, but it starts tasks only after this process has confirmed that
-// it stepped down, after every worker has answered the new holder, or after kOutageGrace. Orders
-// may therefore continue for kOutageGrace after the last renewal, and an outage of the store alone
+// Returns whether orders to workers, other than starts, are still safe. Another process can become
+// the holder as soon as this one's lease has expired, but it gives up the tasks of an unresponsive
+// worker only when their leases have expired, counted from kOutageGrace after its election. Orders
+// may therefore continue for that long after the last renewal, and an outage of the store alone
 // stops no task.
 bool Holder::MayRenewTaskLeases() const
 {
   return !mSteppedDown && BootClock::now() < mGrant.mRenewedAt + kOutageGrace;
 }
 
-// Returns whether tasks may start: the stored state is loaded, and the previous holder can no
-// longer start any.
+// Returns how long starts may continue after the last renewal. A successor starts tasks only after
+// this process has confirmed that it stepped down, after every worker has answered the successor
+// and so refuses the older token, or after this time. Without checked tokens the second way is
+// missing.
+Duration Holder::GetStartGrace() const
+{
+  return mSettings.mTokensChecked ? kOutageGrace : kUncheckedGrace;
+}
+
+Duration Holder::GetQuietTime() const
+{
+  Duration quiet = kQuiet;
+  for (const auto& [number, sentAt] : mUnsettledStarts)
+    quiet = std::min(quiet, BootClock::now() - sentAt);
+  return quiet;
+}
+
+// Sets when the last order of an earlier holder has taken effect. Until then the reports of workers
+// that don't check tokens do not tell what will run there.
+void Holder::SetPredecessorQuietAt(TimePoint aAt)
+{
+  mPredecessorQuietAt = aAt;
+  if (!mSettings.mTokensChecked)
+    mScheduler.SetFencedFrom(aAt);
+}
+
+// Returns whether tasks may start: the stored state is loaded, no successor can have started any,
+// and the previous holder can no longer start any.
 bool Holder::MayStart() const
 {
-  if (!mLoaded || !MayRenewTaskLeases())
+  const TimePoint now = BootClock::now();
+  if (!mLoaded || mSteppedDown || now >= mGrant.mRenewedAt + GetStartGrace())
     return false;
+  if (!mSettings.mTokensChecked)
+    return now >= mPredecessorQuietAt;
   return mPreviousHolderStopped || mScheduler.AreAllResolved() ||
-         BootClock::now() > mElectedAt + kOutageGrace;
+         now > mElectedAt + GetStartGrace();
+}
+
+void Holder::OnPredecessorStopped(Duration aQuiet)
+{
+  mPreviousHolderStopped = true;
+  TimePoint quietAt = BootClock::now() + std::max(Duration::zero(), kStartEffect - aQuiet);
+  // Unless the previous holder had waited for its own predecessor, that one counts as well. It was
+  // replaced when the previous holder was first seen, at the latest.
+  if (!mGrant.mPreviousHolder->mSettled)
+    quietAt = std::max(quietAt, mGrant.mPreviousSeenAt + GetStartGrace() + kStartEffect);
+  SetPredecessorQuietAt(std::min(mPredecessorQuietAt, quietAt));
+  WakePlan();
+}
+
+// Records that no order of an earlier holder can take effect, so that the next holder need not wait
+// for more than this one.
+Async<void> Holder::RecordSettled()
+{
+  auto self = shared_from_this();
+  while (!mSteppedDown && !mGrant.mRecord.mSettled) {
+    if (BootClock::now() < mPredecessorQuietAt) {
+      co_await Sleep(kPlanInterval);
+      continue;
+    }
+    HolderRecord record = mGrant.mRecord;
+    record.mSettled = true;
+    platform::StoreTransaction transaction;
+    transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+    transaction.mWrites.push_back({ std::string(kEpochKey), EncodeMessage(record) });
+    auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    if (outcome && outcome->mCommitted)
+      mGrant.mRecord.mSettled = true;
+    else
+      co_await Sleep(milliseconds(100));
+  }
 }
 
 // Asks the previous holder to step down, so that this one need not wait for kOutageGrace.
@@ -164,8 +235,8 @@
     HttpAddress address{ it.mHost, it.mPort };
     auto response = co_await mClient.Call(std::move(address), std::move(request), kResignDeadline);
     if (response && response->result() == http::status::ok) {
-      mPreviousHolderStopped = true;
-      WakePlan();
+      const auto reply = DecodeMessage<ResignReply>(response->body());
+      OnPredecessorStopped(reply ? Duration(milliseconds(reply->mQuietMs)) : Duration::zero());
       co_return;
     }
     co_await Sleep(milliseconds(100));
