--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -135,7 +135,6 @@
   aJob.mEndedAt = aNow;
   mActive.erase(aJob.mSpec.mId);
   mHasEndedJob = true;
-  mReviewWanted = mReviewWanted || aState != JobState::Completed;  // its tasks are to be stopped
   MarkDirty(aJob);
 }
 
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -337,9 +337,7 @@
   std::set<std::string> mDirtyJobs{};
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
-  TimePoint mFencedFrom{};  // see SetFencedFrom
-  TimePoint mReviewedAt{};  // when Plan last looked at each run
-  bool mReviewWanted = false;
+  TimePoint mFencedFrom{};
   std::size_t mBatchesInFlight = 0;
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -55,14 +55,12 @@
       if (run->mPhase == RunPhase::Starting)
         run->mPhase = RunPhase::Unconfirmed;
       run->mSentAt = aNow;
-      mReviewWanted = true;
       return;
     case StartOutcome::StaleRun:
       // The worker has seen an order with this run number or a higher one, so the next run needs a
       // higher number. The capacity stays reserved until a report shows whether the task runs.
       run->mPhase = RunPhase::Unconfirmed;
       run->mSentAt = aNow;
-      mReviewWanted = true;
       return;
     case StartOutcome::NoCapacity:
       worker->mFullUntil = aNow + kFullDuration;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -11,10 +11,6 @@
 
 constexpr std::uint64_t kRunsPerEpoch = 1000;  // run numbers reserved for a task in each epoch
 constexpr Duration kTicketMargin = milliseconds(60);  // for a start order to reach its worker
-// All runs are reviewed at this interval, and in the plan after a job ended or lost an answer: a
-// review takes time in proportion to the runs of the whole fleet, which plan after plan would take
-// most of the processor when events are frequent.
-constexpr Duration kReviewInterval = milliseconds(50);
 // Policy calls are slow from this mAdviceBase on.
 constexpr Duration kMinSlowAdvice = milliseconds(200);
 // When there was no fast policy call for this long, slow calls may take all advisors.
@@ -296,7 +292,6 @@
       "a gang can't be completed; its members are stopped and start together later",
       { { "stage", FormatStage(aReady.mRef) }, { "missing", stage.mWaiting } });
   stage.mGangBrokenAt = TimePoint{};
-  mReviewWanted = true;
   for (auto& [id, worker] : mWorkers)
     for (Run& run : worker.mRuns)
       if (run.mRef.mJob == aReady.mRef.mJob && run.mRef.mOccurrence == aReady.mRef.mOccurrence &&
@@ -369,19 +364,13 @@
                        std::size_t aFreeAdvisors)
 {
   Orders orders;
-  if (mReviewWanted || aNow - mReviewedAt >= kReviewInterval) {
-    mReviewWanted = false;
-    mReviewedAt = aNow;
-    if (aMayStart)
-      PlanMoves(aNow);
-    PlanStops(aNow, orders);
-    if (aMayStart) {
-      PlanPace(orders);
-      PlanCopies(aNow);
-    }
-  }
+  if (aMayStart)
+    PlanMoves(aNow);
+  PlanStops(aNow, orders);
   if (!aMayStart)
     return orders;
+  PlanPace(orders);
+  PlanCopies(aNow);
   std::size_t slowInFlight = 0;
   for (const auto& [number, isSlow] : mAdviceInFlight)
     slowInFlight += isSlow ? 1 : 0;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -310,7 +310,6 @@
     --aStage.mWaiting;
   task.mDone = true;
   ++aStage.mDone;
-  mReviewWanted = mReviewWanted || aJob.mSpec.mStages[aRef.mStage].mSpeculative;  // ends its copies
   MarkDirty(aJob);
   if (aStage.mDone < aStage.mTasks.size())
     return;
@@ -440,7 +439,6 @@
       listed.erase(it);
       continue;
     }
-    mReviewWanted = mReviewWanted || run.mPhase == RunPhase::Unconfirmed;
     const bool isGone = (run.mPhase == RunPhase::Running && aSentAt > run.mSentAt) ||
                         (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
                          aSentAt > run.mStopAckedAt) ||
@@ -471,7 +469,6 @@
         LogLevel::Info,
         isAdopted ? "adopted a running task" : "a worker runs a task that is not tracked",
         { { "task", row->mTask }, { "run", row->mRun }, { "worker", aId } });
-    mReviewWanted = mReviewWanted || !isAdopted;
     worker.mRuns.push_back(std::move(run));
   }
 }
