Count a start order as a lease renewal until it can no longer take effect

Cause, found on reading: with the short lease of start orders the time of the last renewal was no longer moved by a start. A worker that falls silent right after one could have had its task given up up to 0.3 s before the task's lease expired, if its last poll had been sent long before.

Change: a start moves that time to where the order's own lease ends. The pause after a failed call of the store is one constant for all parts of the holder.

--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -220,7 +220,7 @@
     if (outcome && outcome->mCommitted)
       mGrant.mRecord.mSettled = true;
     else
-      co_await Sleep(milliseconds(100));
+      co_await Sleep(kRetryStore);
   }
 }
 
--- a/src/fleet/holder_impl.h
+++ b/src/fleet/holder_impl.h
@@ -21,7 +21,8 @@
 // From the sending of a start order to the last moment at which it may take effect: a worker's
 // clock may be slower by 2 %, and the estimate of it is as old as the last answer.
 inline constexpr Duration kStartEffect = kStartValidity + milliseconds(150);
-inline constexpr Duration kQuiet = seconds(60);              // longer than any order takes effect
+inline constexpr Duration kQuiet = seconds(60);  // longer than any order takes effect
+inline constexpr Duration kRetryStore = milliseconds(100);
 inline constexpr Duration kPlanInterval = milliseconds(50);  // while no event wakes the planner
 // Longest time that the holder keeps a member's poll open; a member detects an unresponsive holder
 // by a late answer.
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -11,8 +11,7 @@
 constexpr Duration kWatchWait = milliseconds(1500);       // detects a dead connection within this
 constexpr Duration kWatchBatchDelay = milliseconds(200);  // collects changes into one answer
 constexpr Duration kRecordInterval = milliseconds(60);    // checks for workers to record
-constexpr Duration kRetryStore = milliseconds(100);
-constexpr Duration kStoreInterval = milliseconds(40);  // collects ends of tasks into one write
+constexpr Duration kStoreInterval = milliseconds(40);     // collects ends of tasks into one write
 constexpr std::size_t kProgressEntries =
   platform::kMaxTransactionEntries - 1;  // and the holder's key
 constexpr Duration kForgetInterval = seconds(15);
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -239,6 +239,10 @@
     co_return;
   }
   const TimePoint sentAt = BootClock::now();
+  // The order counts as a renewal up to the last moment at which it may take effect.
+  if (Worker* worker = mScheduler.FindWorker(aId))
+    worker->mLeaseSentAt =
+      std::max(worker->mLeaseSentAt, sentAt + kStartEffect - mSettings.mTaskLease);
   // The worker refuses an order that arrives after this time. Polls renew the tasks' leases.
   const std::int64_t until = EstimateWorkerClock(mChannels[aId]) + kStartValidity.count();
   std::erase_if(mUnsettledStarts,
