--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -70,6 +70,17 @@
   return orders.mStarts[0];
 }
 
+// Starts the only task of job "a" on worker "w0", which drains from then on.
+void StartOnDraining(Scheduler& aScheduler)
+{
+  aScheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  StartOn(aScheduler, "w0", 1000);
+  WorkerEntry draining = MakeEntry("w0", 1000);
+  draining.mDraining = true;
+  aScheduler.ListWorker(draining, true, kStart);
+  aScheduler.FindWorker("w0")->mLeaseSentAt = kStart;
+}
+
 }  // namespace
 
 TEST_CASE("fleet: a stale directory entry does not replace the worker that succeeded it")
@@ -109,12 +120,7 @@
 TEST_CASE("fleet: a draining worker that is silent and unlisted keeps its tasks")
 {
   Scheduler scheduler = MakeScheduler();
-  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
-  StartOn(scheduler, "w0", 1000);
-  WorkerEntry draining = MakeEntry("w0", 1000);
-  draining.mDraining = true;
-  scheduler.ListWorker(draining, true, kStart);
-  scheduler.FindWorker("w0")->mLeaseSentAt = kStart;
+  StartOnDraining(scheduler);
   // A partition: no answers, and after three missed heartbeats no directory entry.
   scheduler.OnSilence("w0", kStart + seconds(1));
   scheduler.UnlistWorker("w0", kStart + milliseconds(4500));
@@ -128,12 +134,7 @@
 TEST_CASE("fleet: the tasks of a draining worker that left start elsewhere at once")
 {
   Scheduler scheduler = MakeScheduler();
-  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
-  StartOn(scheduler, "w0", 1000);
-  WorkerEntry draining = MakeEntry("w0", 1000);
-  draining.mDraining = true;
-  scheduler.ListWorker(draining, true, kStart);
-  scheduler.FindWorker("w0")->mLeaseSentAt = kStart;
+  StartOnDraining(scheduler);
   scheduler.OnReport(
     "w0",
     [] {
