Tests of the fleet: let each stage of the model run on at least one machine

"fleet: invariants hold over seeds of random faults" failed on an ARM machine: seed 10, job 17 had not ended after 60 s without faults. Cause, from the state at the end: the model's policy service refused all eight workers for a gang of two (0.4^8 of the stages), so no scheduler could run it. The seed met that here because the arguments of one call, both drawn from the generator, are evaluated in another order on this processor.

Checks, seeds and bounds are as they were.

--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -424,9 +424,13 @@
       if (epoch != mEpoch)
         return;
       std::vector<AdmittedWorker> admitted;
-      for (const std::string& id : it.mWorkers)
-        if (std::hash<std::string>()(it.mStage + id) % 10 < 6)
+      for (const std::string& id : it.mWorkers) {
+        // Each stage may run on the first machine, whichever worker lives there, so each can end.
+        const auto node = mNodes.find(id);
+        const bool isFirst = node != mNodes.end() && node->second.mEntry.mAddress == "10.0.0.0:80";
+        if (isFirst || std::hash<std::string>()(it.mStage + id) % 10 < 6)
           admitted.push_back({ id, "ticket" });
+      }
       mScheduler->OnAdvice(it, &admitted, seconds(2), askedAt, mNow);
     });
   if ((mNow.time_since_epoch() / kTick) % 5 == 0)
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -365,7 +365,10 @@
   std::size_t jobs = 0;
   for (int round = 0; round < 20; ++round) {
     const std::string id = "j" + std::to_string(jobs++);
-    JobSpec job = MakeJob(id, 1 + random() % 6, 1 + random() % 3);
+    // Named first: the order in which arguments are evaluated differs between platforms.
+    const std::uint32_t stages = 1 + random() % 3;
+    const std::uint32_t tasks = 1 + random() % 6;
+    JobSpec job = MakeJob(id, tasks, stages);
     if (random() % 5 == 0) {
       job.mStages[0].mGang = true;
       job.mStages[0].mCount = 1 + job.mStages[0].mCount % 4;
