Log how long a lasting task was away, and what held its start back

The log could not distinguish the hypotheses of the incident: a lapsed lease did not say when it was last renewed, nor whether the worker had answered this holder; a takeover that holds back the jobs of earlier epochs left no line; nothing told how long a lasting task was away. Each now has a line or a field.

No decision is changed.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -90,6 +90,7 @@
   std::vector<std::string> mFailedOn{};  // workers to avoid; may repeat
   bool mNeverRan = false;                // its last run certainly did not start
   std::uint32_t mMoves = 0;              // times it was moved off a slow worker
+  TimePoint mSeenAt{};                   // when the worker of its last run last answered
 };
 
 struct StageRun  // a stage of one occurrence
@@ -337,6 +338,7 @@
   std::set<std::string> mDirtyJobs{};
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
+  bool mHoldsInherited = false;  // inherited jobs wait for workers that have not answered
   TimePoint mFencedFrom{};
   std::size_t mBatchesInFlight = 0;
   bool mHasNewEnds = false;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -69,7 +69,7 @@
   std::vector<Ready> ready;
   // Tasks of an earlier epoch may still run on workers that have not answered in this one. If one
   // of these has no stored task list, no inherited job is ready.
-  bool isResolved = true;
+  std::size_t unresolved = 0;
   mPossiblyRunning.clear();
   for (const auto& [id, worker] : mWorkers) {
     if (worker.mFenced)
@@ -77,7 +77,16 @@
     if (worker.mFinalTasks)
       mPossiblyRunning.insert(worker.mFinalTasks->begin(), worker.mFinalTasks->end());
     else
-      isResolved = false;
+      ++unresolved;
+  }
+  const bool isResolved = unresolved == 0;
+  if (mHoldsInherited == isResolved) {
+    mHoldsInherited = !isResolved;
+    Log(LogPart::Place,
+        LogLevel::Info,
+        isResolved ? "jobs of earlier epochs may start tasks again"
+                   : "jobs of earlier epochs wait for workers that have not answered",
+        { { "workers", unresolved }, { "epoch", mSettings.mEpoch } });
   }
   for (const std::string& id : mActive) {
     Job& job = *mJobs.at(id);
@@ -207,6 +216,14 @@
   if (auto ticket = aReady.mStage->mTickets.find(order.mWorker);
       ticket != aReady.mStage->mTickets.end())
     order.mTicket = ticket->second.first;
+  if (aReady.mSpec->mLongRunning && task.mSeenAt != TimePoint{})
+    Log(LogPart::Place,
+        LogLevel::Info,
+        "starting a lasting task again",
+        { { "task", order.mTask },
+          { "run", aRun },
+          { "worker", order.mWorker },
+          { "away_ms", aNow - task.mSeenAt } });
   task.mWorker = order.mWorker;
   task.mRun = aRun;
   task.mNeverRan = false;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -229,6 +229,8 @@
           "leases lapsed on a worker that does not answer; its tasks run again elsewhere",
           { { "worker", it->first },
             { "tasks", worker.mRuns.size() },
+            { "renewed_ago_ms", aNow - worker.mLeaseSentAt },
+            { "answered", worker.mFenced ? "yes" : "no" },
             { "listed", worker.mListed ? "yes" : "no" } });
     while (!worker.mRuns.empty())
       DropRun(worker, worker.mRuns.size() - 1);
@@ -273,6 +275,8 @@
   aWorker.mUsedMilliCores -= run.mMilliCores;
   aWorker.mUsedMemoryMiB -= run.mMemoryMiB;
   aWorker.mUsedAccelerators -= run.mAccelerators;
+  if (Task* task = run.mKnown ? FindTask(run.mRef) : nullptr; task && task->mRun == run.mRun)
+    task->mSeenAt = aWorker.mAnsweredAt;
   ReleaseTask(run, aNeverRan);
 }
 
