--- /dev/null
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -0,0 +1,107 @@
+// How soon tasks run again after their worker crashed.
+#include <catch2/catch.hpp>
+
+#include "fleet/scheduler.h"
+
+using namespace monsoon;
+using namespace monsoon::fleet;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds(2000) };
+constexpr Duration kStep = milliseconds(10);
+constexpr Duration kMaxAway = seconds(9);  // of a lasting task, from the crash of its worker
+
+Scheduler MakeScheduler(Duration aLongestLease)
+{
+  Scheduler scheduler({ .mTaskLease = aLongestLease });
+  QueueConfig queue;
+  queue.mName = "q";
+  queue.mService = "pool";
+  queue.mNeedsAdvice = true;
+  queue.mAdviceBase = milliseconds(450);
+  queue.mAdvicePerWorker = std::chrono::microseconds(6500);
+  queue.mAdviceValid = seconds(2);
+  FleetConfig config;
+  config.mQueues.push_back(queue);
+  scheduler.SetQueues(config);
+  return scheduler;
+}
+
+void AddWorkers(Scheduler& aScheduler, int aCount)
+{
+  for (int n = 0; n < aCount; ++n) {
+    WorkerEntry entry;
+    entry.mId = "w" + std::to_string(n);
+    entry.mAddress = "10.0.0." + std::to_string(n) + ":80";
+    entry.mService = "pool";
+    entry.mMilliCores = 8000;
+    entry.mMemoryMiB = 16'000;
+    aScheduler.ListWorker(entry, true, kStart);
+    aScheduler.OnReport(entry.mId, {}, kStart, kStart);
+  }
+}
+
+JobSpec MakeLastingJob()
+{
+  JobSpec job;
+  job.mId = "a";
+  job.mQueue = "q";
+  job.mService = "pool";
+  StageSpec stage;
+  stage.mCount = 1;
+  stage.mMilliCores = 1000;
+  stage.mMemoryMiB = 1000;
+  stage.mLongRunning = true;
+  job.mStages.push_back(stage);
+  return job;
+}
+
+// Plans from aFrom on, and answers policy calls when they are expected to end, until a task starts.
+// Returns its order and the time.
+std::pair<StartOrder, TimePoint> PlanUntilStart(Scheduler& aScheduler, TimePoint aFrom)
+{
+  std::optional<AdviceOrder> call;
+  TimePoint askedAt{};
+  for (TimePoint now = aFrom; now < aFrom + seconds(30); now += kStep) {
+    if (call && now >= askedAt + milliseconds(call->mExpectedMs)) {
+      std::vector<AdmittedWorker> admitted;
+      for (const std::string& id : call->mWorkers)
+        admitted.push_back({ id, "ticket" });
+      aScheduler.OnAdvice(*call, &admitted, seconds(2), askedAt, now);
+      call.reset();
+    }
+    aScheduler.DropLapsed(now, Duration::zero());
+    Orders orders = aScheduler.Plan(now, 0, true, 1);
+    if (!orders.mStarts.empty())
+      return { orders.mStarts[0], now };
+    if (!orders.mAdvice.empty()) {
+      call = orders.mAdvice[0];
+      askedAt = now;
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+TEST_CASE("fleet: a lasting task stays away for as long as workers allow leases")
+{
+  // Longest leases that workers allow, with and without room above what the target needs.
+  const auto longest = GENERATE(Duration(seconds(6)), Duration(seconds(10)), Duration(seconds(60)));
+  Scheduler scheduler = MakeScheduler(longest);
+  AddWorkers(scheduler, 60);
+  scheduler.AddJob(MakeLastingJob(), {}, false, kStart);
+  const auto [first, startedAt] = PlanUntilStart(scheduler, kStart);
+  REQUIRE(first.mRun == 1);
+  scheduler.OnStart(first, StartOutcome::Started, startedAt);
+
+  // The worker crashes right after a renewal.
+  const TimePoint crashedAt = startedAt + seconds(4);
+  scheduler.FindWorker(first.mWorker)->mLeaseSentAt = crashedAt;
+  scheduler.OnSilence(first.mWorker, crashedAt + milliseconds(1));
+  const auto [second, restartedAt] = PlanUntilStart(scheduler, crashedAt);
+  REQUIRE(second.mTask == first.mTask);
+  CHECK(second.mWorker != first.mWorker);
+  CHECK((restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
+}
