Choose task leases for how soon a lasting task must be back

With the drift of the worker's clock and a policy call a lasting task was away for 10.5 to 11.7 s; the rule allows 6 s after its last run and 3 s more.

Change: the lease follows from that target (9 s, less 1.5 s for a policy call and the start), and is no longer than workers allow. The deployments with 6 s keep theirs. A changed setting takes effect with the next holder, for renewals and for the wait alike; before, renewals used it at once and the wait did not.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -206,7 +206,7 @@
     return;
   mSettings.mStore = loaded.mSettings.mStore;
   mSettings.mAdvice = loaded.mSettings.mAdvice;
-  mSettings.mTaskLease = loaded.mSettings.mTaskLease;
+  mSettings.mMaxTaskLease = loaded.mSettings.mMaxTaskLease;
   mStore.SetAddress(mSettings.mStore);
   Log(LogPart::Process, LogLevel::Info, "reloaded the settings", { { "why", aWhy } });
 }
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -33,7 +33,7 @@
   , mMetrics(aMetrics)
   , mGrant(std::move(aGrant))
   , mScheduler(SchedulerSettings{ .mEpoch = mGrant.mRecord.mEpoch,
-                                  .mTaskLease = aSettings.mTaskLease,
+                                  .mMaxTaskLease = aSettings.mMaxTaskLease,
                                   .mWorkerHeartbeat = aSettings.mWorkerHeartbeat })
   , mElectedAt(BootClock::now())
   , mPlanTimer(aContext)
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -102,7 +102,7 @@
   // be waiting for its tasks' leases to expire.
   if (channel.mClockMs != 0 && worker->mReachable && MayRenewTaskLeases()) {
     order.mUntilMs = EstimateWorkerClock(channel) +
-                     std::chrono::duration_cast<milliseconds>(mSettings.mTaskLease).count();
+                     std::chrono::duration_cast<milliseconds>(mScheduler.GetTaskLease()).count();
     worker->mLeaseSentAt = sentAt;
   }
   auto report =
@@ -242,7 +242,7 @@
   // The order counts as a renewal up to the last moment at which it may take effect.
   if (Worker* worker = mScheduler.FindWorker(aId))
     worker->mLeaseSentAt =
-      std::max(worker->mLeaseSentAt, sentAt + kStartEffect - mSettings.mTaskLease);
+      std::max(worker->mLeaseSentAt, sentAt + kStartEffect - mScheduler.GetTaskLease());
   // The worker refuses an order that arrives after this time. Polls renew the tasks' leases.
   const std::int64_t until = EstimateWorkerClock(mChannels[aId]) + kStartValidity.count();
   std::erase_if(mUnsettledStarts,
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -20,6 +20,7 @@
 
 Scheduler::Scheduler(SchedulerSettings aSettings)
   : mSettings(aSettings)
+  , mTaskLease(ChooseTaskLease(aSettings.mMaxTaskLease, aSettings.mWorkerClockDrift))
 {
 }
 
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -27,9 +27,9 @@
 // Settings
 struct SchedulerSettings
 {
-  std::uint64_t mEpoch = 1;          // epoch of this holder; run numbers start higher in each epoch
-  Duration mTaskLease = seconds(6);  // a worker kills tasks whose lease is not renewed in time
-  double mWorkerClockDrift = 0.02;   // a worker's clock may be this much slower
+  std::uint64_t mEpoch = 1;  // epoch of this holder; run numbers start higher in each epoch
+  Duration mMaxTaskLease = seconds(6);             // longest lease of a task that workers allow
+  double mWorkerClockDrift = 0.02;                 // a worker's clock may be this much slower
   Duration mWorkerHeartbeat = milliseconds(1500);  // interval at which workers renew their entries
   Duration mGangWait = seconds(3);       // members of a gang wait this long for the others
   std::uint32_t mMaxAdviceWorkers = 60;  // workers that one policy call may name
@@ -257,6 +257,7 @@
   // Returns whether, after a takeover, each worker that may run tasks of a previous holder has
   // answered this one, or the leases of its tasks have expired.
   [[nodiscard]] bool AreAllResolved() const;
+  [[nodiscard]] Duration GetTaskLease() const { return mTaskLease; }
   // Releases the tasks of unresponsive workers whose task leases have certainly expired. aGrace is
   // added to the wait for workers that have not answered in this epoch.
   void DropLapsed(TimePoint aNow, Duration aGrace);
@@ -329,6 +330,7 @@
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
 
   SchedulerSettings mSettings{};
+  Duration mTaskLease{};  // a worker kills tasks whose lease is not renewed in time
   std::map<std::string, QueueConfig> mQueues{};  // removed queues are kept for their remaining jobs
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
   std::set<std::string> mActive{};  // jobs that have not ended
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -38,6 +38,22 @@
   return std::max<Duration>(kMinEstimate, milliseconds(aSpec.mEstimateMs));
 }
 
+// A lasting task runs again within this time after its worker crashed.
+inline constexpr Duration kMaxLastingAway = seconds(9);
+// From the release of a task to its next start: a slow policy call and the order.
+inline constexpr Duration kRestartTime = milliseconds(1500);
+// Added to the duration of a lease, for rounding and network latency.
+inline constexpr Duration kLeaseExpiryMargin = milliseconds(200);
+
+// Returns the lease of tasks: as long as workers allow, so that tasks outlive partitions, but short
+// enough for kMaxLastingAway, as a worker that crashed can't be distinguished from one that is cut
+// off until its leases have expired.
+inline Duration ChooseTaskLease(Duration aLongest, double aWorkerClockDrift)
+{
+  const Duration wait = kMaxLastingAway - kRestartTime - kLeaseExpiryMargin;
+  return std::min(aLongest, std::chrono::duration_cast<Duration>(wait / (1 + aWorkerClockDrift)));
+}
+
 struct Scheduler::Ready  // a stage with tasks that may be placed now
 {
   Job* mJob = nullptr;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// Added to the duration of a lease, for rounding and network latency.
-constexpr Duration kExpiryMargin = milliseconds(200);
 constexpr std::uint32_t kMaxFailStreak = 3;       // failures in a row that quarantine a worker
 constexpr Duration kBaseQuarantine = seconds(2);  // doubled for each further quarantine in a row
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
@@ -209,8 +207,8 @@
 void Scheduler::DropLapsed(TimePoint aNow, Duration aGrace)
 {
   const Duration longest =
-    std::chrono::duration_cast<Duration>(mSettings.mTaskLease * (1 + mSettings.mWorkerClockDrift)) +
-    kExpiryMargin;
+    std::chrono::duration_cast<Duration>(mTaskLease * (1 + mSettings.mWorkerClockDrift)) +
+    kLeaseExpiryMargin;
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     Worker& worker = it->second;
     const Duration limit = worker.mFenced ? longest : longest + aGrace;
@@ -218,7 +216,7 @@
     // that disappears sooner after an answer was removed because the worker left.
     const bool hasLeft =
       worker.mEntry.mDraining && !worker.mListed && worker.mFenced &&
-      worker.mUnlistedAt - worker.mAnsweredAt < 2 * mSettings.mWorkerHeartbeat - kExpiryMargin;
+      worker.mUnlistedAt - worker.mAnsweredAt < 2 * mSettings.mWorkerHeartbeat - kLeaseExpiryMargin;
     if (worker.mReachable || (aNow < worker.mLeaseSentAt + limit && !hasLeft)) {
       ++it;
       continue;
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -143,7 +143,7 @@
   HttpAddress advice;
   if (reader.ReadAddress("advice", "address", false, advice))
     out.mAdvice = advice;
-  reader.ReadMillis("bounds", "task_lease_ms", out.mTaskLease);
+  reader.ReadMillis("bounds", "task_lease_ms", out.mMaxTaskLease);
   reader.ReadMillis("bounds", "shutdown_ms", out.mShutdown);
   reader.ReadMillis("bounds", "keep_ended_ms", out.mKeepEnded);
   reader.ReadMillis("bounds", "worker_heartbeat_ms", out.mWorkerHeartbeat);
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -26,7 +26,7 @@
   HttpAddress mStore{};
   std::optional<HttpAddress> mAdvice{};  // policy service; unset if no queue needs it
   // [bounds], in ms
-  Duration mTaskLease = seconds(6);                // longest lease of a task on a worker
+  Duration mMaxTaskLease = seconds(6);             // longest lease of a task that workers allow
   Duration mWorkerHeartbeat = milliseconds(1500);  // interval at which workers renew their entries
   Duration mShutdown = seconds(6);                 // from SIGTERM to SIGKILL
   Duration mKeepEnded = seconds(120);  // a job's state stays readable after the job's end
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -14,7 +14,7 @@
 
 Scheduler MakeScheduler(Duration aLongestLease)
 {
-  Scheduler scheduler({ .mTaskLease = aLongestLease });
+  Scheduler scheduler({ .mMaxTaskLease = aLongestLease });
   QueueConfig queue;
   queue.mName = "q";
   queue.mService = "pool";
