Bound the leases that a lost holder may still have granted

What callers saw: LOST for lasting tasks when the holder is lost for good together with workers. Cause: for 5 s past the last renewal of its own lease a holder renewed the leases of tasks in full, so its successor counted the leases of workers that had not answered it from 5 s after its election; until then no job of an earlier epoch starts a task either.

Change: the further the last renewal of its own lease lies back, the shorter are the leases that a holder grants, so that all end 2 s later than those granted with that renewal. Nothing starts once a start could outlive those leases.

--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -142,9 +142,9 @@
 
 // Returns whether orders to workers, other than starts, are still safe. Another process can become
 // the holder as soon as this one's lease has expired, but it gives up the tasks of an unresponsive
-// worker only when their leases have expired, counted from kOutageGrace after its election. Orders
-// may therefore continue for that long after the last renewal, and an outage of the store alone
-// stops no task.
+// worker only when their leases have expired, counted from kMaxLeaseOverhang after its election.
+// Renewals may therefore continue after the last renewal of the holder's lease, for shorter leases
+// (Scheduler::GetTaskLease), and a short outage of the store stops no task.
 bool Holder::MayRenewTaskLeases() const
 {
   return !mSteppedDown && BootClock::now() < mGrant.mRenewedAt + kOutageGrace;
@@ -183,6 +183,8 @@
   const TimePoint now = BootClock::now();
   if (!mLoaded || mSteppedDown || now >= mGrant.mRenewedAt + GetStartGrace())
     return false;
+  if (mScheduler.GetTaskLease(now, mGrant.mRenewedAt) < kStartEffect)
+    return false;  // a start would outlive the leases that a successor waits for
   if (!mSettings.mTokensChecked)
     return now >= mPredecessorQuietAt;
   return mPreviousHolderStopped || mScheduler.AreAllResolved() ||
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -100,9 +100,11 @@
   Channel& channel = mChannels[aId];
   // The first poll of a worker that did not answer before renews no task lease: the scheduler may
   // be waiting for its tasks' leases to expire.
-  if (channel.mClockMs != 0 && worker->mReachable && MayRenewTaskLeases()) {
-    order.mUntilMs = EstimateWorkerClock(channel) +
-                     std::chrono::duration_cast<milliseconds>(mScheduler.GetTaskLease()).count();
+  const Duration lease = mScheduler.GetTaskLease(sentAt, mGrant.mRenewedAt);
+  if (channel.mClockMs != 0 && worker->mReachable && MayRenewTaskLeases() &&
+      lease > Duration::zero()) {
+    order.mUntilMs =
+      EstimateWorkerClock(channel) + std::chrono::duration_cast<milliseconds>(lease).count();
     worker->mLeaseSentAt = sentAt;
   }
   auto report =
@@ -242,7 +244,8 @@
   // The order counts as a renewal up to the last moment at which it may take effect.
   if (Worker* worker = mScheduler.FindWorker(aId))
     worker->mLeaseSentAt =
-      std::max(worker->mLeaseSentAt, sentAt + kStartEffect - mScheduler.GetTaskLease());
+      std::max(worker->mLeaseSentAt,
+               sentAt + kStartEffect - mScheduler.GetTaskLease(sentAt, mGrant.mRenewedAt));
   // The worker refuses an order that arrives after this time. Polls renew the tasks' leases.
   const std::int64_t until = EstimateWorkerClock(mChannels[aId]) + kStartValidity.count();
   std::erase_if(mUnsettledStarts,
@@ -388,7 +391,7 @@
     ExpireAdvice();
     const TimePoint now = BootClock::now();
     if (MayRenewTaskLeases())
-      mScheduler.DropLapsed(now, mPreviousHolderStopped ? Duration::zero() : kOutageGrace);
+      mScheduler.DropLapsed(now, mPreviousHolderStopped ? Duration::zero() : kMaxLeaseOverhang);
     Dispatch(mScheduler.Plan(now, ReadWallMillis(), MayStart(), CountFreeAdvisors()));
     // Limits planning to a fifth of the thread's time, so that answers are handled in between.
     const Duration took = BootClock::now() - now;
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -257,9 +257,12 @@
   // Returns whether, after a takeover, each worker that may run tasks of a previous holder has
   // answered this one, or the leases of its tasks have expired.
   [[nodiscard]] bool AreAllResolved() const;
-  [[nodiscard]] Duration GetTaskLease() const { return mTaskLease; }
+  // Returns how long the tasks on a worker may run after a renewal that is sent now.
+  // aHolderRenewedAt: when the holder's own lease was last renewed.
+  [[nodiscard]] Duration GetTaskLease(TimePoint aNow, TimePoint aHolderRenewedAt) const;
   // Releases the tasks of unresponsive workers whose task leases have certainly expired. aGrace is
-  // added to the wait for workers that have not answered in this epoch.
+  // added to the leases of workers that have not answered in this epoch: kMaxLeaseOverhang, unless
+  // the previous holder has stopped.
   void DropLapsed(TimePoint aNow, Duration aGrace);
 
   // Stored progress
@@ -350,6 +353,10 @@
   std::map<std::uint64_t, bool> mAdviceInFlight{};  // number of the call → whether it is a slow one
 };
 
+// Leases of tasks end at most this much later than those that were granted when the holder's own
+// lease was last renewed.
+inline constexpr Duration kMaxLeaseOverhang = seconds(2);
+
 // How long reports of tasks whose job is unknown are kept. After a takeover, a job that the
 // previous holder accepted may be added a little later than a worker reports its tasks.
 inline constexpr Duration kMaxOrphanAge = seconds(3);  // twice the holder's lease
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -204,14 +204,21 @@
         { "answered_ago_ms", aNow - worker->mAnsweredAt } });
 }
 
+// While the holder's own lease is not renewed, a successor may be waiting for the leases to expire.
+Duration Scheduler::GetTaskLease(TimePoint aNow, TimePoint aHolderRenewedAt) const
+{
+  return std::min(mTaskLease, aHolderRenewedAt + mTaskLease + kMaxLeaseOverhang - aNow);
+}
+
 void Scheduler::DropLapsed(TimePoint aNow, Duration aGrace)
 {
-  const Duration longest =
-    std::chrono::duration_cast<Duration>(mTaskLease * (1 + mSettings.mWorkerClockDrift)) +
-    kLeaseExpiryMargin;
+  const auto getExpiry = [this](Duration aLease) {
+    return std::chrono::duration_cast<Duration>(aLease * (1 + mSettings.mWorkerClockDrift)) +
+           kLeaseExpiryMargin;
+  };
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     Worker& worker = it->second;
-    const Duration limit = worker.mFenced ? longest : longest + aGrace;
+    const Duration limit = getExpiry(worker.mFenced ? mTaskLease : mTaskLease + aGrace);
     // The entry of a worker that is only silent stays listed for two more heartbeats at least; one
     // that disappears sooner after an answer was removed because the worker left.
     const bool hasLeft =
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -12,9 +12,13 @@
 constexpr Duration kStep = milliseconds(10);
 constexpr Duration kMaxAway = seconds(9);  // of a lasting task, from the crash of its worker
 
-Scheduler MakeScheduler(Duration aLongestLease)
+// The same from the election of a new holder: 4 s until machines are in touch again, 4 s of calm, 3
+// s.
+constexpr Duration kMaxAwayInTakeover = seconds(11);
+
+Scheduler MakeScheduler(Duration aLongestLease, std::uint64_t aEpoch = 1)
 {
-  Scheduler scheduler({ .mMaxTaskLease = aLongestLease });
+  Scheduler scheduler({ .mEpoch = aEpoch, .mMaxTaskLease = aLongestLease });
   QueueConfig queue;
   queue.mName = "q";
   queue.mService = "pool";
@@ -59,7 +63,9 @@
 
 // Plans from aFrom on, and answers policy calls when they are expected to end, until a task starts.
 // Returns its order and the time.
-std::pair<StartOrder, TimePoint> PlanUntilStart(Scheduler& aScheduler, TimePoint aFrom)
+std::pair<StartOrder, TimePoint> PlanUntilStart(Scheduler& aScheduler,
+                                                TimePoint aFrom,
+                                                Duration aGrace = Duration::zero())
 {
   std::optional<AdviceOrder> call;
   TimePoint askedAt{};
@@ -71,7 +77,7 @@
       aScheduler.OnAdvice(*call, &admitted, seconds(2), askedAt, now);
       call.reset();
     }
-    aScheduler.DropLapsed(now, Duration::zero());
+    aScheduler.DropLapsed(now, aGrace);
     Orders orders = aScheduler.Plan(now, 0, true, 1);
     if (!orders.mStarts.empty())
       return { orders.mStarts[0], now };
@@ -105,3 +111,39 @@
   CHECK(second.mWorker != first.mWorker);
   CHECK((restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
 }
+
+TEST_CASE("fleet: a lasting task stays away while a silent predecessor may renew leases")
+{
+  Scheduler scheduler = MakeScheduler(seconds(10), 2);
+  AddWorkers(scheduler, 60);
+  // Its entry is all that is known of this worker, which may run the task.
+  WorkerEntry entry;
+  entry.mId = "gone";
+  entry.mAddress = "10.0.1.1:80";
+  entry.mService = "pool";
+  scheduler.ListWorker(entry, true, kStart);
+  scheduler.AddJob(MakeLastingJob(), {}, true, kStart);
+  const auto [order, startedAt] = PlanUntilStart(scheduler, kStart, kMaxLeaseOverhang);
+  REQUIRE(order.mRun > 0);
+  CHECK((startedAt - kStart) / milliseconds(1) <= kMaxAwayInTakeover / milliseconds(1));
+}
+
+TEST_CASE("fleet: a successor gives up leases that the previous holder renewed last")
+{
+  const Duration longest =
+    GENERATE(Duration(seconds(3)), Duration(seconds(6)), Duration(seconds(60)));
+  const Duration age = milliseconds(GENERATE(0, 1000, 2000, 3000, 4000, 4999));
+  const SchedulerSettings settings{ .mEpoch = 2, .mMaxTaskLease = longest };
+  Scheduler successor(settings);
+  // The holder's lease is renewed last at kStart; the successor is elected at once.
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.1:80";
+  successor.ListWorker(entry, true, kStart);
+  const Duration lease = successor.GetTaskLease(kStart + age, kStart);
+  // The worker's clock is as slow as it may be.
+  const Duration lasts = std::chrono::duration_cast<Duration>(std::max(lease, Duration::zero()) *
+                                                              (1 + settings.mWorkerClockDrift));
+  successor.DropLapsed(kStart + age + lasts, kMaxLeaseOverhang);
+  CHECK(!successor.AreAllResolved());
+}
