Log which tasks had just started on a worker that crashed

The lines about crashed workers gave the number of lost tasks only, so no log told which task is common to the crashes. They now name the runs that the worker has not been seen to survive: those that started less than 250 ms before its last answer, or after it. No decision is changed.

--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -54,6 +54,17 @@
   return std::min(aLongest, std::chrono::duration_cast<Duration>(wait / (1 + aWorkerClockDrift)));
 }
 
+// A worker that still answers this long after a task started there has survived the start.
+inline constexpr Duration kProvenAfter = milliseconds(250);
+
+// Returns whether the worker has not been seen to survive the start of this run.
+inline bool IsUnproven(const Worker& aWorker, const Run& aRun)
+{
+  return aWorker.mAnsweredAt < aRun.mSentAt + kProvenAfter;
+}
+
+[[nodiscard]] std::string FormatUnproven(const Worker& aWorker);  // TASK:RUN of its unproven runs
+
 struct Scheduler::Ready  // a stage with tasks that may be placed now
 {
   Job* mJob = nullptr;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -120,7 +120,10 @@
     Log(LogPart::Task,
         LogLevel::Info,
         "a worker was replaced at its address; its tasks are lost",
-        { { "worker", it->first }, { "successor", aEntry.mId }, { "tasks", other.mRuns.size() } });
+        { { "worker", it->first },
+          { "successor", aEntry.mId },
+          { "tasks", other.mRuns.size() },
+          { "just_started", FormatUnproven(other) } });
     while (!other.mRuns.empty())
       DropRun(other, other.mRuns.size() - 1);
     mReplaced[it->first] = other.mEntry.mBornMs;
@@ -137,7 +140,9 @@
   Log(LogPart::Task,
       LogLevel::Info,
       "another incarnation answers at the address of a worker; its tasks are lost",
-      { { "worker", aId }, { "tasks", worker->mRuns.size() } });
+      { { "worker", aId },
+        { "tasks", worker->mRuns.size() },
+        { "just_started", FormatUnproven(*worker) } });
   mReplaced[aId] = worker->mEntry.mBornMs;
   while (!worker->mRuns.empty())
     DropRun(*worker, worker->mRuns.size() - 1);
@@ -172,7 +177,9 @@
   Log(LogPart::Task,
       LogLevel::Info,
       "a worker was restarted under the same id; its tasks are lost",
-      { { "worker", aWorker.mEntry.mId }, { "tasks", aWorker.mRuns.size() } });
+      { { "worker", aWorker.mEntry.mId },
+        { "tasks", aWorker.mRuns.size() },
+        { "just_started", FormatUnproven(aWorker) } });
   for (std::size_t n = aWorker.mRuns.size(); n-- > 0;)
     if (aWorker.mRuns[n].mPhase != RunPhase::Starting)
       DropRun(aWorker, n);
