--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -186,6 +186,8 @@
         ReportViolation("a start before " + earlier + " has ended: " + aOrder.mTask);
     }
   ++mStarts[aOrder.mTask];
+  if (mDeadly.contains(aOrder.mTask))
+    Schedule(milliseconds(10), [this, id = aOrder.mWorker] { CrashUnderTask(id); });
   auto runTime = mRunTimes.find(job->mId);
   const Duration planned =
     runTime != mRunTimes.end() ? runTime->second : Duration(milliseconds(200 + mRandom() % 1500));
@@ -298,6 +300,10 @@
   Worker* worker = mScheduler->FindWorker(aId);
   if (!worker)
     return;
+  if (node.mIsReplaced) {
+    mScheduler->OnReplaced(aId);
+    return;
+  }
   Advance(node);
   if (!node.mUp || mNow < node.mUnresponsiveUntil) {
     mScheduler->OnSilence(aId, mNow);
@@ -339,6 +345,8 @@
 // the holder does.
 void FleetModel::RecordWorkers()
 {
+  std::erase_if(mRecorded,
+                [this](const auto& aItem) { return !mScheduler->FindWorker(aItem.first); });
   for (const auto& [id, listed] : mScheduler->GetWorkers()) {
     Worker& worker = *mScheduler->FindWorker(id);
     if (worker.mFinalWanted && !worker.mReachable) {
@@ -383,6 +391,22 @@
       mScheduler->ListWorker(node.mEntry, true, mNow);
 }
 
+// Crashes a worker. Once its successor answers at its address, polls of the old id tell the
+// scheduler so.
+void FleetModel::CrashUnderTask(const std::string& aId)
+{
+  auto found = mNodes.find(aId);
+  if (found == mNodes.end() || !found->second.mUp)
+    return;
+  found->second.mUp = false;
+  found->second.mRunning.clear();
+  const std::string address = found->second.mEntry.mAddress;
+  Schedule(seconds(3), [this, aId, address] {
+    mNodes[aId].mIsReplaced = true;
+    AddNode("w" + std::to_string(mNextNode++), address);
+  });
+}
+
 void FleetModel::InjectFaults()
 {
   const double tick = std::chrono::duration<double>(kTick).count();
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -42,6 +42,8 @@
   [[nodiscard]] std::size_t CountStarts(const std::string& aTask) const;
   [[nodiscard]] Scheduler& GetScheduler() { return *mScheduler; }
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
+  // Makes each worker that starts this task crash; it restarts 3 s later, with a new id.
+  void SetDeadly(std::string aTask) { mDeadly.insert(std::move(aTask)); }
   // Makes the worker that runs this task answer nothing for aTime, while its tasks go on.
   void MakeUnresponsive(const std::string& aTask, Duration aTime);
   // Stops the progress of all tasks on the worker that runs this task for aTime.
@@ -64,6 +66,7 @@
   {
     WorkerEntry mEntry{};
     bool mUp = true;
+    bool mIsReplaced = false;  // another incarnation answers at its address
     TimePoint mUnresponsiveUntil{};
     TimePoint mStalledUntil{};
     TimePoint mAdvancedAt{};
@@ -88,6 +91,7 @@
   void StoreProgress();
   void RecordWorkers();
   void InjectFaults();
+  void CrashUnderTask(const std::string& aId);
   void AddNode(std::string aId, std::string aAddress);
   void ReportViolation(std::string aWhat);
   [[nodiscard]] const StageSpec* FindStage(const std::string& aTask, const JobSpec** aJob) const;
@@ -111,6 +115,7 @@
   std::set<std::string> mAcknowledged{};  // tasks whose successful end was acknowledged
   std::map<std::string, std::size_t> mFailures{};
   std::map<std::string, Duration> mRunTimes{};
+  std::set<std::string> mDeadly{};  // tasks
   std::optional<StartOutcome> mForcedOutcome{};
   bool mTicking = false;
 };
