Give up tasks that crash their workers

Cause, a poison task in an unbounded retry loop: only failures that a worker reports counted as attempts, so a run lost with its worker left no trace; a task that may run in copies started elsewhere 0.3 s after its worker fell silent, three crashes within a second; and nothing of it was stored, so a takeover would have forgotten it.

Change: a crash, known when another incarnation answers or is listed, counts against the tasks that ran there: most against those that had just started. src/policy/crash_budget.h decides: two such crashes are enough if one of them has no other suspect, else three, or five at any time of its runs; never more than five starts. After the first, the task starts apart from other fresh starts. One copy may start before it is known what became of the worker. Crashes are stored with the progress, suspects with the final list of an unresponsive worker.

--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -74,7 +74,9 @@
     if (Worker* known = mScheduler.FindWorker(worker.mId))
       known->mRecordRevision = it.mRevision;
     if (record->mIsFinal)
-      mScheduler.SetFinalTasks(worker.mId, std::set(record->mTasks.begin(), record->mTasks.end()));
+      mScheduler.SetFinalTasks(worker.mId,
+                               std::set(record->mTasks.begin(), record->mTasks.end()),
+                               std::move(record->mSuspects));
   }
   for (const StoreItem& it : directory.mItems)
     ApplyWorkerItem(it);
@@ -265,6 +267,7 @@
         record.mIsFinal = true;
         for (const Run& run : worker.mRuns)
           record.mTasks.push_back(run.mTask);
+        record.mSuspects = ListUnproven(worker);
         written[id] = std::set(record.mTasks.begin(), record.mTasks.end());
       }
       transaction.mConditions.emplace_back(MakeWorkerKey(id), worker.mRecordRevision);
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -117,7 +117,7 @@
       co_return false;
     }
     if (report.error().mKind == FailureKind::NotFound) {
-      mScheduler.OnReplaced(aId);
+      mScheduler.OnReplaced(aId, BootClock::now());
       WakePlan();
       co_return false;
     }
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -159,6 +159,18 @@
   std::vector<EndedTask> mEnded{};
 };
 
+struct TaskRun  // a run of a task, by name
+{
+  std::string mTask{};
+  std::uint64_t mRun = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTask, mRun);
+  }
+};
+
 struct AdmittedWorker  // a worker that the policy service allows for a stage
 {
   std::string mWorker{};
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -86,11 +86,12 @@
   std::vector<std::string> mTasks{};
   std::int64_t mBornMs = 0;            // as in WorkerEntry
   std::uint64_t mCreatedRevision = 0;  // as in WorkerEntry
+  std::vector<TaskRun> mSuspects{};    // as listed by ListUnproven, if mIsFinal
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mAddress, mService, mIsFinal, mTasks, mBornMs, mCreatedRevision);
+    aArchive(mAddress, mService, mIsFinal, mTasks, mBornMs, mCreatedRevision, mSuspects);
   }
 };
 
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -32,10 +32,27 @@
   }
 };
 
+struct CrashRecord
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStage = 0;
+  std::uint32_t mIndex = 0;
+  std::uint64_t mRun = 0;
+  bool mSoon = false;
+  bool mAlone = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mOccurrence, mStage, mIndex, mRun, mSoon, mAlone);
+  }
+};
+
 struct JobRecord
 {
   std::uint8_t mState = 0;
   std::vector<StageRecord> mStages{};
+  std::vector<CrashRecord> mCrashes{};  // stored behind the record; earlier builds stored none
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -51,6 +68,8 @@
   try {
     cereal::BinaryInputArchive archive(in);
     archive(record);
+    if (in.peek() != std::istringstream::traits_type::eof())
+      archive(record.mCrashes);
   } catch (const cereal::Exception& error) {
     Log(LogPart::Store,
         LogLevel::Error,
@@ -81,6 +100,8 @@
           it.mDone.push_back(index);
         for (const std::uint64_t run : stage.mTasks[index].mFailedRuns)
           it.mFailedRuns.emplace_back(index, run);
+        for (const WorkerCrash& crash : stage.mTasks[index].mCrashes)
+          record.mCrashes.push_back({ k, n, index, crash.mRun, crash.mSoon, crash.mAlone });
       }
       it.mFailedGangRuns.assign(stage.mFailedGangRuns.begin(), stage.mFailedGangRuns.end());
       if (!it.mDone.empty() || !it.mFailedRuns.empty())
@@ -89,7 +110,7 @@
   }
   std::ostringstream out;
   cereal::BinaryOutputArchive archive(out);
-  archive(record);
+  archive(record, record.mCrashes);
   return out.str();
 }
 
@@ -118,6 +139,16 @@
         stage.mTasks[index].mFailedRuns.insert(run);
     stage.mFailedGangRuns.insert(it.mFailedGangRuns.begin(), it.mFailedGangRuns.end());
   }
+  for (const CrashRecord& it : record->mCrashes) {
+    if (it.mOccurrence >= aJob.mOccurrences.size() || it.mStage >= aJob.mSpec.mStages.size() ||
+        it.mIndex >= aJob.mSpec.mStages[it.mStage].mCount)
+      continue;
+    Occurrence& occurrence = aJob.mOccurrences[it.mOccurrence];
+    if (!occurrence.mStarted)
+      MakeOccurrence(aJob, it.mOccurrence, aNow);
+    occurrence.mStages[it.mStage].mTasks[it.mIndex].mCrashes.push_back(
+      { it.mRun, it.mSoon, it.mAlone });
+  }
 }
 
 std::optional<JobState> Scheduler::ReadState(std::string_view aProgress)
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -20,6 +20,7 @@
 #include <unordered_map>
 
 #include "fleet/model.h"
+#include "policy/crash_budget.h"
 #include "policy/straggler.h"
 
 namespace monsoon::fleet {
@@ -66,6 +67,7 @@
   std::uint32_t mMemoryMiB = 0;
   std::uint32_t mAccelerators = 0;
   bool mReported = false;    // listed in at least one report of the worker
+  bool mStarted = false;     // confirmed by the worker, in an answer or a report
   TimePoint mSentAt{};       // when the start order was sent; later, when it was answered
   TimePoint mStopSentAt{};   // zero: no stop order was sent
   TimePoint mStopAckedAt{};  // zero: no stop order was confirmed
@@ -91,6 +93,7 @@
   bool mNeverRan = false;                // its last run certainly did not start
   std::uint32_t mMoves = 0;              // times it was moved off a slow worker
   TimePoint mSeenAt{};                   // when the worker of its last run last answered
+  std::vector<WorkerCrash> mCrashes{};   // of workers that ran it
 };
 
 struct StageRun  // a stage of one occurrence
@@ -133,6 +136,8 @@
   bool mListed = false;  // the directory lists it now
   // All tasks that it may run, as stored while it was unresponsive.
   std::optional<std::set<std::string>> mFinalTasks{};
+  // Runs that it has not been seen to survive, of a previous holder or with leases that expired.
+  std::vector<TaskRun> mSuspectRuns{};
   std::uint64_t mRecordRevision = 0;  // revision of its record in the store; 0: none
   // It is unresponsive and mFinalTasks is to be stored, so nothing may start there.
   bool mFinalWanted = false;
@@ -157,6 +162,10 @@
   std::uint32_t mQuarantines = 0;  // in a row, without a success between them
   TimePoint mFullUntil{};          // gets no tasks until then, as it did not take the last one
   TimePoint mSlowUntil{};          // other workers are preferred until then, as it has stragglers
+  // Counted by each plan: runs whose start it has not been seen to survive, and those among them of
+  // tasks under which workers have crashed.
+  std::uint32_t mUnproven = 0;
+  std::uint32_t mSuspects = 0;
 };
 
 // Results
@@ -221,7 +230,10 @@
   // Workers
   void ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow);
   // Sets the list, stored by a previous holder, of all tasks that an unresponsive worker may run.
-  void SetFinalTasks(const std::string& aId, std::set<std::string> aTasks);
+  // aSuspects: as listed by ListUnproven.
+  void SetFinalTasks(const std::string& aId,
+                     std::set<std::string> aTasks,
+                     std::vector<TaskRun> aSuspects = {});
   void UnlistWorker(const std::string& aId, TimePoint aNow);
   // Reports requested earlier do not tell what a worker will run: an order of a previous holder
   // may still take effect there.
@@ -233,7 +245,7 @@
                 TimePoint aNow);
   void OnSilence(const std::string& aId, TimePoint aNow);  // a call was not answered
   // Another incarnation answered at the worker's address, so this one has ended for good.
-  void OnReplaced(const std::string& aId);
+  void OnReplaced(const std::string& aId, TimePoint aNow);
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
 
@@ -289,8 +301,14 @@
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
-  void ResetForNewIncarnation(Worker& aWorker);
-  bool ApplySuccession(const WorkerEntry& aEntry);
+  void ResetForNewIncarnation(Worker& aWorker, TimePoint aNow);
+  void RecordCrash(Worker& aWorker, TimePoint aNow);
+  void AddCrash(const TaskRef& aRef, const WorkerCrash& aCrash, TimePoint aNow);
+  [[nodiscard]] bool CrashedWithOthers(const Worker& aWorker) const;
+  void RememberSilence(TimePoint aAt);
+  void CountUnproven();
+  [[nodiscard]] bool IsSuspect(const Task& aTask, const TaskRef& aRef) const;
+  bool ApplySuccession(const WorkerEntry& aEntry, TimePoint aNow);
   void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedTask& aRow, TimePoint aNow);
   void ApplyOrphanReports(Job& aJob, TimePoint aNow);
@@ -344,6 +362,10 @@
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
   bool mHoldsInherited = false;  // inherited jobs wait for workers that have not answered
+  // Tasks that had just started on workers that do not answer, with the number of these workers.
+  // Set by CountUnproven.
+  std::map<TaskRef, std::size_t> mUnresolved{};
+  std::deque<TimePoint> mSilences{};  // recent times at which workers became unresponsive
   TimePoint mFencedFrom{};
   std::size_t mBatchesInFlight = 0;
   bool mHasNewEnds = false;
@@ -361,6 +383,9 @@
 // previous holder accepted may be added a little later than a worker reports its tasks.
 inline constexpr Duration kMaxOrphanAge = seconds(3);  // twice the holder's lease
 
+// Lists the confirmed runs whose start the worker has not been seen to survive.
+[[nodiscard]] std::vector<TaskRun> ListUnproven(const Worker& aWorker);
+
 [[nodiscard]] std::string FormatTask(const TaskRef& aRef);   // JOB.OCCURRENCE.STAGE.INDEX
 [[nodiscard]] std::string FormatStage(const TaskRef& aRef);  // JOB.OCCURRENCE.STAGE
 
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -63,7 +63,7 @@
   return aWorker.mAnsweredAt < aRun.mSentAt + kProvenAfter;
 }
 
-[[nodiscard]] std::string FormatUnproven(const Worker& aWorker);  // TASK:RUN of its unproven runs
+[[nodiscard]] std::string FormatRuns(const std::vector<TaskRun>& aRuns);  // TASK:RUN,...
 
 struct Scheduler::Ready  // a stage with tasks that may be placed now
 {
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -45,6 +45,7 @@
       if (run->mPhase == RunPhase::Starting)
         run->mPhase = RunPhase::Running;
       run->mSentAt = aNow;
+      run->mStarted = true;
       run->mProgressAt = aNow;
       worker->mReachable = true;
       worker->mAnsweredAt = aNow;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -150,6 +150,9 @@
 
 Worker* Scheduler::PickWorker(const Ready& aReady, const Task& aTask, TimePoint aNow)
 {
+  TaskRef ref = aReady.mRef;
+  ref.mIndex = static_cast<std::uint32_t>(&aTask - aReady.mStage->mTasks.data());
+  const bool isSuspect = IsSuspect(aTask, ref);
   Worker* best = nullptr;
   std::tuple<bool, bool, std::int64_t> bestScore;
   const auto consider = [&](const std::string& aId, Worker& aWorker) {
@@ -158,7 +161,10 @@
     if (aReady.mSpec->mMaxPerWorker != 0 &&
         CountRuns(aWorker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
       return;
-    const bool isLastChoice = Contains(aTask.mFailedOn, aId) || aNow < aWorker.mSlowUntil;
+    // A task under which workers crash starts apart from others, so that the cause of a further
+    // crash is known and few tasks are lost with it.
+    const bool isLastChoice = Contains(aTask.mFailedOn, aId) || aNow < aWorker.mSlowUntil ||
+                              aWorker.mSuspects > 0 || (isSuspect && aWorker.mUnproven > 0);
     const bool isFar =
       !aReady.mSpec->mDataRack.empty() && GetRack(aWorker) != aReady.mSpec->mDataRack;
     const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } - aWorker.mUsedMilliCores -
@@ -231,6 +237,8 @@
   aWorker.mUsedMilliCores += run.mMilliCores;
   aWorker.mUsedMemoryMiB += run.mMemoryMiB;
   aWorker.mUsedAccelerators += run.mAccelerators;
+  ++aWorker.mUnproven;
+  aWorker.mSuspects += IsSuspect(task, run.mRef) ? 1 : 0;
   aWorker.mRuns.push_back(std::move(run));
   aOrders.mStarts.push_back(std::move(order));
 }
@@ -381,6 +389,7 @@
                        std::size_t aFreeAdvisors)
 {
   Orders orders;
+  CountUnproven();
   if (aMayStart)
     PlanMoves(aNow);
   PlanStops(aNow, orders);
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -96,7 +96,7 @@
 // directory may show the entry of an ended incarnation for seconds, also after that of its
 // successor, so the order in which entries are read decides nothing. While the order is unknown,
 // all are kept: the one that has ended is found when its address answers as another (OnReplaced).
-bool Scheduler::ApplySuccession(const WorkerEntry& aEntry)
+bool Scheduler::ApplySuccession(const WorkerEntry& aEntry, TimePoint aNow)
 {
   if (auto it = mReplaced.find(aEntry.mId); it != mReplaced.end()) {
     if (aEntry.mBornMs <= it->second)
@@ -123,7 +123,8 @@
         { { "worker", it->first },
           { "successor", aEntry.mId },
           { "tasks", other.mRuns.size() },
-          { "just_started", FormatUnproven(other) } });
+          { "just_started", FormatRuns(ListUnproven(other)) } });
+    RecordCrash(other, aNow);
     while (!other.mRuns.empty())
       DropRun(other, other.mRuns.size() - 1);
     mReplaced[it->first] = other.mEntry.mBornMs;
@@ -132,7 +133,7 @@
   return true;
 }
 
-void Scheduler::OnReplaced(const std::string& aId)
+void Scheduler::OnReplaced(const std::string& aId, TimePoint aNow)
 {
   Worker* worker = FindWorker(aId);
   if (!worker)
@@ -142,8 +143,9 @@
       "another incarnation answers at the address of a worker; its tasks are lost",
       { { "worker", aId },
         { "tasks", worker->mRuns.size() },
-        { "just_started", FormatUnproven(*worker) } });
+        { "just_started", FormatRuns(ListUnproven(*worker)) } });
   mReplaced[aId] = worker->mEntry.mBornMs;
+  RecordCrash(*worker, aNow);
   while (!worker->mRuns.empty())
     DropRun(*worker, worker->mRuns.size() - 1);
   mWorkers.erase(aId);
@@ -151,7 +153,7 @@
 
 void Scheduler::ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow)
 {
-  if (!ApplySuccession(aEntry))
+  if (!ApplySuccession(aEntry, aNow))
     return;
   auto [it, isNew] = mWorkers.try_emplace(aEntry.mId);
   Worker& worker = it->second;
@@ -159,7 +161,7 @@
     worker.mLeaseSentAt = aNow;  // a previous holder may have renewed leases until now
   else if (aEntry.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
            aEntry.mBornMs > worker.mEntry.mBornMs) {
-    ResetForNewIncarnation(worker);
+    ResetForNewIncarnation(worker, aNow);
   }
   const std::int64_t startMs = std::max(worker.mEntry.mBornMs, aEntry.mBornMs);
   if (aEntry.mDraining && !worker.mEntry.mDraining)
@@ -172,14 +174,15 @@
 
 // Drops the runs of a worker that was restarted, as its tasks are gone. Runs whose start order is
 // in flight stay, because that order may reach the new incarnation.
-void Scheduler::ResetForNewIncarnation(Worker& aWorker)
+void Scheduler::ResetForNewIncarnation(Worker& aWorker, TimePoint aNow)
 {
   Log(LogPart::Task,
       LogLevel::Info,
       "a worker was restarted under the same id; its tasks are lost",
       { { "worker", aWorker.mEntry.mId },
         { "tasks", aWorker.mRuns.size() },
-        { "just_started", FormatUnproven(aWorker) } });
+        { "just_started", FormatRuns(ListUnproven(aWorker)) } });
+  RecordCrash(aWorker, aNow);
   for (std::size_t n = aWorker.mRuns.size(); n-- > 0;)
     if (aWorker.mRuns[n].mPhase != RunPhase::Starting)
       DropRun(aWorker, n);
@@ -203,6 +206,7 @@
     return;
   worker->mReachable = false;
   worker->mUnresponsiveSince = aNow;
+  RememberSilence(aNow);
   Log(LogPart::Task,
       LogLevel::Warn,
       "a worker does not answer; its tasks count as running until their lease lapses",
@@ -244,6 +248,8 @@
             { "renewed_ago_ms", aNow - worker.mLeaseSentAt },
             { "answered", worker.mFenced ? "yes" : "no" },
             { "listed", worker.mListed ? "yes" : "no" } });
+    for (TaskRun& run : ListUnproven(worker))
+      worker.mSuspectRuns.push_back(std::move(run));
     while (!worker.mRuns.empty())
       DropRun(worker, worker.mRuns.size() - 1);
     if (!worker.mListed)
@@ -255,10 +261,15 @@
   }
 }
 
-void Scheduler::SetFinalTasks(const std::string& aId, std::set<std::string> aTasks)
+void Scheduler::SetFinalTasks(const std::string& aId,
+                              std::set<std::string> aTasks,
+                              std::vector<TaskRun> aSuspects)
 {
-  if (Worker* worker = FindWorker(aId))
-    worker->mFinalTasks = std::move(aTasks);
+  Worker* worker = FindWorker(aId);
+  if (!worker)
+    return;
+  worker->mFinalTasks = std::move(aTasks);
+  worker->mSuspectRuns = std::move(aSuspects);
 }
 
 bool Scheduler::AreAllResolved() const
@@ -413,10 +424,11 @@
     Log(LogPart::Task, LogLevel::Info, "a worker answers again", { { "worker", aId } });
   if (aReport.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
       aReport.mBornMs > worker.mEntry.mBornMs) {
-    ResetForNewIncarnation(worker);
+    ResetForNewIncarnation(worker, aNow);
   }
   if (aReport.mBornMs != 0)
     worker.mEntry.mBornMs = aReport.mBornMs;
+  worker.mSuspectRuns.clear();
   worker.mReachable = true;
   worker.mFenced = worker.mFenced || aSentAt >= mFencedFrom;
   worker.mAnsweredAt = aNow;
@@ -443,6 +455,7 @@
         run.mProgressAt = aNow;
       }
       run.mReported = true;
+      run.mStarted = true;
       ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
       run.mTailLatencyMs = row.mTailLatencyMs;
       if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt)
@@ -474,6 +487,7 @@
     run.mTask = row->mTask;
     run.mRun = row->mRun;
     run.mReported = true;
+    run.mStarted = true;
     run.mPercent = row->mPercent;
     run.mTailLatencyMs = row->mTailLatencyMs;
     run.mProgressAt = aNow;
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -186,7 +186,7 @@
         ReportViolation("a start before " + earlier + " has ended: " + aOrder.mTask);
     }
   ++mStarts[aOrder.mTask];
-  if (mDeadly.contains(aOrder.mTask))
+  if (mPoison.contains(aOrder.mTask))
     Schedule(milliseconds(10), [this, id = aOrder.mWorker] { CrashUnderTask(id); });
   auto runTime = mRunTimes.find(job->mId);
   const Duration planned =
@@ -301,7 +301,7 @@
   if (!worker)
     return;
   if (node.mIsReplaced) {
-    mScheduler->OnReplaced(aId);
+    mScheduler->OnReplaced(aId, mNow);
     return;
   }
   Advance(node);
@@ -354,6 +354,7 @@
       for (const Run& run : worker.mRuns)
         tasks.insert(run.mTask);
       mFinalTasksByWorker[id] = tasks;
+      mSuspectsByWorker[id] = ListUnproven(worker);
       worker.mFinalTasks = std::move(tasks);
       worker.mFinalWanted = false;
     } else if ((worker.mFinalTasks || worker.mFinalWanted) && worker.mReachable && worker.mFenced) {
@@ -384,13 +385,29 @@
     mScheduler->ListWorker(entry, true, mNow);
     mScheduler->UnlistWorker(id, mNow);
     if (auto it = mFinalTasksByWorker.find(id); it != mFinalTasksByWorker.end())
-      mScheduler->SetFinalTasks(id, it->second);
+      mScheduler->SetFinalTasks(id, it->second, mSuspectsByWorker[id]);
   }
   for (const auto& [id, node] : mNodes)
     if (node.mUp)
       mScheduler->ListWorker(node.mEntry, true, mNow);
 }
 
+// Ends the other members of a gang that has lost one.
+void FleetModel::BreakGang(const StartOrder& aMember)
+{
+  const JobSpec* job = nullptr;
+  const StageSpec* stage = FindStage(aMember.mTask, &job);
+  if (!stage || !stage->mGang)
+    return;
+  const std::string prefix = aMember.mTask.substr(0, aMember.mTask.rfind('.') + 1);
+  for (auto& [id, node] : mNodes)
+    for (Running& it : node.mRunning)
+      if (it.mOrder.mTask.starts_with(prefix) && it.mOrder.mRun == aMember.mRun) {
+        it.mEndAt = mNow;
+        it.mEnd = EndKind::Broken;
+      }
+}
+
 // Crashes a worker. Once its successor answers at its address, polls of the old id tell the
 // scheduler so.
 void FleetModel::CrashUnderTask(const std::string& aId)
@@ -399,6 +416,8 @@
   if (found == mNodes.end() || !found->second.mUp)
     return;
   found->second.mUp = false;
+  for (const Running& it : found->second.mRunning)
+    BreakGang(it.mOrder);
   found->second.mRunning.clear();
   const std::string address = found->second.mEntry.mAddress;
   Schedule(seconds(3), [this, aId, address] {
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -43,7 +43,7 @@
   [[nodiscard]] Scheduler& GetScheduler() { return *mScheduler; }
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
   // Makes each worker that starts this task crash; it restarts 3 s later, with a new id.
-  void SetDeadly(std::string aTask) { mDeadly.insert(std::move(aTask)); }
+  void SetPoison(std::string aTask) { mPoison.insert(std::move(aTask)); }
   // Makes the worker that runs this task answer nothing for aTime, while its tasks go on.
   void MakeUnresponsive(const std::string& aTask, Duration aTime);
   // Stops the progress of all tasks on the worker that runs this task for aTime.
@@ -91,6 +91,7 @@
   void StoreProgress();
   void RecordWorkers();
   void InjectFaults();
+  void BreakGang(const StartOrder& aMember);
   void CrashUnderTask(const std::string& aId);
   void AddNode(std::string aId, std::string aAddress);
   void ReportViolation(std::string aWhat);
@@ -111,11 +112,12 @@
   std::map<std::string, std::string> mRecorded{};  // worker → address, as stored
   // Tasks that unresponsive workers may run, as stored.
   std::map<std::string, std::set<std::string>> mFinalTasksByWorker{};
+  std::map<std::string, std::vector<TaskRun>> mSuspectsByWorker{};  // stored with them
   std::map<std::string, std::size_t> mStarts{};
   std::set<std::string> mAcknowledged{};  // tasks whose successful end was acknowledged
   std::map<std::string, std::size_t> mFailures{};
   std::map<std::string, Duration> mRunTimes{};
-  std::set<std::string> mDeadly{};  // tasks
+  std::set<std::string> mPoison{};  // tasks
   std::optional<StartOutcome> mForcedOutcome{};
   bool mTicking = false;
 };
--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -181,7 +181,7 @@
   }
   SECTION("the worker was replaced")
   {
-    scheduler.OnReplaced("w0");
+    scheduler.OnReplaced("w0", kStart);
   }
   CHECK(!scheduler.IsStartWanted(order));
 }
@@ -191,7 +191,7 @@
   Scheduler scheduler = MakeScheduler();
   scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
   StartOn(scheduler, "w0", 1000);
-  scheduler.OnReplaced("w0");
+  scheduler.OnReplaced("w0", kStart);
   CHECK(!scheduler.FindWorker("w0"));
   scheduler.ListWorker(MakeEntry("w0", 1000), false, kStart);
   CHECK(!scheduler.FindWorker("w0"));
--- /dev/null
+++ b/tests/unit/test_fleet_poison.cpp
@@ -0,0 +1,163 @@
+// Tasks that crash the workers that start them.
+#include <catch2/catch.hpp>
+
+#include "fleet_model.h"
+
+using namespace monsoon;
+using namespace monsoon::fleet;
+
+namespace {
+
+// A poison task may start until three workers have crashed under it, and twice more.
+constexpr std::size_t kMaxStarts = 5;
+
+QueueConfig MakeQueue()
+{
+  QueueConfig queue;
+  queue.mName = "q";
+  queue.mService = "pool";
+  queue.mMaxAttempts = 3;
+  queue.mStretch = 2;
+  queue.mSlack = seconds(1);
+  return queue;
+}
+
+JobSpec MakeJob(std::string aId, std::uint32_t aTasks)
+{
+  JobSpec job;
+  job.mId = std::move(aId);
+  job.mQueue = "q";
+  job.mService = "pool";
+  StageSpec stage;
+  stage.mCount = aTasks;
+  stage.mMilliCores = 1000;
+  stage.mMemoryMiB = 1000;
+  stage.mEstimateMs = 1000;
+  job.mStages.push_back(stage);
+  return job;
+}
+
+WorkerEntry MakeEntry(std::string aId)
+{
+  WorkerEntry entry;
+  entry.mAddress = aId + ":80";
+  entry.mId = std::move(aId);
+  entry.mService = "pool";
+  entry.mMilliCores = 8000;
+  entry.mMemoryMiB = 16'000;
+  return entry;
+}
+
+// Submits jobs that can be done, one each 200 ms.
+void SubmitOthers(FleetModel& aModel, int aFrom, int aTo)
+{
+  for (int n = aFrom; n < aTo; ++n) {
+    aModel.Submit(MakeJob("other" + std::to_string(n), 4));
+    aModel.RunFor(milliseconds(200));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("fleet: a task crashes worker after worker")
+{
+  const auto seed = GENERATE(range(1U, 11U));
+  const auto kind = GENERATE(0, 1, 2, 3);
+  FleetModel model(seed, {}, 12);
+  model.SetQueue(MakeQueue());
+  JobSpec job = MakeJob("poison", 3);
+  job.mStages[0].mSpeculative = kind == 1;
+  job.mStages[0].mGang = kind == 2;
+  job.mStages[0].mLongRunning = kind == 3;
+  SubmitOthers(model, 0, 5);
+  model.SetPoison("poison.0.0.0");
+  model.Submit(job);
+  SubmitOthers(model, 5, 40);
+  model.RunFor(seconds(60));
+  INFO("seed " << seed << " kind " << kind);
+  CHECK(model.CountStarts("poison.0.0.0") <= kMaxStarts);
+  CHECK(model.FindJob("poison")->mState == JobState::Failed);
+  for (int n = 0; n < 40; ++n) {
+    INFO("job " << n);
+    CHECK(model.FindJob("other" + std::to_string(n))->mState == JobState::Completed);
+  }
+  CHECK_THAT(model.mViolations, Catch::Equals(std::vector<std::string>()));
+}
+
+TEST_CASE("fleet: a takeover forgets which workers crashed under a task")
+{
+  const auto seed = GENERATE(range(1U, 11U));
+  const bool isSpeculative = GENERATE(false, true);
+  FleetModel model(seed, {}, 12);
+  model.SetQueue(MakeQueue());
+  JobSpec job = MakeJob("poison", 1);
+  job.mStages[0].mSpeculative = isSpeculative;
+  model.SetPoison("poison.0.0.0");
+  model.Submit(job);
+  for (int n = 0; n < 8; ++n) {
+    SubmitOthers(model, 10 * n, 10 * n + 10);
+    model.TakeOver();
+  }
+  model.RunFor(seconds(60));
+  INFO("seed " << seed << " speculative " << isSpeculative);
+  CHECK(model.CountStarts("poison.0.0.0") <= kMaxStarts);
+  CHECK(model.FindJob("poison")->mState == JobState::Failed);
+}
+
+TEST_CASE("fleet: a start that never took place counts as a crash under its task")
+{
+  const TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue());
+  scheduler.SetQueues(config);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, now);
+  for (int n = 0; n < 4; ++n) {
+    const std::string worker = "w" + std::to_string(n);
+    scheduler.ListWorker(MakeEntry(worker), true, now);
+    scheduler.OnReport(worker, {}, now, now);
+    const Orders orders = scheduler.Plan(now, 0, true, 0);
+    REQUIRE(orders.mStarts.size() == 1);
+    REQUIRE(orders.mStarts[0].mWorker == worker);
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, now);
+    scheduler.OnSilence(worker, now);
+    scheduler.OnReplaced(worker, now);
+  }
+  CHECK(scheduler.FindJob("a")->mState == JobState::Queued);
+}
+
+TEST_CASE("fleet: a rack that fails is taken for the crash of a task")
+{
+  const bool isRack = GENERATE(false, true);
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue());
+  scheduler.SetQueues(config);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, now);
+  for (int n = 0; n < 2; ++n) {
+    const std::string worker = "w" + std::to_string(n);
+    scheduler.ListWorker(MakeEntry(worker), true, now);
+    scheduler.OnReport(worker, {}, now, now);
+    const Orders orders = scheduler.Plan(now, 0, true, 0);
+    REQUIRE(orders.mStarts.size() == 1);
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, now);
+    for (int other = 0; isRack && other < 5; ++other) {
+      const std::string id = worker + "-beside-" + std::to_string(other);
+      scheduler.ListWorker(MakeEntry(id), false, now);
+      scheduler.OnReport(id, {}, now, now);
+      scheduler.OnSilence(id, now + milliseconds(10));
+    }
+    scheduler.OnSilence(worker, now + milliseconds(12));
+    now += seconds(3);
+    scheduler.OnReplaced(worker, now);
+  }
+  CHECK((scheduler.FindJob("a")->mState == JobState::Failed) == !isRack);
+}
+
+TEST_CASE("fleet: progress stored by a build that counted no crashes is not read")
+{
+  std::string stored(1, static_cast<char>(JobState::Running));
+  stored.append(8, '\0');  // no stages
+  CHECK(Scheduler::ReadState(stored) == JobState::Running);
+}
