--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -347,6 +347,23 @@
   CHECK(orders.mStarts[0].mTask == "old.0.0.0");
 }
 
+TEST_CASE("fleet: a start exceeds the capacity of a worker that has shrunk")
+{
+  const TimePoint now{ seconds(2000) };
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeWorker("w0", 9000, 128'000), true, now);  // capacity for three tasks
+  scheduler.OnReport("w0", {}, now, now);
+  scheduler.AddJob(MakeJob("a", 2), {}, false, now);
+  CHECK(scheduler.Plan(now, 0, true, 0).mStarts.size() == 2);
+  scheduler.ListWorker(MakeWorker("w0", 4000, 128'000), true, now);  // less than is in use
+  scheduler.AddJob(MakeJob("b", 1), {}, false, now);
+  CHECK(scheduler.Plan(now, 0, true, 0).mStarts.empty());
+  scheduler.CancelJob("a", now);
+  CHECK(scheduler.Plan(now, 0, true, 0).mStarts.empty());  // what is being stopped still counts
+  scheduler.ListWorker(MakeWorker("w0", 9000, 128'000), true, now);
+  CHECK(scheduler.Plan(now, 0, true, 0).mStarts.size() == 1);
+}
+
 TEST_CASE("fleet: invariants hold over seeds of random faults")
 {
   const auto seed = GENERATE(range(1U, 41U));
