--- /dev/null
+++ b/src/fleet/scheduler_reports.cpp
@@ -0,0 +1,276 @@
+// Scheduler: reports of workers: what runs there, and what has ended.
+#include <algorithm>
+
+#include "fleet/scheduler_impl.h"
+#include "observe/log.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr std::uint32_t kMaxFailStreak = 3;       // failures in a row that quarantine a worker
+constexpr Duration kBaseQuarantine = seconds(2);  // doubled for each further quarantine in a row
+constexpr std::uint32_t kMaxQuarantineDoublings = 3;
+
+}  // namespace
+
+// Applies the ends and running tasks that workers reported of a job before it was added.
+void Scheduler::ApplyOrphanReports(Job& aJob, TimePoint aNow)
+{
+  const std::string prefix = aJob.mSpec.mId + ".";
+  for (auto& [id, worker] : mWorkers) {
+    std::vector<std::pair<TimePoint, EndedTask>> orphans = std::move(worker.mOrphanEnds);
+    worker.mOrphanEnds.clear();
+    for (auto& [seenAt, row] : orphans) {
+      if (row.mTask.starts_with(prefix))
+        ProcessEnd(worker, row, aNow);
+      else
+        worker.mOrphanEnds.emplace_back(seenAt, std::move(row));
+    }
+    for (Run& run : worker.mRuns)
+      if (!run.mKnown && run.mPhase == RunPhase::Running && run.mTask.starts_with(prefix))
+        AdoptRun(worker, run, aNow);
+  }
+}
+
+// Makes a run that a worker reports the current run of its task. Returns false if that is not
+// possible, because the job is unknown or over, or the task is done, on another worker or at a
+// later run. The capacity of the run is reserved whenever its task is known, also if it must be
+// stopped.
+bool Scheduler::AdoptRun(Worker& aWorker, Run& aRun, TimePoint aNow)
+{
+  EnsureOccurrence(aRun.mRef, aNow);
+  Job* job = FindJobMutable(aRun.mRef.mJob);
+  Task* task = FindTask(aRun.mRef);
+  if (!job || !task)
+    return false;
+  const StageSpec& spec = job->mSpec.mStages[aRun.mRef.mStage];
+  if (aRun.mMemoryMiB == 0 && aRun.mMilliCores == 0 && aRun.mAccelerators == 0) {
+    aRun.mMilliCores = spec.mFiller ? 0 : spec.mMilliCores;
+    aRun.mMemoryMiB = spec.mMemoryMiB;
+    aRun.mAccelerators = spec.mAccelerators;
+    aWorker.mUsedMilliCores += aRun.mMilliCores;
+    aWorker.mUsedMemoryMiB += aRun.mMemoryMiB;
+    aWorker.mUsedAccelerators += aRun.mAccelerators;
+  }
+  aRun.mFiller = spec.mFiller;
+  aRun.mEstimate = GetProgressEstimate(spec);
+  aRun.mLatencyTargetMs = spec.mLatencyTargetMs;
+  if (task->mDone || !task->mWorker.empty() || IsOver(job->mState) || aRun.mRun < task->mRun)
+    return false;
+  StageRun& stage = *FindStage(aRun.mRef);
+  aRun.mKnown = true;
+  task->mWorker = aWorker.mEntry.mId;
+  task->mRun = aRun.mRun;
+  task->mNeverRan = false;
+  --stage.mWaiting;
+  if (!aRun.mCheckpoint.empty()) {
+    task->mCheckpoint = aRun.mCheckpoint;
+    stage.mGangCheckpoint = aRun.mCheckpoint;
+  }
+  if (job->mState == JobState::Queued)
+    job->mState = JobState::Running;
+  return true;
+}
+
+void Scheduler::UpdateFailStreak(Worker& aWorker,
+                                 const std::string& aJob,
+                                 bool aFailed,
+                                 TimePoint aNow)
+{
+  if (!aFailed) {
+    aWorker.mFailStreak = 0;
+    aWorker.mQuarantines = 0;
+    return;
+  }
+  if (aWorker.mFailJob == aJob)  // a job that fails repeatedly is no sign of a bad worker
+    return;
+  aWorker.mFailJob = aJob;
+  if (++aWorker.mFailStreak < kMaxFailStreak)
+    return;
+  const std::uint32_t doublings = std::min(aWorker.mQuarantines, kMaxQuarantineDoublings);
+  aWorker.mQuarantinedUntil = aNow + kBaseQuarantine * (1 << doublings);
+  ++aWorker.mQuarantines;
+  aWorker.mFailStreak = kMaxFailStreak - 1;  // the next failure starts a quarantine again
+  Log(LogPart::Task,
+      LogLevel::Warn,
+      "tasks of several jobs failed in a row on a worker; it is quarantined",
+      { { "worker", aWorker.mEntry.mId }, { "ms", aWorker.mQuarantinedUntil - aNow } });
+}
+
+void Scheduler::MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow)
+{
+  Task& task = aStage.mTasks[aRef.mIndex];
+  if (task.mDone)
+    return;
+  if (task.mWorker.empty())
+    --aStage.mWaiting;
+  task.mDone = true;
+  ++aStage.mDone;
+  MarkDirty(aJob);
+  if (aStage.mDone < aStage.mTasks.size())
+    return;
+  for (StageRun& it : aJob.mOccurrences[aRef.mOccurrence].mStages)
+    it.mReadyAt = std::max(it.mReadyAt, aNow);
+  CheckJobEnd(aJob, aNow);
+}
+
+void Scheduler::ProcessEnd(Worker& aWorker, const EndedTask& aRow, TimePoint aNow)
+{
+  TaskRef ref;
+  if (!ParseTask(aRow.mTask, ref))
+    return;
+  EnsureOccurrence(ref, aNow);
+  Job* job = FindJobMutable(ref.mJob);
+  Task* task = FindTask(ref);
+  const auto run = std::find_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& aItem) {
+    return aItem.mTask == aRow.mTask && aItem.mRun == aRow.mRun;
+  });
+  const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
+  if (run != aWorker.mRuns.end())
+    DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
+  if (!job)
+    aWorker.mOrphanEnds.emplace_back(aNow, aRow);
+  if (!job || !task || task->mDone || IsOver(job->mState))
+    return;
+  StageRun& stage = *FindStage(ref);
+  const StageSpec& spec = job->mSpec.mStages[ref.mStage];
+  const QueueConfig* queue = FindQueue(job->mSpec.mQueue);
+  if (!aRow.mCheckpoint.empty() && spec.mCheckpointed && aRow.mRun >= task->mRun) {
+    task->mCheckpoint = aRow.mCheckpoint;
+    stage.mGangCheckpoint = aRow.mCheckpoint;
+  }
+  if (aRow.mKind == EndKind::Done && !spec.mLongRunning) {
+    UpdateFailStreak(aWorker, ref.mJob, false, aNow);
+    if (spec.mGang) {
+      for (std::uint32_t n = 0; n < stage.mTasks.size(); ++n)
+        MarkDone(*job, stage, TaskRef{ ref.mJob, ref.mOccurrence, ref.mStage, n }, aNow);
+    } else {
+      MarkDone(*job, stage, ref, aNow);
+    }
+    return;
+  }
+  if (aRow.mKind != EndKind::Failed)
+    return;
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "failed",
+      { { "task", aRow.mTask },
+        { "run", aRow.mRun },
+        { "worker", aWorker.mEntry.mId },
+        { "stopping", wasStopped ? "yes" : "no" } });
+  UpdateFailStreak(aWorker, ref.mJob, true, aNow);
+  task->mFailedOn.push_back(aWorker.mEntry.mId);
+  if (spec.mLongRunning)
+    return;
+  std::uint32_t failures = 0;
+  task->mFailedRuns.insert(aRow.mRun);
+  if (spec.mGang) {
+    stage.mFailedGangRuns.insert(aRow.mRun);
+    failures = static_cast<std::uint32_t>(stage.mFailedGangRuns.size());
+  } else {
+    failures = static_cast<std::uint32_t>(task->mFailedRuns.size());
+  }
+  MarkDirty(*job);
+  if (queue && failures >= queue->mMaxAttempts) {
+    Log(LogPart::Job,
+        LogLevel::Info,
+        "failed: a task failed as often as its queue allows",
+        { { "job", ref.mJob }, { "task", aRow.mTask }, { "failures", failures } });
+    EndJob(*job, JobState::Failed, aNow);
+  }
+}
+
+void Scheduler::OnReport(const std::string& aId,
+                         const WorkerReport& aReport,
+                         TimePoint aSentAt,
+                         TimePoint aNow)
+{
+  Worker* found = FindWorker(aId);
+  if (!found)
+    return;
+  Worker& worker = *found;
+  if (!worker.mReachable && worker.mFenced)
+    Log(LogPart::Task, LogLevel::Info, "a worker answers again", { { "worker", aId } });
+  if (aReport.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
+      aReport.mBornMs > worker.mEntry.mBornMs) {
+    ResetForNewIncarnation(worker, aNow);
+  }
+  if (aReport.mBornMs != 0)
+    worker.mEntry.mBornMs = aReport.mBornMs;
+  worker.mSuspectRuns.clear();
+  worker.mReachable = true;
+  worker.mFenced = worker.mFenced || aSentAt >= mFencedFrom;
+  worker.mAnsweredAt = aNow;
+
+  for (const EndedTask& row : aReport.mEnded) {
+    if (row.mNumber <= worker.mLastEnd)
+      continue;
+    ProcessEnd(worker, row, aNow);
+    worker.mLastEnd = row.mNumber;
+    mHasNewEnds = true;
+  }
+
+  std::map<std::pair<std::string_view, std::uint64_t>, const RunningTask*> listed;
+  for (const RunningTask& row : aReport.mRunning)
+    listed.emplace(std::pair(std::string_view(row.mTask), row.mRun), &row);
+
+  for (std::size_t n = worker.mRuns.size(); n-- > 0;) {
+    Run& run = worker.mRuns[n];
+    auto it = listed.find({ std::string_view(run.mTask), run.mRun });
+    if (it != listed.end()) {
+      const RunningTask& row = *it->second;
+      if (row.mPercent > run.mPercent || !run.mReported) {
+        run.mPercent = row.mPercent;
+        run.mProgressAt = aNow;
+      }
+      run.mReported = true;
+      run.mStarted = true;
+      ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
+      run.mTailLatencyMs = row.mTailLatencyMs;
+      if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt)
+        run.mPhase = RunPhase::Running;
+      if (run.mKnown && !row.mCheckpoint.empty())
+        if (Task* task = FindTask(run.mRef); task && task->mRun == run.mRun) {
+          task->mCheckpoint = row.mCheckpoint;
+          FindStage(run.mRef)->mGangCheckpoint = row.mCheckpoint;
+        }
+      listed.erase(it);
+      continue;
+    }
+    const bool isGone = (run.mPhase == RunPhase::Running && aSentAt > run.mSentAt) ||
+                        (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
+                         aSentAt > run.mStopAckedAt) ||
+                        !run.mKnown;
+    if (isGone) {
+      const bool neverRan = run.mKnown && !run.mReported && run.mPhase == RunPhase::Stopping;
+      if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
+        task->mFailedOn.push_back(aId);  // this worker refuses this run number from now on
+      DropRun(worker, n, neverRan);
+    }
+  }
+
+  // The remaining tasks run on the worker without being tracked: they are adopted if possible (as
+  // after a takeover), and stopped otherwise.
+  for (const auto& [key, row] : listed) {
+    Run run;
+    run.mTask = row->mTask;
+    run.mRun = row->mRun;
+    run.mReported = true;
+    run.mStarted = true;
+    run.mPercent = row->mPercent;
+    run.mTailLatencyMs = row->mTailLatencyMs;
+    run.mProgressAt = aNow;
+    run.mSentAt = aSentAt;
+    run.mPhase = RunPhase::Running;
+    run.mCheckpoint = row->mCheckpoint;
+    const bool isAdopted = ParseTask(row->mTask, run.mRef) && AdoptRun(worker, run, aNow);
+    Log(LogPart::Task,
+        LogLevel::Info,
+        isAdopted ? "adopted a running task" : "a worker runs a task that is not tracked",
+        { { "task", row->mTask }, { "run", row->mRun }, { "worker", aId } });
+    worker.mRuns.push_back(std::move(run));
+  }
+}
+
+}  // namespace monsoon::fleet
