Count workers that vanish with a task as crashed under it

What callers would see: a task that crashes its workers for good, or for longer than its lease, starts again every 7 s without end, each time on another worker.

A worker that stays away leaves the directory after three heartbeats and is erased when the leases of its tasks expire, so nothing was left to count against.

Change: a worker that is neither reachable nor listed when its leases expire counts as well, as a weaker sign, since it may be partitioned: such crashes end a job only after five, as those at any time of a run do.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -130,6 +130,12 @@
   TimePoint mEndedAt{};
 };
 
+enum class CrashEvidence : std::uint8_t  // of the end of a worker that does not answer
+{
+  Replaced,  // another incarnation answers or is listed
+  Vanished   // unlisted until the leases of its tasks expired; it may be partitioned instead
+};
+
 struct Worker
 {
   WorkerEntry mEntry{};
@@ -302,7 +308,7 @@
   void MarkDirty(Job& aJob);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   void ResetForNewIncarnation(Worker& aWorker, TimePoint aNow);
-  void RecordCrash(Worker& aWorker, TimePoint aNow);
+  void RecordCrash(Worker& aWorker, CrashEvidence aEvidence, TimePoint aNow);
   void AddCrash(const TaskRef& aRef, const WorkerCrash& aCrash, TimePoint aNow);
   [[nodiscard]] bool CrashedWithOthers(const Worker& aWorker) const;
   void RememberSilence(TimePoint aAt);
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -56,10 +56,11 @@
 
 // Counts the crash of a worker against the tasks that it ran. A draining worker leaves with its
 // tasks; that is no crash.
-void Scheduler::RecordCrash(Worker& aWorker, TimePoint aNow)
+void Scheduler::RecordCrash(Worker& aWorker, CrashEvidence aEvidence, TimePoint aNow)
 {
   if (aWorker.mEntry.mDraining)
     return;
+  const bool isCertain = aEvidence == CrashEvidence::Replaced;
   std::map<TaskRef, WorkerCrash> crashes;
   std::set<std::string> jobs;  // with tasks that had just started
   for (const Run& it : aWorker.mRuns) {
@@ -67,7 +68,7 @@
       continue;
     // A start that was not confirmed may have caused the crash, or may not have taken place.
     const bool isUnproven = IsUnproven(aWorker, it);
-    crashes[it.mRef] = { it.mRun, it.mStarted && isUnproven, false };
+    crashes[it.mRef] = { it.mRun, isCertain && it.mStarted && isUnproven, false };
     if (isUnproven)
       jobs.insert(it.mRef.mJob);
   }
@@ -75,7 +76,7 @@
     TaskRef ref;
     if (!ParseTask(it.mTask, ref))
       continue;
-    crashes[ref] = { it.mRun, true, false };
+    crashes[ref] = { it.mRun, isCertain, false };
     jobs.insert(ref.mJob);
   }
   aWorker.mSuspectRuns.clear();
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -60,7 +60,7 @@
           { "successor", aEntry.mId },
           { "tasks", other.mRuns.size() },
           { "just_started", FormatRuns(ListUnproven(other)) } });
-    RecordCrash(other, aNow);
+    RecordCrash(other, CrashEvidence::Replaced, aNow);
     while (!other.mRuns.empty())
       DropRun(other, other.mRuns.size() - 1);
     mReplaced[it->first] = other.mEntry.mBornMs;
@@ -81,7 +81,7 @@
         { "tasks", worker->mRuns.size() },
         { "just_started", FormatRuns(ListUnproven(*worker)) } });
   mReplaced[aId] = worker->mEntry.mBornMs;
-  RecordCrash(*worker, aNow);
+  RecordCrash(*worker, CrashEvidence::Replaced, aNow);
   while (!worker->mRuns.empty())
     DropRun(*worker, worker->mRuns.size() - 1);
   mWorkers.erase(aId);
@@ -118,7 +118,7 @@
       { { "worker", aWorker.mEntry.mId },
         { "tasks", aWorker.mRuns.size() },
         { "just_started", FormatRuns(ListUnproven(aWorker)) } });
-  RecordCrash(aWorker, aNow);
+  RecordCrash(aWorker, CrashEvidence::Replaced, aNow);
   for (std::size_t n = aWorker.mRuns.size(); n-- > 0;)
     if (aWorker.mRuns[n].mPhase != RunPhase::Starting)
       DropRun(aWorker, n);
@@ -184,8 +184,11 @@
             { "renewed_ago_ms", aNow - worker.mLeaseSentAt },
             { "answered", worker.mFenced ? "yes" : "no" },
             { "listed", worker.mListed ? "yes" : "no" } });
-    for (TaskRun& run : ListUnproven(worker))
-      worker.mSuspectRuns.push_back(std::move(run));
+    if (worker.mListed)
+      for (TaskRun& run : ListUnproven(worker))
+        worker.mSuspectRuns.push_back(std::move(run));
+    else
+      RecordCrash(worker, CrashEvidence::Vanished, aNow);
     while (!worker.mRuns.empty())
       DropRun(worker, worker.mRuns.size() - 1);
     if (!worker.mListed)
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -155,6 +155,34 @@
   CHECK((scheduler.FindJob("a")->mState == JobState::Failed) == !isRack);
 }
 
+TEST_CASE("fleet: a task starts without end on workers that crash for good")
+{
+  const bool isConfirmed = GENERATE(true, false);
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue());
+  scheduler.SetQueues(config);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, now);
+  std::size_t starts = 0;
+  for (std::size_t n = 0; n < 2 * kMaxStarts; ++n) {
+    const std::string worker = "w" + std::to_string(n);
+    scheduler.ListWorker(MakeEntry(worker), true, now);
+    scheduler.OnReport(worker, {}, now, now);
+    for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
+      ++starts;
+      scheduler.OnStart(it, isConfirmed ? StartOutcome::Started : StartOutcome::Unknown, now);
+    }
+    scheduler.OnSilence(worker, now + milliseconds(10));
+    now += seconds(5);
+    scheduler.UnlistWorker(worker, now);
+    now += seconds(5);
+    scheduler.DropLapsed(now, Duration::zero());
+  }
+  CHECK(starts <= kMaxStarts);
+  CHECK(scheduler.FindJob("a")->mState == JobState::Failed);
+}
+
 TEST_CASE("fleet: progress stored by a build that counted no crashes is not read")
 {
   std::string stored(1, static_cast<char>(JobState::Running));
