Forget crashes of workers that a lasting task has outlived

Cause: the crashes counted against a task were kept for as long as its job lives. That is right for work that ends, not for tasks that are to last.

Change: when the worker of a lasting task crashes 60 s or more after the task's start, that crash and the earlier ones no longer count. Tasks that crash their workers do so well before.

Evidence: "fleet: a lasting task is given up for crashes of its workers months apart" failed before; a task that does not last is still given up in the same test.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -309,6 +309,8 @@
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   void ResetForNewIncarnation(Worker& aWorker, TimePoint aNow);
   void RecordCrash(Worker& aWorker, CrashEvidence aEvidence, TimePoint aNow);
+  [[nodiscard]] bool OutlivedCrashes(const Worker& aWorker, const Run& aRun) const;
+  void ForgetCrashes(const TaskRef& aRef);
   void AddCrash(const TaskRef& aRef, const WorkerCrash& aCrash, TimePoint aNow);
   [[nodiscard]] bool CrashedWithOthers(const Worker& aWorker) const;
   void RememberSilence(TimePoint aAt);
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kSameTime = milliseconds(20);
 constexpr std::size_t kMinOthersForCommonCause = 2;
 constexpr std::size_t kMaxSilences = 256;
+constexpr Duration kOutlived = seconds(60);
 
 }  // namespace
 
@@ -66,6 +67,10 @@
   for (const Run& it : aWorker.mRuns) {
     if (!it.mKnown)
       continue;
+    if (OutlivedCrashes(aWorker, it)) {
+      ForgetCrashes(it.mRef);
+      continue;
+    }
     // A start that was not confirmed may have caused the crash, or may not have taken place.
     const bool isUnproven = IsUnproven(aWorker, it);
     crashes[it.mRef] = { it.mRun, isCertain && it.mStarted && isUnproven, false };
@@ -87,6 +92,29 @@
   }
 }
 
+// Returns whether a lasting task has run for so long that it is not the cause of its workers'
+// crashes. Other tasks keep a bounded number of crashes however long they ran.
+bool Scheduler::OutlivedCrashes(const Worker& aWorker, const Run& aRun) const
+{
+  const Job* job = FindJob(aRun.mRef.mJob);
+  return job && job->mSpec.mStages[aRun.mRef.mStage].mLongRunning &&
+         aWorker.mAnsweredAt - aRun.mSentAt >= kOutlived;
+}
+
+void Scheduler::ForgetCrashes(const TaskRef& aRef)
+{
+  Job* job = FindJobMutable(aRef.mJob);
+  Task* task = FindTask(aRef);
+  if (!job || !task || task->mCrashes.empty())
+    return;
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "a lasting task ran for long; earlier crashes of its workers no longer count",
+      { { "task", FormatTask(aRef) }, { "crashes", task->mCrashes.size() } });
+  task->mCrashes.clear();
+  MarkDirty(*job);
+}
+
 void Scheduler::AddCrash(const TaskRef& aRef, const WorkerCrash& aCrash, TimePoint aNow)
 {
   Job* job = FindJobMutable(aRef.mJob);
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -183,6 +183,34 @@
   CHECK(scheduler.FindJob("a")->mState == JobState::Failed);
 }
 
+TEST_CASE("fleet: a lasting task is given up for crashes of its workers months apart")
+{
+  const bool isLasting = GENERATE(true, false);
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue());
+  scheduler.SetQueues(config);
+  JobSpec job = MakeJob("a", 1);
+  job.mStages[0].mLongRunning = isLasting;
+  scheduler.AddJob(job, {}, false, now);
+  for (std::size_t n = 0; n < 2 * kMaxStarts; ++n) {
+    const std::string worker = "w" + std::to_string(n);
+    scheduler.ListWorker(MakeEntry(worker), true, now);
+    scheduler.OnReport(worker, {}, now, now);
+    for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
+      scheduler.OnStart(it, StartOutcome::Started, now);
+      now += std::chrono::hours(24 * 60);
+      WorkerReport report;
+      report.mRunning.push_back({ .mTask = it.mTask, .mRun = it.mRun });
+      scheduler.OnReport(worker, report, now, now);
+    }
+    scheduler.OnSilence(worker, now);
+    scheduler.OnReplaced(worker, now);
+  }
+  CHECK((scheduler.FindJob("a")->mState == JobState::Failed) == !isLasting);
+}
+
 TEST_CASE("fleet: progress stored by a build that counted no crashes is not read")
 {
   std::string stored(1, static_cast<char>(JobState::Running));
