Let new workers that never answer hold back no job of an earlier epoch

What callers would see: LOST, a lasting task "doesn't run, with capacity for it", once, long after a takeover.

Change: only workers that a previous holder had stored count. A holder starts tasks only on workers in the stored list, and writes that list under its own key as a condition, so a worker that was not stored when this holder loaded the list can't run an earlier task.

Evidence: "fleet: a new worker that never answers holds back lasting tasks of earlier epochs" took 16,370 ms before (9,000 allowed), for a new id and for one that is shown again.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -148,6 +148,7 @@
   // It is unresponsive and mFinalTasks is to be stored, so nothing may start there.
   bool mFinalWanted = false;
   bool mRecorded = false;   // in the stored list of workers in use
+  bool mInherited = false;  // stored by a previous holder, which may have started tasks there
   bool mFenced = false;     // answered in this epoch, or its older leases expired
   bool mReachable = false;  // answered the last call
   TimePoint mAnsweredAt{};
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -54,6 +54,13 @@
   return std::min(aLongest, std::chrono::duration_cast<Duration>(wait / (1 + aWorkerClockDrift)));
 }
 
+// Returns whether the worker may run tasks of earlier epochs that this holder does not know of.
+// Previous holders started tasks only on workers that they had stored.
+inline bool IsUnresolved(const Worker& aWorker)
+{
+  return aWorker.mInherited && !aWorker.mFenced;
+}
+
 // A worker that still answers this long after a task started there has survived the start.
 inline constexpr Duration kProvenAfter = milliseconds(250);
 
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -72,7 +72,7 @@
   std::size_t unresolved = 0;
   mPossiblyRunning.clear();
   for (const auto& [id, worker] : mWorkers) {
-    if (worker.mFenced)
+    if (!IsUnresolved(worker))
       continue;
     if (worker.mFinalTasks)
       mPossiblyRunning.insert(worker.mFinalTasks->begin(), worker.mFinalTasks->end());
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -106,6 +106,7 @@
   worker.mEntry.mBornMs = startMs;
   worker.mListed = true;
   worker.mRecorded = worker.mRecorded || aRecorded;
+  worker.mInherited = worker.mInherited || aRecorded;
 }
 
 // Drops the runs of a worker that was restarted, as its tasks are gone. Runs whose start order is
@@ -213,8 +214,8 @@
 
 bool Scheduler::AreAllResolved() const
 {
-  return std::all_of(
-    mWorkers.begin(), mWorkers.end(), [](const auto& aItem) { return aItem.second.mFenced; });
+  return std::none_of(
+    mWorkers.begin(), mWorkers.end(), [](const auto& aItem) { return IsUnresolved(aItem.second); });
 }
 
 // Lets the task of a run wait to be placed again, unless it is done or another run has replaced it.
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -147,3 +147,32 @@
   successor.DropLapsed(kStart + age + lasts, kMaxLeaseOverhang);
   CHECK(!successor.AreAllResolved());
 }
+
+TEST_CASE("fleet: a new worker that never answers holds back lasting tasks of earlier epochs")
+{
+  Scheduler scheduler = MakeScheduler(seconds(10), 2);
+  AddWorkers(scheduler, 60);
+  scheduler.AddJob(MakeLastingJob(), {}, true, kStart);
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = "a.0.0.0", .mRun = 7 });
+  scheduler.OnReport("w0", report, kStart, kStart);
+  // The entry of another worker is given up, and shown again later.
+  scheduler.OnSilence("w1", kStart + seconds(1));
+  scheduler.UnlistWorker("w1", kStart + seconds(10));
+  scheduler.DropLapsed(kStart + seconds(40), kMaxLeaseOverhang);
+  REQUIRE(!scheduler.FindWorker("w1"));
+
+  const TimePoint crashedAt = kStart + seconds(60);
+  scheduler.FindWorker("w0")->mLeaseSentAt = crashedAt;
+  scheduler.OnSilence("w0", crashedAt + milliseconds(1));
+  const TimePoint joinedAt = crashedAt + seconds(6);
+  scheduler.DropLapsed(joinedAt, kMaxLeaseOverhang);
+  WorkerEntry entry;
+  entry.mId = GENERATE("new", "w1");
+  entry.mAddress = "10.0.9.9:80";
+  entry.mService = "pool";
+  scheduler.ListWorker(entry, false, joinedAt);
+  const auto [order, startedAt] = PlanUntilStart(scheduler, joinedAt, kMaxLeaseOverhang);
+  CHECK(order.mTask == "a.0.0.0");
+  CHECK((startedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
+}
