Count the leases of a worker from its first answer to a new holder

What callers could see: TWICE after a takeover. When a worker first answered a new holder, the wait for its leases became shorter by the 2 s in which the previous holder may go on renewing, but was still counted from when the worker was listed: a renewal of the previous holder just before that answer could outlive it. The poll that follows hid this by renewing at once.

Evidence: "fleet: leases that the previous holder renewed until a worker's first answer are cut short" failed before (the run was given up 1 ms before its lease ended).

--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -200,7 +200,10 @@
     worker.mEntry.mBornMs = aReport.mBornMs;
   worker.mSuspectRuns.clear();
   worker.mReachable = true;
-  worker.mFenced = worker.mFenced || aSentAt >= mFencedFrom;
+  if (!worker.mFenced && aSentAt >= mFencedFrom) {
+    worker.mFenced = true;
+    worker.mLeaseSentAt = aNow;  // the previous holder may have renewed leases until now
+  }
   worker.mAnsweredAt = aNow;
 
   for (const EndedTask& row : aReport.mEnded) {
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -176,3 +176,23 @@
   CHECK(order.mTask == "a.0.0.0");
   CHECK((startedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
 }
+
+TEST_CASE(
+  "fleet: leases that the previous holder renewed until a worker's first answer are cut short")
+{
+  const SchedulerSettings settings{ .mEpoch = 2, .mMaxTaskLease = seconds(10) };
+  Scheduler successor(settings);
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.1:80";
+  successor.ListWorker(entry, true, kStart);
+  successor.AddJob(MakeLastingJob(), {}, true, kStart);
+  const TimePoint answeredAt = kStart + seconds(2);
+  const Duration lease = successor.GetTaskLease(answeredAt, kStart);
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = "a.0.0.0", .mRun = 7 });
+  successor.OnReport("w0", report, answeredAt, answeredAt);
+  successor.OnSilence("w0", answeredAt + milliseconds(400));
+  successor.DropLapsed(answeredAt + lease - milliseconds(1), kMaxLeaseOverhang);
+  CHECK(successor.FindWorker("w0")->mRuns.size() == 1);
+}
