Count inherited leases from the election, and always with the overhang

What callers could see: TWICE, or a longer absence of lasting tasks, after a takeover.

Cause: a successor whose predecessor had answered that it stopped waited for no overhang. But a predecessor that is cut off from the store may have renewed leases until it answered, and so may a holder before it, of which the answer says nothing.

Change: the wait for workers that have not answered is always the lease and 2 s, counted from the election. A planned handover with a dead worker waits up to 2 s longer for its tasks than before, within the 11 s of any takeover.

Evidence: by review.

--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -68,7 +68,7 @@
     worker.mService = record->mService;
     worker.mBornMs = record->mBornMs;
     worker.mCreatedRevision = record->mCreatedRevision;
-    mScheduler.ListWorker(worker, true, BootClock::now());
+    mScheduler.ListWorker(worker, true, mElectedAt);
     mScheduler.UnlistWorker(worker.mId, BootClock::now());
     mRecordedWorkers.insert(worker.mId);
     if (Worker* known = mScheduler.FindWorker(worker.mId))
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -391,7 +391,7 @@
     ExpireAdvice();
     const TimePoint now = BootClock::now();
     if (MayRenewTaskLeases())
-      mScheduler.DropLapsed(now, mPreviousHolderStopped ? Duration::zero() : kMaxLeaseOverhang);
+      mScheduler.DropLapsed(now);
     Dispatch(mScheduler.Plan(now, ReadWallMillis(), MayStart(), CountFreeAdvisors()));
     // Limits planning to a fifth of the thread's time, so that answers are handled in between.
     const Duration took = BootClock::now() - now;
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -235,6 +235,7 @@
   void SetQueues(const FleetConfig& aConfig);
 
   // Workers
+  // aRecorded: a previous holder has stored it; aNow is then the time of this holder's election.
   void ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow);
   // Sets the list, stored by a previous holder, of all tasks that an unresponsive worker may run.
   // aSuspects: as listed by ListUnproven.
@@ -279,10 +280,10 @@
   // Returns how long the tasks on a worker may run after a renewal that is sent now.
   // aHolderRenewedAt: when the holder's own lease was last renewed.
   [[nodiscard]] Duration GetTaskLease(TimePoint aNow, TimePoint aHolderRenewedAt) const;
-  // Releases the tasks of unresponsive workers whose task leases have certainly expired. aGrace is
-  // added to the leases of workers that have not answered in this epoch: kMaxLeaseOverhang, unless
-  // the previous holder has stopped.
-  void DropLapsed(TimePoint aNow, Duration aGrace);
+  // Releases the tasks of unresponsive workers whose task leases have certainly expired. Previous
+  // holders may have granted leases to workers that have not answered in this epoch, which end
+  // kMaxLeaseOverhang later.
+  void DropLapsed(TimePoint aNow);
 
   // Stored progress
   [[nodiscard]] bool HasProgress() const { return !mDirtyJobs.empty() || mHasNewEnds; }
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -158,7 +158,7 @@
   return std::min(mTaskLease, aHolderRenewedAt + mTaskLease + kMaxLeaseOverhang - aNow);
 }
 
-void Scheduler::DropLapsed(TimePoint aNow, Duration aGrace)
+void Scheduler::DropLapsed(TimePoint aNow)
 {
   const auto getExpiry = [this](Duration aLease) {
     return std::chrono::duration_cast<Duration>(aLease * (1 + mSettings.mWorkerClockDrift)) +
@@ -166,7 +166,7 @@
   };
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     Worker& worker = it->second;
-    const Duration limit = getExpiry(worker.mFenced ? mTaskLease : mTaskLease + aGrace);
+    const Duration limit = getExpiry(worker.mFenced ? mTaskLease : mTaskLease + kMaxLeaseOverhang);
     // The entry of a worker that is only silent stays listed for two more heartbeats at least; one
     // that disappears sooner after an answer was removed because the worker left.
     const bool hasLeft =
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -455,7 +455,7 @@
 void FleetModel::Tick()
 {
   InjectFaults();
-  mScheduler->DropLapsed(mNow, Duration::zero());
+  mScheduler->DropLapsed(mNow);
   Orders orders = mScheduler->Plan(mNow, 0, true, 8);
   for (const StopOrder& it : orders.mStops)
     SendStop(it);
--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -124,10 +124,10 @@
   // A partition: no answers, and after three missed heartbeats no directory entry.
   scheduler.OnSilence("w0", kStart + seconds(1));
   scheduler.UnlistWorker("w0", kStart + milliseconds(4500));
-  scheduler.DropLapsed(kStart + milliseconds(4600), Duration::zero());
+  scheduler.DropLapsed(kStart + milliseconds(4600));
   REQUIRE(scheduler.FindWorker("w0"));
   CHECK(scheduler.FindWorker("w0")->mRuns.size() == 1);
-  scheduler.DropLapsed(kStart + milliseconds(6400), Duration::zero());
+  scheduler.DropLapsed(kStart + milliseconds(6400));
   CHECK(!scheduler.FindWorker("w0"));
 }
 
@@ -146,7 +146,7 @@
     kStart + milliseconds(900));
   scheduler.UnlistWorker("w0", kStart + milliseconds(1200));
   scheduler.OnSilence("w0", kStart + milliseconds(1300));
-  scheduler.DropLapsed(kStart + milliseconds(1350), Duration::zero());
+  scheduler.DropLapsed(kStart + milliseconds(1350));
   CHECK(!scheduler.FindWorker("w0"));
 }
 
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -177,7 +177,7 @@
     now += seconds(5);
     scheduler.UnlistWorker(worker, now);
     now += seconds(5);
-    scheduler.DropLapsed(now, Duration::zero());
+    scheduler.DropLapsed(now);
   }
   CHECK(starts <= kMaxStarts);
   CHECK(scheduler.FindJob("a")->mState == JobState::Failed);
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -63,9 +63,7 @@
 
 // Plans from aFrom on, and answers policy calls when they are expected to end, until a task starts.
 // Returns its order and the time.
-std::pair<StartOrder, TimePoint> PlanUntilStart(Scheduler& aScheduler,
-                                                TimePoint aFrom,
-                                                Duration aGrace = Duration::zero())
+std::pair<StartOrder, TimePoint> PlanUntilStart(Scheduler& aScheduler, TimePoint aFrom)
 {
   std::optional<AdviceOrder> call;
   TimePoint askedAt{};
@@ -77,7 +75,7 @@
       aScheduler.OnAdvice(*call, &admitted, seconds(2), askedAt, now);
       call.reset();
     }
-    aScheduler.DropLapsed(now, aGrace);
+    aScheduler.DropLapsed(now);
     Orders orders = aScheduler.Plan(now, 0, true, 1);
     if (!orders.mStarts.empty())
       return { orders.mStarts[0], now };
@@ -123,7 +121,7 @@
   entry.mService = "pool";
   scheduler.ListWorker(entry, true, kStart);
   scheduler.AddJob(MakeLastingJob(), {}, true, kStart);
-  const auto [order, startedAt] = PlanUntilStart(scheduler, kStart, kMaxLeaseOverhang);
+  const auto [order, startedAt] = PlanUntilStart(scheduler, kStart);
   REQUIRE(order.mRun > 0);
   CHECK((startedAt - kStart) / milliseconds(1) <= kMaxAwayInTakeover / milliseconds(1));
 }
@@ -144,7 +142,7 @@
   // The worker's clock is as slow as it may be.
   const Duration lasts = std::chrono::duration_cast<Duration>(std::max(lease, Duration::zero()) *
                                                               (1 + settings.mWorkerClockDrift));
-  successor.DropLapsed(kStart + age + lasts, kMaxLeaseOverhang);
+  successor.DropLapsed(kStart + age + lasts);
   CHECK(!successor.AreAllResolved());
 }
 
@@ -159,20 +157,20 @@
   // The entry of another worker is given up, and shown again later.
   scheduler.OnSilence("w1", kStart + seconds(1));
   scheduler.UnlistWorker("w1", kStart + seconds(10));
-  scheduler.DropLapsed(kStart + seconds(40), kMaxLeaseOverhang);
+  scheduler.DropLapsed(kStart + seconds(40));
   REQUIRE(!scheduler.FindWorker("w1"));
 
   const TimePoint crashedAt = kStart + seconds(60);
   scheduler.FindWorker("w0")->mLeaseSentAt = crashedAt;
   scheduler.OnSilence("w0", crashedAt + milliseconds(1));
   const TimePoint joinedAt = crashedAt + seconds(6);
-  scheduler.DropLapsed(joinedAt, kMaxLeaseOverhang);
+  scheduler.DropLapsed(joinedAt);
   WorkerEntry entry;
   entry.mId = GENERATE("new", "w1");
   entry.mAddress = "10.0.9.9:80";
   entry.mService = "pool";
   scheduler.ListWorker(entry, false, joinedAt);
-  const auto [order, startedAt] = PlanUntilStart(scheduler, joinedAt, kMaxLeaseOverhang);
+  const auto [order, startedAt] = PlanUntilStart(scheduler, joinedAt);
   CHECK(order.mTask == "a.0.0.0");
   CHECK((startedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
 }
@@ -193,6 +191,6 @@
   report.mRunning.push_back({ .mTask = "a.0.0.0", .mRun = 7 });
   successor.OnReport("w0", report, answeredAt, answeredAt);
   successor.OnSilence("w0", answeredAt + milliseconds(400));
-  successor.DropLapsed(answeredAt + lease - milliseconds(1), kMaxLeaseOverhang);
+  successor.DropLapsed(answeredAt + lease - milliseconds(1));
   CHECK(successor.FindWorker("w0")->mRuns.size() == 1);
 }
