Count leases and starts from one moment, before the permission is checked

Cause: a poll remembered its time as the renewal of the tasks' leases, but computed their end from a later reading of the clock. A process that is paused between the two grants leases that last longer than it believes, by the pause; likewise a start was checked before its time was taken, so a pause between the two made a permission that had expired look valid to the worker.

Change: one reading, taken before the check; after a pause the worker refuses the order.

Evidence: by review; no test of its own (the two readings are a few instructions apart).

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -139,7 +139,7 @@
   void OnPredecessorStopped(Duration aQuiet);  // aQuiet: as in ResignReply
   Async<void> RecordSettled();
   [[nodiscard]] bool MayRenewTaskLeases() const;
-  [[nodiscard]] std::int64_t EstimateWorkerClock(const Channel& aChannel) const;
+  [[nodiscard]] std::int64_t EstimateWorkerClock(const Channel& aChannel, TimePoint aAt) const;
   [[nodiscard]] std::optional<platform::WorkerTarget> MakeTarget(const std::string& aId);
 
   asio::io_context& mContext;
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -37,11 +37,10 @@
 
 }  // namespace
 
-// Estimates the worker's present clock from its last known reading.
-std::int64_t Holder::EstimateWorkerClock(const Channel& aChannel) const
+// Estimates the worker's clock at a time from its last known reading.
+std::int64_t Holder::EstimateWorkerClock(const Channel& aChannel, TimePoint aAt) const
 {
-  const auto passed =
-    std::chrono::duration_cast<milliseconds>(BootClock::now() - aChannel.mClockAt);
+  const auto passed = std::chrono::duration_cast<milliseconds>(aAt - aChannel.mClockAt);
   return aChannel.mClockMs + passed.count();
 }
 
@@ -103,8 +102,8 @@
   const Duration lease = mScheduler.GetTaskLease(sentAt, mGrant.mRenewedAt);
   if (channel.mClockMs != 0 && worker->mReachable && MayRenewTaskLeases() &&
       lease > Duration::zero()) {
-    order.mUntilMs =
-      EstimateWorkerClock(channel) + std::chrono::duration_cast<milliseconds>(lease).count();
+    order.mUntilMs = EstimateWorkerClock(channel, sentAt) +
+                     std::chrono::duration_cast<milliseconds>(lease).count();
     worker->mLeaseSentAt = sentAt;
   }
   auto report =
@@ -227,6 +226,8 @@
 {
   auto self = shared_from_this();
   auto target = MakeTarget(aId);
+  // Taken before the permission is checked: after a pause the worker refuses the order.
+  const TimePoint sentAt = BootClock::now();
   if (!target || !MayStart()) {
     mScheduler.OnStart(aOrder, StartOutcome::NotStarted, BootClock::now());
     co_return;
@@ -240,14 +241,13 @@
     WakePlan();
     co_return;
   }
-  const TimePoint sentAt = BootClock::now();
   // The order counts as a renewal up to the last moment at which it may take effect.
   if (Worker* worker = mScheduler.FindWorker(aId))
     worker->mLeaseSentAt =
       std::max(worker->mLeaseSentAt,
                sentAt + kStartEffect - mScheduler.GetTaskLease(sentAt, mGrant.mRenewedAt));
   // The worker refuses an order that arrives after this time. Polls renew the tasks' leases.
-  const std::int64_t until = EstimateWorkerClock(mChannels[aId]) + kStartValidity.count();
+  const std::int64_t until = EstimateWorkerClock(mChannels[aId], sentAt) + kStartValidity.count();
   std::erase_if(mUnsettledStarts,
                 [&](const auto& aItem) { return sentAt - aItem.second > kStartEffect; });
   const std::uint64_t number = ++mNextStart;
