Place lasting tasks that ran before ahead of urgent jobs

What callers would see: LOST, a lasting task "doesn't run, with capacity for it", for as long as jobs of a better priority ask for more policy calls than the members can make.

Cause: policy calls are handed out strictly by priority, and each urgent job has one; a lasting task that lost its worker got none however much room there was.

Change: lasting tasks that ran before come first; they are few. The time since when such a task was away is no longer set by a start that was refused or withdrawn.

Evidence: "fleet: policy calls of urgent jobs keep a lasting task from running again" failed before at one urgent job each 90 ms and nine members (not back after 30 s).

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -343,6 +343,7 @@
   void PlaceStage(const Ready& aReady, TimePoint aNow, Orders& aOrders);
   void PlaceGang(const Ready& aReady, TimePoint aNow, Orders& aOrders);
   void RepairGang(const Ready& aReady, TimePoint aNow, Orders& aOrders);
+  [[nodiscard]] static bool HasRunBefore(const StageRun& aStage);
   [[nodiscard]] static bool IsGangRepairable(const StageRun& aStage);
   void RequestAdvice(const Ready& aReady,
                      TimePoint aNow,
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -78,7 +78,8 @@
   const QueueConfig* mQueue = nullptr;
   const StageSpec* mSpec = nullptr;
   StageRun* mStage = nullptr;
-  TaskRef mRef{};  // mIndex is not used
+  TaskRef mRef{};           // mIndex is not used
+  bool mIsRestart = false;  // of lasting tasks that ran before
 };
 
 }  // namespace monsoon::fleet
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -64,6 +64,14 @@
   });
 }
 
+// Returns whether a waiting task of the stage has run before.
+bool Scheduler::HasRunBefore(const StageRun& aStage)
+{
+  return std::any_of(aStage.mTasks.begin(), aStage.mTasks.end(), [](const Task& aItem) {
+    return aItem.mWorker.empty() && aItem.mSeenAt != TimePoint{};
+  });
+}
+
 std::vector<Scheduler::Ready> Scheduler::CollectReady(TimePoint aNow, std::int64_t aWallMs)
 {
   std::vector<Ready> ready;
@@ -105,13 +113,21 @@
                      std::chrono::duration_cast<Duration>(queue->mStretch *
                                                           EstimateChain(job.mSpec.mStages, *queue));
       }
-      for (std::uint32_t n = 0; n < occurrence.mStages.size(); ++n)
-        if (IsStageReady(job, occurrence, n))
-          ready.push_back(
-            { &job, queue, &job.mSpec.mStages[n], &occurrence.mStages[n], TaskRef{ id, k, n, 0 } });
+      for (std::uint32_t n = 0; n < occurrence.mStages.size(); ++n) {
+        if (!IsStageReady(job, occurrence, n))
+          continue;
+        const StageSpec& spec = job.mSpec.mStages[n];
+        ready.push_back({ &job, queue, &spec, &occurrence.mStages[n], TaskRef{ id, k, n, 0 } });
+        ready.back().mIsRestart =
+          spec.mLongRunning && (job.mInherited || HasRunBefore(occurrence.mStages[n]));
+      }
     }
   }
+  // Lasting tasks that ran before come first: they are few, and have to be back soon however many
+  // urgent jobs ask for policy calls.
   std::sort(ready.begin(), ready.end(), [](const Ready& aLeft, const Ready& aRight) {
+    if (aLeft.mIsRestart != aRight.mIsRestart)
+      return aLeft.mIsRestart;
     if (aLeft.mQueue->mPriority != aRight.mQueue->mPriority)
       return aLeft.mQueue->mPriority < aRight.mQueue->mPriority;
     return aLeft.mJob->mDueAt < aRight.mJob->mDueAt;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -238,7 +238,8 @@
   aWorker.mUsedMilliCores -= run.mMilliCores;
   aWorker.mUsedMemoryMiB -= run.mMemoryMiB;
   aWorker.mUsedAccelerators -= run.mAccelerators;
-  if (Task* task = run.mKnown ? FindTask(run.mRef) : nullptr; task && task->mRun == run.mRun)
+  Task* task = run.mKnown && !aNeverRan ? FindTask(run.mRef) : nullptr;
+  if (task && task->mRun == run.mRun)
     task->mSeenAt = aWorker.mAnsweredAt;
   ReleaseTask(run, aNeverRan);
 }
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -194,3 +194,69 @@
   successor.DropLapsed(answeredAt + lease - milliseconds(1));
   CHECK(successor.FindWorker("w0")->mRuns.size() == 1);
 }
+
+TEST_CASE("fleet: policy calls of urgent jobs keep a lasting task from running again")
+{
+  constexpr int kAdvisors = 9;
+  const Duration interval = milliseconds(GENERATE(1000, 120, 90));  // of urgent jobs
+  Scheduler scheduler = MakeScheduler(seconds(6));
+  FleetConfig config;
+  for (const char* name : { "q", "urgent" }) {
+    QueueConfig queue;
+    queue.mName = name;
+    queue.mService = "pool";
+    queue.mNeedsAdvice = true;
+    queue.mAdviceBase = milliseconds(450);
+    queue.mAdvicePerWorker = std::chrono::microseconds(6500);
+    queue.mAdviceValid = seconds(2);
+    queue.mPriority = queue.mName == "q" ? 2 : 1;
+    config.mQueues.push_back(queue);
+  }
+  scheduler.SetQueues(config);
+  AddWorkers(scheduler, 350);
+  scheduler.AddJob(MakeLastingJob(), {}, false, kStart);
+  const auto [first, startedAt] = PlanUntilStart(scheduler, kStart);
+  scheduler.OnStart(first, StartOutcome::Started, startedAt);
+  const TimePoint crashedAt = startedAt + seconds(4);
+  scheduler.FindWorker(first.mWorker)->mLeaseSentAt = crashedAt;
+  scheduler.OnSilence(first.mWorker, crashedAt + milliseconds(1));
+
+  TimePoint nextAt = crashedAt;
+  int jobs = 0;
+  std::vector<std::pair<AdviceOrder, TimePoint>> calls;
+  std::optional<TimePoint> restartedAt;
+  for (TimePoint now = crashedAt; now < crashedAt + seconds(30) && !restartedAt; now += kStep) {
+    if (now >= nextAt) {
+      nextAt = now + interval;
+      JobSpec job = MakeLastingJob();
+      job.mId = "u" + std::to_string(++jobs);
+      job.mQueue = "urgent";
+      job.mStages[0].mLongRunning = false;
+      job.mStages[0].mMilliCores = 10;
+      job.mStages[0].mMemoryMiB = 10;
+      scheduler.AddJob(job, {}, false, now);
+    }
+    std::erase_if(calls, [&](const auto& aItem) {
+      const auto& [call, askedAt] = aItem;
+      if (now < askedAt + milliseconds(call.mExpectedMs))
+        return false;
+      std::vector<AdmittedWorker> admitted;
+      for (const std::string& id : call.mWorkers)
+        admitted.push_back({ id, "ticket" });
+      scheduler.OnAdvice(call, &admitted, seconds(2), askedAt, now);
+      return true;
+    });
+    scheduler.DropLapsed(now);
+    Orders orders = scheduler.Plan(now, 0, true, kAdvisors - calls.size());
+    for (const StartOrder& it : orders.mStarts) {
+      scheduler.OnStart(it, StartOutcome::Started, now);
+      if (it.mTask == first.mTask)
+        restartedAt = now;
+    }
+    for (AdviceOrder& it : orders.mAdvice)
+      calls.emplace_back(std::move(it), now);
+  }
+  INFO("an urgent job each " << interval / milliseconds(1) << " ms");
+  REQUIRE(restartedAt.has_value());
+  CHECK((*restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
+}
