Remember all that a worker ran until it is known what became of it

Cause: of a worker that did not answer only the confirmed runs were kept that it had not been seen to survive, for the time after its leases and for the next holder. Starts that were never confirmed and crashes well after a start left no trace there, and without the unconfirmed start beside it an innocent task looked like the only suspect.

Change: all runs are kept, each with what is known of it. A worker that became unresponsive under a previous holder makes no task the only suspect, as it is not known which other workers did at the same time.

Open: a holder that is lost before it has stored the list (0.3 s after the crash, and a write) still forgets that crash.

--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -267,7 +267,7 @@
         record.mIsFinal = true;
         for (const Run& run : worker.mRuns)
           record.mTasks.push_back(run.mTask);
-        record.mSuspects = ListUnproven(worker);
+        record.mSuspects = mScheduler.ListSuspects(worker);
         written[id] = std::set(record.mTasks.begin(), record.mTasks.end());
       }
       transaction.mConditions.emplace_back(MakeWorkerKey(id), worker.mRecordRevision);
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -159,15 +159,17 @@
   std::vector<EndedTask> mEnded{};
 };
 
-struct TaskRun  // a run of a task, by name
+struct SuspectRun  // a run that may have crashed its worker
 {
   std::string mTask{};
   std::uint64_t mRun = 0;
+  bool mStarted = false;   // the worker confirmed it
+  bool mUnproven = false;  // the worker has not been seen to survive its start
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTask, mRun);
+    aArchive(mTask, mRun, mStarted, mUnproven);
   }
 };
 
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -84,9 +84,9 @@
   std::string mService{};
   bool mIsFinal = false;  // it did not answer; mTasks lists all that it may run
   std::vector<std::string> mTasks{};
-  std::int64_t mBornMs = 0;            // as in WorkerEntry
-  std::uint64_t mCreatedRevision = 0;  // as in WorkerEntry
-  std::vector<TaskRun> mSuspects{};    // as listed by ListUnproven, if mIsFinal
+  std::int64_t mBornMs = 0;             // as in WorkerEntry
+  std::uint64_t mCreatedRevision = 0;   // as in WorkerEntry
+  std::vector<SuspectRun> mSuspects{};  // as listed by Scheduler::ListSuspects, if mIsFinal
 
   template<class Archive>
   void serialize(Archive& aArchive)
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -142,8 +142,8 @@
   bool mListed = false;  // the directory lists it now
   // All tasks that it may run, as stored while it was unresponsive.
   std::optional<std::set<std::string>> mFinalTasks{};
-  // Runs that it has not been seen to survive, of a previous holder or with leases that expired.
-  std::vector<TaskRun> mSuspectRuns{};
+  // What it ran when its leases expired or, of a previous holder, when it was last known.
+  std::vector<SuspectRun> mPastRuns{};
   std::uint64_t mRecordRevision = 0;  // revision of its record in the store; 0: none
   // It is unresponsive and mFinalTasks is to be stored, so nothing may start there.
   bool mFinalWanted = false;
@@ -171,8 +171,8 @@
   TimePoint mSlowUntil{};          // other workers are preferred until then, as it has stragglers
   // Counted by each plan: runs whose start it has not been seen to survive, and those among them of
   // tasks under which workers have crashed.
-  std::uint32_t mUnproven = 0;
-  std::uint32_t mSuspects = 0;
+  std::uint32_t mUnprovenCount = 0;
+  std::uint32_t mSuspectCount = 0;
 };
 
 // Results
@@ -238,10 +238,12 @@
   // aRecorded: a previous holder has stored it; aNow is then the time of this holder's election.
   void ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow);
   // Sets the list, stored by a previous holder, of all tasks that an unresponsive worker may run.
-  // aSuspects: as listed by ListUnproven.
+  // aSuspects: as listed by ListSuspects.
   void SetFinalTasks(const std::string& aId,
                      std::set<std::string> aTasks,
-                     std::vector<TaskRun> aSuspects = {});
+                     std::vector<SuspectRun> aSuspects = {});
+  // Lists the runs that count if the worker is found to have crashed.
+  [[nodiscard]] std::vector<SuspectRun> ListSuspects(const Worker& aWorker) const;
   void UnlistWorker(const std::string& aId, TimePoint aNow);
   // Reports requested earlier do not tell what a worker will run: an order of a previous holder
   // may still take effect there.
@@ -394,9 +396,6 @@
 // previous holder accepted may be added a little later than a worker reports its tasks.
 inline constexpr Duration kMaxOrphanAge = seconds(3);  // twice the holder's lease
 
-// Lists the confirmed runs whose start the worker has not been seen to survive.
-[[nodiscard]] std::vector<TaskRun> ListUnproven(const Worker& aWorker);
-
 [[nodiscard]] std::string FormatTask(const TaskRef& aRef);   // JOB.OCCURRENCE.STAGE.INDEX
 [[nodiscard]] std::string FormatStage(const TaskRef& aRef);  // JOB.OCCURRENCE.STAGE
 
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -16,19 +16,12 @@
 
 }  // namespace
 
-std::vector<TaskRun> ListUnproven(const Worker& aWorker)
-{
-  std::vector<TaskRun> runs;
-  for (const Run& it : aWorker.mRuns)
-    if (it.mStarted && IsUnproven(aWorker, it))
-      runs.push_back({ it.mTask, it.mRun });
-  return runs;
-}
-
-std::string FormatRuns(const std::vector<TaskRun>& aRuns)
+std::string FormatUnproven(const Worker& aWorker)
 {
   std::string text;
-  for (const TaskRun& it : aRuns) {
+  for (const Run& it : aWorker.mRuns) {
+    if (!it.mStarted || !IsUnproven(aWorker, it))
+      continue;
     if (!text.empty())
       text += ',';
     text.append(it.mTask).append(":").append(std::to_string(it.mRun));
@@ -36,6 +29,15 @@
   return text;
 }
 
+std::vector<SuspectRun> Scheduler::ListSuspects(const Worker& aWorker) const
+{
+  std::vector<SuspectRun> suspects = aWorker.mPastRuns;
+  for (const Run& it : aWorker.mRuns)
+    if (it.mKnown && !OutlivedCrashes(aWorker, it))
+      suspects.push_back({ it.mTask, it.mRun, it.mStarted, IsUnproven(aWorker, it) });
+  return suspects;
+}
+
 void Scheduler::RememberSilence(TimePoint aAt)
 {
   mSilences.push_back(aAt);
@@ -44,11 +46,13 @@
 }
 
 // Returns whether other workers became unresponsive at the same time, as when a rack or a zone
-// fails. Then no single task is the cause.
+// fails, or whether that is not known. Then no single task is the cause.
 bool Scheduler::CrashedWithOthers(const Worker& aWorker) const
 {
   if (aWorker.mReachable)
     return false;
+  if (aWorker.mUnresponsiveSince == TimePoint{})
+    return true;  // it has not answered in this epoch
   const auto near = std::count_if(mSilences.begin(), mSilences.end(), [&](TimePoint aAt) {
     return std::chrono::abs(aAt - aWorker.mUnresponsiveSince) <= kSameTime;
   });
@@ -62,29 +66,21 @@
   if (aWorker.mEntry.mDraining)
     return;
   const bool isCertain = aEvidence == CrashEvidence::Replaced;
-  std::map<TaskRef, WorkerCrash> crashes;
-  std::set<std::string> jobs;  // with tasks that had just started
-  for (const Run& it : aWorker.mRuns) {
-    if (!it.mKnown)
-      continue;
-    if (OutlivedCrashes(aWorker, it)) {
+  for (const Run& it : aWorker.mRuns)
+    if (it.mKnown && OutlivedCrashes(aWorker, it))
       ForgetCrashes(it.mRef);
-      continue;
-    }
-    // A start that was not confirmed may have caused the crash, or may not have taken place.
-    const bool isUnproven = IsUnproven(aWorker, it);
-    crashes[it.mRef] = { it.mRun, isCertain && it.mStarted && isUnproven, false };
-    if (isUnproven)
-      jobs.insert(it.mRef.mJob);
-  }
-  for (const TaskRun& it : aWorker.mSuspectRuns) {
+  std::map<TaskRef, WorkerCrash> crashes;
+  std::set<std::string> jobs;  // with tasks that may have just started
+  for (const SuspectRun& it : ListSuspects(aWorker)) {
     TaskRef ref;
     if (!ParseTask(it.mTask, ref))
       continue;
-    crashes[ref] = { it.mRun, isCertain, false };
-    jobs.insert(ref.mJob);
+    // A start that was not confirmed may have caused the crash, or may not have taken place.
+    crashes[ref] = { it.mRun, isCertain && it.mStarted && it.mUnproven, false };
+    if (it.mUnproven)
+      jobs.insert(ref.mJob);
   }
-  aWorker.mSuspectRuns.clear();
+  aWorker.mPastRuns.clear();
   const bool isAlone = jobs.size() == 1 && !CrashedWithOthers(aWorker);
   for (auto& [ref, crash] : crashes) {
     crash.mAlone = isAlone && crash.mSoon;
@@ -153,16 +149,16 @@
         if (it.mKnown && IsUnproven(worker, it))
           ++mUnresolved[it.mRef];
   for (auto& [id, worker] : mWorkers) {
-    worker.mUnproven = 0;
-    worker.mSuspects = 0;
+    worker.mUnprovenCount = 0;
+    worker.mSuspectCount = 0;
     if (!worker.mReachable)
       continue;
     for (const Run& it : worker.mRuns) {
       if (!IsUnproven(worker, it))
         continue;
-      ++worker.mUnproven;
+      ++worker.mUnprovenCount;
       const Task* task = it.mKnown ? FindTask(it.mRef) : nullptr;
-      worker.mSuspects += task && IsSuspect(*task, it.mRef) ? 1 : 0;
+      worker.mSuspectCount += task && IsSuspect(*task, it.mRef) ? 1 : 0;
     }
   }
 }
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -70,7 +70,8 @@
   return aWorker.mAnsweredAt < aRun.mSentAt + kProvenAfter;
 }
 
-[[nodiscard]] std::string FormatRuns(const std::vector<TaskRun>& aRuns);  // TASK:RUN,...
+// Lists, as TASK:RUN,..., the confirmed runs that the worker has not been seen to survive.
+[[nodiscard]] std::string FormatUnproven(const Worker& aWorker);
 
 struct Scheduler::Ready  // a stage with tasks that may be placed now
 {
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -180,7 +180,8 @@
     // A task under which workers crash starts apart from others, so that the cause of a further
     // crash is known and few tasks are lost with it.
     const bool isLastChoice = Contains(aTask.mFailedOn, aId) || aNow < aWorker.mSlowUntil ||
-                              aWorker.mSuspects > 0 || (isSuspect && aWorker.mUnproven > 0);
+                              aWorker.mSuspectCount > 0 ||
+                              (isSuspect && aWorker.mUnprovenCount > 0);
     const bool isFar =
       !aReady.mSpec->mDataRack.empty() && GetRack(aWorker) != aReady.mSpec->mDataRack;
     const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } - aWorker.mUsedMilliCores -
@@ -253,8 +254,8 @@
   aWorker.mUsedMilliCores += run.mMilliCores;
   aWorker.mUsedMemoryMiB += run.mMemoryMiB;
   aWorker.mUsedAccelerators += run.mAccelerators;
-  ++aWorker.mUnproven;
-  aWorker.mSuspects += IsSuspect(task, run.mRef) ? 1 : 0;
+  ++aWorker.mUnprovenCount;
+  aWorker.mSuspectCount += IsSuspect(task, run.mRef) ? 1 : 0;
   aWorker.mRuns.push_back(std::move(run));
   aOrders.mStarts.push_back(std::move(order));
 }
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -198,7 +198,7 @@
   }
   if (aReport.mBornMs != 0)
     worker.mEntry.mBornMs = aReport.mBornMs;
-  worker.mSuspectRuns.clear();
+  worker.mPastRuns.clear();
   worker.mReachable = true;
   if (!worker.mFenced && aSentAt >= mFencedFrom) {
     worker.mFenced = true;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -59,7 +59,7 @@
         { { "worker", it->first },
           { "successor", aEntry.mId },
           { "tasks", other.mRuns.size() },
-          { "just_started", FormatRuns(ListUnproven(other)) } });
+          { "just_started", FormatUnproven(other) } });
     RecordCrash(other, CrashEvidence::Replaced, aNow);
     while (!other.mRuns.empty())
       DropRun(other, other.mRuns.size() - 1);
@@ -79,7 +79,7 @@
       "another incarnation answers at the address of a worker; its tasks are lost",
       { { "worker", aId },
         { "tasks", worker->mRuns.size() },
-        { "just_started", FormatRuns(ListUnproven(*worker)) } });
+        { "just_started", FormatUnproven(*worker) } });
   mReplaced[aId] = worker->mEntry.mBornMs;
   RecordCrash(*worker, CrashEvidence::Replaced, aNow);
   while (!worker->mRuns.empty())
@@ -118,7 +118,7 @@
       "a worker was restarted under the same id; its tasks are lost",
       { { "worker", aWorker.mEntry.mId },
         { "tasks", aWorker.mRuns.size() },
-        { "just_started", FormatRuns(ListUnproven(aWorker)) } });
+        { "just_started", FormatUnproven(aWorker) } });
   RecordCrash(aWorker, CrashEvidence::Replaced, aNow);
   for (std::size_t n = aWorker.mRuns.size(); n-- > 0;)
     if (aWorker.mRuns[n].mPhase != RunPhase::Starting)
@@ -186,8 +186,7 @@
             { "answered", worker.mFenced ? "yes" : "no" },
             { "listed", worker.mListed ? "yes" : "no" } });
     if (worker.mListed)
-      for (TaskRun& run : ListUnproven(worker))
-        worker.mSuspectRuns.push_back(std::move(run));
+      worker.mPastRuns = ListSuspects(worker);
     else
       RecordCrash(worker, CrashEvidence::Vanished, aNow);
     while (!worker.mRuns.empty())
@@ -203,13 +202,13 @@
 
 void Scheduler::SetFinalTasks(const std::string& aId,
                               std::set<std::string> aTasks,
-                              std::vector<TaskRun> aSuspects)
+                              std::vector<SuspectRun> aSuspects)
 {
   Worker* worker = FindWorker(aId);
   if (!worker)
     return;
   worker->mFinalTasks = std::move(aTasks);
-  worker->mSuspectRuns = std::move(aSuspects);
+  worker->mPastRuns = std::move(aSuspects);
 }
 
 bool Scheduler::AreAllResolved() const
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -354,7 +354,7 @@
       for (const Run& run : worker.mRuns)
         tasks.insert(run.mTask);
       mFinalTasksByWorker[id] = tasks;
-      mSuspectsByWorker[id] = ListUnproven(worker);
+      mSuspectsByWorker[id] = mScheduler->ListSuspects(worker);
       worker.mFinalTasks = std::move(tasks);
       worker.mFinalWanted = false;
     } else if ((worker.mFinalTasks || worker.mFinalWanted) && worker.mReachable && worker.mFenced) {
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -112,7 +112,7 @@
   std::map<std::string, std::string> mRecorded{};  // worker → address, as stored
   // Tasks that unresponsive workers may run, as stored.
   std::map<std::string, std::set<std::string>> mFinalTasksByWorker{};
-  std::map<std::string, std::vector<TaskRun>> mSuspectsByWorker{};  // stored with them
+  std::map<std::string, std::vector<SuspectRun>> mSuspectsByWorker{};  // stored with them
   std::map<std::string, std::size_t> mStarts{};
   std::set<std::string> mAcknowledged{};  // tasks whose successful end was acknowledged
   std::map<std::string, std::size_t> mFailures{};
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -48,6 +48,20 @@
   return entry;
 }
 
+void SetQueue(Scheduler& aScheduler)
+{
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue());
+  aScheduler.SetQueues(config);
+}
+
+WorkerReport ListRunning(const StartOrder& aOrder)
+{
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = aOrder.mTask, .mRun = aOrder.mRun });
+  return report;
+}
+
 // Submits jobs that can be done, one each 200 ms.
 void SubmitOthers(FleetModel& aModel, int aFrom, int aTo)
 {
@@ -108,9 +122,7 @@
 {
   const TimePoint now{ seconds(2000) };
   Scheduler scheduler({});
-  FleetConfig config;
-  config.mQueues.push_back(MakeQueue());
-  scheduler.SetQueues(config);
+  SetQueue(scheduler);
   scheduler.AddJob(MakeJob("a", 1), {}, false, now);
   for (int n = 0; n < 4; ++n) {
     const std::string worker = "w" + std::to_string(n);
@@ -131,9 +143,7 @@
   const bool isRack = GENERATE(false, true);
   TimePoint now{ seconds(2000) };
   Scheduler scheduler({});
-  FleetConfig config;
-  config.mQueues.push_back(MakeQueue());
-  scheduler.SetQueues(config);
+  SetQueue(scheduler);
   scheduler.AddJob(MakeJob("a", 1), {}, false, now);
   for (int n = 0; n < 2; ++n) {
     const std::string worker = "w" + std::to_string(n);
@@ -160,9 +170,7 @@
   const bool isConfirmed = GENERATE(true, false);
   TimePoint now{ seconds(2000) };
   Scheduler scheduler({});
-  FleetConfig config;
-  config.mQueues.push_back(MakeQueue());
-  scheduler.SetQueues(config);
+  SetQueue(scheduler);
   scheduler.AddJob(MakeJob("a", 1), {}, false, now);
   std::size_t starts = 0;
   for (std::size_t n = 0; n < 2 * kMaxStarts; ++n) {
@@ -183,14 +191,111 @@
   CHECK(scheduler.FindJob("a")->mState == JobState::Failed);
 }
 
+TEST_CASE("fleet: a task starts without end on crashed workers that are still listed")
+{
+  const bool isConfirmed = GENERATE(true, false);
+  const bool isLate = GENERATE(true, false);  // the worker crashes well after the start
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  SetQueue(scheduler);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, now);
+  std::size_t starts = 0;
+  for (std::size_t n = 0; n < 4 * kMaxStarts; ++n) {
+    const std::string worker = "w" + std::to_string(n);
+    scheduler.ListWorker(MakeEntry(worker), true, now);
+    scheduler.OnReport(worker, {}, now, now);
+    for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
+      ++starts;
+      scheduler.OnStart(it, isConfirmed ? StartOutcome::Started : StartOutcome::Unknown, now);
+      if (isLate) {
+        now += milliseconds(400);
+        scheduler.OnReport(worker, ListRunning(it), now, now);
+      }
+    }
+    now += milliseconds(10);
+    scheduler.OnSilence(worker, now);
+    now += milliseconds(6700);
+    scheduler.DropLapsed(now);
+    scheduler.OnReplaced(worker, now);
+  }
+  INFO("confirmed " << isConfirmed << " late " << isLate);
+  CHECK(starts <= kMaxStarts);
+}
+
+TEST_CASE("fleet: a takeover forgets that a worker crashed well after a task's start")
+{
+  TimePoint now{ seconds(2000) };
+  std::string progress;
+  std::vector<SuspectRun> suspects;
+  std::size_t starts = 0;
+  for (std::uint64_t epoch = 1; epoch <= 2 * kMaxStarts; ++epoch) {
+    Scheduler scheduler({ .mEpoch = epoch });
+    SetQueue(scheduler);
+    scheduler.AddJob(MakeJob("a", 1), progress, epoch > 1, now);
+    if (epoch > 1) {
+      const std::string dead = "w" + std::to_string(epoch - 1);
+      scheduler.ListWorker(MakeEntry(dead), true, now);
+      scheduler.UnlistWorker(dead, now);
+      scheduler.SetFinalTasks(dead, { "a.0.0.0" }, suspects);
+      now += seconds(1);
+      scheduler.OnReplaced(dead, now);
+    }
+    const std::string worker = "w" + std::to_string(epoch);
+    scheduler.ListWorker(MakeEntry(worker), true, now);
+    scheduler.OnReport(worker, {}, now, now);
+    for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
+      ++starts;
+      scheduler.OnStart(it, StartOutcome::Started, now);
+      now += milliseconds(400);
+      scheduler.OnReport(worker, ListRunning(it), now, now);
+    }
+    now += milliseconds(10);
+    scheduler.OnSilence(worker, now);
+    suspects = scheduler.ListSuspects(*scheduler.FindWorker(worker));
+    for (const StoredProgress& it : scheduler.CollectProgress(31, now).mJobs)
+      progress = it.mBytes;
+  }
+  CHECK(starts <= kMaxStarts);
+}
+
+TEST_CASE("fleet: an innocent task is blamed beside one whose start was not confirmed")
+{
+  const bool takesOver = GENERATE(false, true);
+  const TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  Scheduler next({ .mEpoch = 2 });
+  for (Scheduler* it : { &scheduler, &next }) {
+    SetQueue(*it);
+    it->AddJob(MakeJob("innocent", 1), {}, it == &next, now);
+    it->AddJob(MakeJob("poison", 1), {}, it == &next, now);
+    it->ListWorker(MakeEntry("w"), true, now);
+  }
+  scheduler.OnReport("w", {}, now, now);
+  for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts)
+    scheduler.OnStart(
+      it, it.mTask.starts_with("poison") ? StartOutcome::Unknown : StartOutcome::Started, now);
+  scheduler.OnSilence("w", now + milliseconds(10));
+  next.SetFinalTasks(
+    "w", { "innocent.0.0.0", "poison.0.0.0" }, scheduler.ListSuspects(*scheduler.FindWorker("w")));
+  Scheduler& present = takesOver ? next : scheduler;
+  if (!takesOver)
+    present.DropLapsed(now + milliseconds(6700));  // its entry is still listed
+  present.OnReplaced("w", now + seconds(7));
+  INFO("takes over " << takesOver);
+  const auto getCrashes = [&](const char* aJob) {
+    return present.FindJob(aJob)->mOccurrences[0].mStages[0].mTasks[0].mCrashes;
+  };
+  REQUIRE(getCrashes("innocent").size() == 1);
+  CHECK_FALSE(getCrashes("innocent")[0].mAlone);
+  CHECK(getCrashes("poison").size() == 1);
+}
+
 TEST_CASE("fleet: a lasting task is given up for crashes of its workers months apart")
 {
   const bool isLasting = GENERATE(true, false);
   TimePoint now{ seconds(2000) };
   Scheduler scheduler({});
-  FleetConfig config;
-  config.mQueues.push_back(MakeQueue());
-  scheduler.SetQueues(config);
+  SetQueue(scheduler);
   JobSpec job = MakeJob("a", 1);
   job.mStages[0].mLongRunning = isLasting;
   scheduler.AddJob(job, {}, false, now);
@@ -201,9 +306,7 @@
     for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
       scheduler.OnStart(it, StartOutcome::Started, now);
       now += std::chrono::hours(24 * 60);
-      WorkerReport report;
-      report.mRunning.push_back({ .mTask = it.mTask, .mRun = it.mRun });
-      scheduler.OnReport(worker, report, now, now);
+      scheduler.OnReport(worker, ListRunning(it), now, now);
     }
     scheduler.OnSilence(worker, now);
     scheduler.OnReplaced(worker, now);
