Bound the copies of a task whose workers crash late or before they confirm it

Cause: only runs that had just started limited the copies; and a crash that was not soon after a confirmed start counted against the task, but not against further copies.

Change: all runs on workers that do not answer count as if these had crashed: neither a copy nor another start follows once a fifth crash is possible.

Evidence: "fleet: copies of a task crash worker after worker" failed before: 10 starts of a task that crashes its worker after 400 ms, 6 of one that does before its start is confirmed; 5 allowed.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -319,6 +319,7 @@
   [[nodiscard]] bool CrashedWithOthers(const Worker& aWorker) const;
   void RememberSilence(TimePoint aAt);
   void CountUnproven();
+  [[nodiscard]] UnresolvedRuns GetUnresolved(const TaskRef& aRef) const;
   [[nodiscard]] bool IsSuspect(const Task& aTask, const TaskRef& aRef) const;
   bool ApplySuccession(const WorkerEntry& aEntry, TimePoint aNow);
   void ReleaseTask(const Run& aRun, bool aNeverRan);
@@ -375,9 +376,8 @@
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
   bool mHoldsInherited = false;  // inherited jobs wait for workers that have not answered
-  // Tasks that had just started on workers that do not answer, with the number of these workers.
-  // Set by CountUnproven.
-  std::map<TaskRef, std::size_t> mUnresolved{};
+  // Of tasks on workers that do not answer. Set by CountUnproven.
+  std::map<TaskRef, UnresolvedRuns> mUnresolved{};
   std::deque<TimePoint> mSilences{};  // recent times at which workers became unresponsive
   TimePoint mFencedFrom{};
   std::size_t mBatchesInFlight = 0;
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -137,17 +137,34 @@
 // Returns whether workers may have crashed because of this task.
 bool Scheduler::IsSuspect(const Task& aTask, const TaskRef& aRef) const
 {
-  return !aTask.mCrashes.empty() || (!mUnresolved.empty() && mUnresolved.contains(aRef));
+  return !aTask.mCrashes.empty() || GetUnresolved(aRef).mUnproven > 0;
+}
+
+UnresolvedRuns Scheduler::GetUnresolved(const TaskRef& aRef) const
+{
+  const auto it = mUnresolved.find(aRef);
+  return it == mUnresolved.end() ? UnresolvedRuns{} : it->second;
 }
 
 void Scheduler::CountUnproven()
 {
   mUnresolved.clear();
-  for (auto& [id, worker] : mWorkers)
-    if (!worker.mReachable && worker.mFenced)
-      for (const Run& it : worker.mRuns)
-        if (it.mKnown && IsUnproven(worker, it))
-          ++mUnresolved[it.mRef];
+  const auto add = [this](const TaskRef& aRef, bool aUnproven) {
+    UnresolvedRuns& runs = mUnresolved[aRef];
+    ++runs.mCount;
+    runs.mUnproven += aUnproven ? 1 : 0;
+  };
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mReachable)
+      continue;
+    for (const Run& it : worker.mRuns)
+      if (it.mKnown)
+        add(it.mRef, IsUnproven(worker, it));
+    TaskRef ref;
+    for (const SuspectRun& it : worker.mPastRuns)
+      if (ParseTask(it.mTask, ref))
+        add(ref, it.mUnproven);
+  }
   for (auto& [id, worker] : mWorkers) {
     worker.mUnprovenCount = 0;
     worker.mSuspectCount = 0;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -265,8 +265,9 @@
   const std::uint64_t base = (mSettings.mEpoch - 1) * kRunsPerEpoch;
   for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n) {
     Task& task = aReady.mStage->mTasks[n];
-    if (task.mDone || !task.mWorker.empty() ||
-        MayRunSomewhere({ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n }))
+    const TaskRef ref{ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n };
+    if (task.mDone || !task.mWorker.empty() || MayRunSomewhere(ref) ||
+        !MayStartAgain(task.mCrashes, GetUnresolved(ref)))
       continue;
     Worker* worker = PickWorker(aReady, task, aNow);
     if (!worker)
@@ -279,9 +280,12 @@
 {
   const StageSpec& spec = *aReady.mSpec;
   std::uint64_t run = (mSettings.mEpoch - 1) * kRunsPerEpoch;
-  for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n)
-    if (MayRunSomewhere({ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n }))
+  for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n) {
+    const TaskRef ref{ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n };
+    if (MayRunSomewhere(ref) ||
+        !MayStartAgain(aReady.mStage->mTasks[n].mCrashes, GetUnresolved(ref)))
       return;
+  }
   std::vector<Worker*> hosts;
   for (const Task& task : aReady.mStage->mTasks) {
     run = std::max(run, task.mRun);
--- a/src/fleet/scheduler_running.cpp
+++ b/src/fleet/scheduler_running.cpp
@@ -73,9 +73,7 @@
       if (!task || !job->mSpec.mStages[run.mRef.mStage].mSpeculative || task->mDone ||
           task->mWorker != id || task->mRun != run.mRun)
         continue;
-      const auto unresolved = mUnresolved.find(run.mRef);
-      if (unresolved != mUnresolved.end() &&
-          !MayStartUnresolved(task->mCrashes, unresolved->second))
+      if (!MayStartCopy(task->mCrashes, GetUnresolved(run.mRef)))
         continue;  // its workers may have crashed because of it
       DetachRun(run, *task);
     }
--- a/src/policy/crash_budget.cpp
+++ b/src/policy/crash_budget.cpp
@@ -28,9 +28,16 @@
          aCrashes.size() >= kMaxCrashes;
 }
 
-bool MayStartUnresolved(std::span<const WorkerCrash> aCrashes, std::size_t aUnresolved)
+bool MayStartCopy(std::span<const WorkerCrash> aCrashes, const UnresolvedRuns& aUnresolved)
 {
-  return CountSoon(aCrashes) + aUnresolved < kMaxCrashesAlone;
+  const bool isSuspect = aUnresolved.mUnproven > 0;
+  return MayStartAgain(aCrashes, aUnresolved) &&
+         (!isSuspect || CountSoon(aCrashes) + aUnresolved.mUnproven < kMaxCrashesAlone);
+}
+
+bool MayStartAgain(std::span<const WorkerCrash> aCrashes, const UnresolvedRuns& aUnresolved)
+{
+  return aCrashes.size() + aUnresolved.mCount < kMaxCrashes;
 }
 
 }  // namespace monsoon
--- a/src/policy/crash_budget.h
+++ b/src/policy/crash_budget.h
@@ -18,9 +18,20 @@
 // Returns whether the task is taken for the cause of these crashes.
 [[nodiscard]] bool IsPoison(std::span<const WorkerCrash> aCrashes);
 
-// Returns whether a task may start once more although it is not known what became of workers on
-// which it had just started; aUnresolved: their number.
-[[nodiscard]] bool MayStartUnresolved(std::span<const WorkerCrash> aCrashes,
-                                      std::size_t aUnresolved);
+// Runs of a task on workers that do not answer: it is not known whether these crashed.
+struct UnresolvedRuns
+{
+  std::size_t mCount = 0;
+  std::size_t mUnproven = 0;  // of these, the worker has not been seen to survive its start
+};
+
+// Returns whether a copy of the task may start although some of its runs are unresolved.
+[[nodiscard]] bool MayStartCopy(std::span<const WorkerCrash> aCrashes,
+                                const UnresolvedRuns& aUnresolved);
+
+// Returns whether the task may start once more, even if all its unresolved runs crashed their
+// workers.
+[[nodiscard]] bool MayStartAgain(std::span<const WorkerCrash> aCrashes,
+                                 const UnresolvedRuns& aUnresolved);
 
 }  // namespace monsoon
--- a/tests/unit/test_crash_budget.cpp
+++ b/tests/unit/test_crash_budget.cpp
@@ -46,7 +46,16 @@
 
 TEST_CASE("crash budget: one copy starts while it is unknown what became of a worker")
 {
-  CHECK(MayStartUnresolved({}, 1));
-  CHECK_FALSE(MayStartUnresolved({}, 2));
-  CHECK_FALSE(MayStartUnresolved({ { kSoon } }, 1));
+  CHECK(MayStartCopy({}, { .mCount = 1, .mUnproven = 1 }));
+  CHECK_FALSE(MayStartCopy({}, { .mCount = 2, .mUnproven = 2 }));
+  CHECK_FALSE(MayStartCopy({ { kSoon } }, { .mCount = 1, .mUnproven = 1 }));
+}
+
+TEST_CASE("crash budget: unresolved runs count as if their workers had crashed")
+{
+  const std::vector<WorkerCrash> two{ kLate, kLate };
+  CHECK(MayStartAgain(two, { .mCount = 2 }));
+  CHECK_FALSE(MayStartAgain(two, { .mCount = 3 }));
+  CHECK(MayStartCopy({}, { .mCount = 4 }));
+  CHECK_FALSE(MayStartCopy({}, { .mCount = 5 }));
 }
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -290,6 +290,52 @@
   CHECK(getCrashes("poison").size() == 1);
 }
 
+TEST_CASE("fleet: copies of a task crash worker after worker")
+{
+  // The worker crashes at once, before it confirms the start, or well after it.
+  const bool isLate = GENERATE(true, false);
+  constexpr Duration kStep = milliseconds(10);
+  constexpr Duration kCrashDelay = milliseconds(400);
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  SetQueue(scheduler);
+  JobSpec job = MakeJob("a", 1);
+  job.mStages[0].mSpeculative = true;
+  scheduler.AddJob(job, {}, false, now);
+  for (int n = 0; n < 20; ++n) {
+    scheduler.ListWorker(MakeEntry("w" + std::to_string(n)), true, now);
+    scheduler.OnReport("w" + std::to_string(n), {}, now, now);
+  }
+  std::vector<std::pair<StartOrder, TimePoint>> starts;
+  for (int n = 0; n < 3000; ++n, now += kStep) {
+    for (const auto& [order, startedAt] : starts) {
+      const Duration age = now - startedAt;
+      if (isLate && age == kCrashDelay - milliseconds(100)) {
+        scheduler.OnReport(order.mWorker, ListRunning(order), now, now);
+        scheduler.FindWorker(order.mWorker)->mLeaseSentAt = now;
+      }
+      if (age == (isLate ? kCrashDelay : kStep))
+        scheduler.OnSilence(order.mWorker, now);
+      if (age == seconds(1))  // its final list is stored
+        if (Worker* worker = scheduler.FindWorker(order.mWorker)) {
+          worker->mFinalTasks = std::set<std::string>{ order.mTask };
+          worker->mFinalWanted = false;
+        }
+      if (age == seconds(4))
+        scheduler.OnReplaced(order.mWorker, now);
+    }
+    scheduler.DropLapsed(now);
+    for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
+      scheduler.OnStart(it, isLate ? StartOutcome::Started : StartOutcome::Unknown, now);
+      scheduler.FindWorker(it.mWorker)->mLeaseSentAt = now;
+      starts.emplace_back(it, now);
+    }
+  }
+  INFO("late " << isLate);
+  CHECK(starts.size() <= kMaxStarts);
+  CHECK(scheduler.FindJob("a")->mState == JobState::Failed);
+}
+
 TEST_CASE("fleet: a lasting task is given up for crashes of its workers months apart")
 {
   const bool isLasting = GENERATE(true, false);
