Take back the crash of a worker that was only partitioned

Change: when the same incarnation of a vanished worker answers again, its crash no longer counts. What vanished is remembered for ten minutes, in memory: after a takeover such a crash stays.

Evidence: "fleet: a task is given up for partitions of workers that did not crash" failed before; in the same test, workers that restarted under their ids still count. Found by review.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -130,6 +130,13 @@
   TimePoint mEndedAt{};
 };
 
+struct VanishedWorker
+{
+  std::int64_t mBornMs = 0;  // as in WorkerEntry
+  TimePoint mAt{};
+  std::vector<SuspectRun> mRuns{};
+};
+
 enum class CrashEvidence : std::uint8_t  // of the end of a worker that does not answer
 {
   Replaced,  // another incarnation answers or is listed
@@ -316,6 +323,7 @@
   [[nodiscard]] bool OutlivedCrashes(const Worker& aWorker, const Run& aRun) const;
   void ForgetCrashes(const TaskRef& aRef);
   void AddCrash(const TaskRef& aRef, const WorkerCrash& aCrash, TimePoint aNow);
+  void RevokeCrashes(const Worker& aWorker);
   [[nodiscard]] bool CrashedWithOthers(const Worker& aWorker) const;
   void RememberSilence(TimePoint aAt);
   void CountUnproven();
@@ -378,6 +386,8 @@
   bool mHoldsInherited = false;  // inherited jobs wait for workers that have not answered
   // Of tasks on workers that do not answer. Set by CountUnproven.
   std::map<TaskRef, UnresolvedRuns> mUnresolved{};
+  // Workers that vanished recently, with what they ran.
+  std::map<std::string, VanishedWorker> mVanished{};
   std::deque<TimePoint> mSilences{};  // recent times at which workers became unresponsive
   TimePoint mFencedFrom{};
   std::size_t mBatchesInFlight = 0;
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kMinOthersForCommonCause = 2;
 constexpr std::size_t kMaxSilences = 256;
 constexpr Duration kOutlived = seconds(60);
+constexpr Duration kVanishedAge = std::chrono::minutes(10);
 
 }  // namespace
 
@@ -80,6 +81,11 @@
     if (it.mUnproven)
       jobs.insert(ref.mJob);
   }
+  if (!isCertain) {
+    std::erase_if(mVanished,
+                  [aNow](const auto& aItem) { return aNow - aItem.second.mAt > kVanishedAge; });
+    mVanished[aWorker.mEntry.mId] = { aWorker.mEntry.mBornMs, aNow, ListSuspects(aWorker) };
+  }
   aWorker.mPastRuns.clear();
   const bool isAlone = jobs.size() == 1 && !CrashedWithOthers(aWorker);
   for (auto& [ref, crash] : crashes) {
@@ -134,6 +140,26 @@
   EndJob(*job, JobState::Failed, aNow);
 }
 
+// Takes back the crash of a worker that vanished, when the same incarnation answers again: it was
+// partitioned.
+void Scheduler::RevokeCrashes(const Worker& aWorker)
+{
+  const auto vanished = mVanished.find(aWorker.mEntry.mId);
+  if (vanished == mVanished.end())
+    return;
+  if (vanished->second.mBornMs == aWorker.mEntry.mBornMs)
+    for (const SuspectRun& it : vanished->second.mRuns) {
+      TaskRef ref;
+      Task* task = ParseTask(it.mTask, ref) ? FindTask(ref) : nullptr;
+      if (!task)
+        continue;
+      std::erase_if(task->mCrashes,
+                    [&it](const WorkerCrash& aItem) { return aItem.mRun == it.mRun; });
+      MarkDirty(*FindJobMutable(ref.mJob));
+    }
+  mVanished.erase(vanished);
+}
+
 // Returns whether workers may have crashed because of this task.
 bool Scheduler::IsSuspect(const Task& aTask, const TaskRef& aRef) const
 {
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -198,6 +198,7 @@
   }
   if (aReport.mBornMs != 0)
     worker.mEntry.mBornMs = aReport.mBornMs;
+  RevokeCrashes(worker);
   worker.mPastRuns.clear();
   worker.mReachable = true;
   if (!worker.mFenced && aSentAt >= mFencedFrom) {
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -336,6 +336,46 @@
   CHECK(scheduler.FindJob("a")->mState == JobState::Failed);
 }
 
+TEST_CASE("fleet: a task is given up for partitions of workers that did not crash")
+{
+  const bool isRestarted = GENERATE(false, true);  // the workers did crash, and kept their ids
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  SetQueue(scheduler);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, now);
+  std::uint64_t ends = 0;
+  for (std::size_t n = 0; n < 2 * kMaxStarts; ++n) {
+    const auto list = [&] {
+      WorkerEntry entry = MakeEntry(n % 2 == 0 ? "w0" : "w1");
+      entry.mBornMs = isRestarted ? now.time_since_epoch() / milliseconds(1) : 1;
+      scheduler.ListWorker(entry, true, now);
+      return entry;
+    };
+    const WorkerEntry entry = list();
+    WorkerReport report;
+    report.mBornMs = entry.mBornMs;
+    scheduler.OnReport(entry.mId, report, now, now);
+    const Orders orders = scheduler.Plan(now, 0, true, 0);
+    if (orders.mStarts.empty())
+      break;
+    const StartOrder& start = orders.mStarts[0];
+    scheduler.OnStart(start, StartOutcome::Started, now);
+    now += seconds(20);
+    scheduler.OnReport(entry.mId, ListRunning(start), now, now);
+    scheduler.OnSilence(entry.mId, now);
+    now += seconds(4);
+    scheduler.UnlistWorker(entry.mId, now);
+    now += seconds(6);
+    scheduler.DropLapsed(now);
+    report.mBornMs = list().mBornMs;
+    if (!isRestarted)
+      report.mEnded.push_back({ ++ends, start.mTask, start.mRun, EndKind::Lapsed, "" });
+    scheduler.OnReport(entry.mId, report, now, now);
+    scheduler.UnlistWorker(entry.mId, now);  // so that the next start goes to the other
+  }
+  CHECK((scheduler.FindJob("a")->mState == JobState::Failed) == isRestarted);
+}
+
 TEST_CASE("fleet: a lasting task is given up for crashes of its workers months apart")
 {
   const bool isLasting = GENERATE(true, false);
