Count a crash under a start that reached the next incarnation of its worker

Cause: a start order that was in flight when its worker restarted under the same id is recorded as a possible crash of the old incarnation. If it reached the new one and that one crashed as well, the second crash has the same run number and was dropped as known.

Change: what is known of the run's crash is updated by later evidence.

Evidence: "fleet: a start in flight that reaches the next incarnation hides that one's crash" failed before.

--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -123,13 +123,16 @@
   Task* task = FindTask(aRef);
   if (!job || !task || task->mDone || IsOver(job->mState))
     return;
-  const bool isKnown =
-    std::any_of(task->mCrashes.begin(), task->mCrashes.end(), [&](const WorkerCrash& aItem) {
+  const auto known =
+    std::find_if(task->mCrashes.begin(), task->mCrashes.end(), [&](const WorkerCrash& aItem) {
       return aItem.mRun == aCrash.mRun;
     });
-  if (isKnown)
-    return;
-  task->mCrashes.push_back(aCrash);
+  if (known == task->mCrashes.end()) {
+    task->mCrashes.push_back(aCrash);
+  } else {
+    known->mSoon = known->mSoon || aCrash.mSoon;
+    known->mAlone = known->mAlone || aCrash.mAlone;
+  }
   MarkDirty(*job);
   if (!IsPoison(task->mCrashes))
     return;
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -376,6 +376,29 @@
   CHECK((scheduler.FindJob("a")->mState == JobState::Failed) == isRestarted);
 }
 
+TEST_CASE("fleet: a start in flight that reaches the next incarnation hides that one's crash")
+{
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  SetQueue(scheduler);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, now);
+  WorkerEntry entry = MakeEntry("w");
+  entry.mBornMs = 1000;
+  scheduler.ListWorker(entry, true, now);
+  scheduler.OnReport("w", {}, now, now);
+  const Orders orders = scheduler.Plan(now, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  entry.mBornMs = 2000;  // it crashed for another cause, with the order in flight
+  scheduler.ListWorker(entry, true, now);
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, now);
+  scheduler.OnSilence("w", now + milliseconds(10));
+  entry.mBornMs = 3000;  // now it crashed under the task
+  scheduler.ListWorker(entry, true, now + seconds(3));
+  const auto& crashes = scheduler.FindJob("a")->mOccurrences[0].mStages[0].mTasks[0].mCrashes;
+  REQUIRE(crashes.size() == 1);
+  CHECK(crashes[0].mSoon);
+}
+
 TEST_CASE("fleet: a lasting task is given up for crashes of its workers months apart")
 {
   const bool isLasting = GENERATE(true, false);
