Withdraw queued starts of a worker that has shrunk below what is reserved

Capacity was checked when a task was placed; a start that waited in its worker's queue was sent although the worker's entry showed less meanwhile.

Evidence: "fleet: a start that waits in a queue is sent although its worker has shrunk" failed before. Found by review.

--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -70,6 +70,14 @@
   return aWorker.mAnsweredAt < aRun.mSentAt + kProvenAfter;
 }
 
+// Returns whether more is reserved than the worker has, as when it has shrunk.
+inline bool IsOverCapacity(const Worker& aWorker)
+{
+  return aWorker.mUsedMilliCores > aWorker.mEntry.mMilliCores ||
+         aWorker.mUsedMemoryMiB > aWorker.mEntry.mMemoryMiB ||
+         aWorker.mUsedAccelerators > aWorker.mEntry.mAccelerators;
+}
+
 // Lists, as TASK:RUN,..., the confirmed runs that the worker has not been seen to survive.
 [[nodiscard]] std::string FormatUnproven(const Worker& aWorker);
 
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -23,6 +23,8 @@
     });
   if (run == worker->mRuns.end() || run->mPhase != RunPhase::Starting)
     return false;
+  if (IsOverCapacity(*worker))
+    return false;
   const Job* job = FindJob(run->mRef.mJob);
   const Task* task = FindTask(run->mRef);
   return job && task && !IsOver(job->mState) && !task->mDone && task->mRun == aOrder.mRun &&
--- a/tests/unit/test_fleet_scheduler.cpp
+++ b/tests/unit/test_fleet_scheduler.cpp
@@ -364,6 +364,21 @@
   CHECK(scheduler.Plan(now, 0, true, 0).mStarts.size() == 1);
 }
 
+TEST_CASE("fleet: a start that waits in a queue is sent although its worker has shrunk")
+{
+  const TimePoint now{ seconds(2000) };
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeWorker("w0", 9000, 128'000), true, now);
+  scheduler.OnReport("w0", {}, now, now);
+  scheduler.AddJob(MakeJob("a", 2), {}, false, now);
+  const Orders orders = scheduler.Plan(now, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 2);
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, now);
+  CHECK(scheduler.IsStartWanted(orders.mStarts[1]));
+  scheduler.ListWorker(MakeWorker("w0", 4000, 128'000), true, now);
+  CHECK_FALSE(scheduler.IsStartWanted(orders.mStarts[1]));
+}
+
 TEST_CASE("fleet: invariants hold over seeds of random faults")
 {
   const auto seed = GENERATE(range(1U, 41U));
