Log watches of the store that fail or are answered late

The log showed tasks that started on draining workers, and a cancelled job that ran, but not that the holder had seen no change of the directory for 7.5 s: an answer to a watch that came late, or not at all, left no line. Now the first failure of a series does, and each answer that takes longer than its deadline. No decision is changed.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -97,6 +97,9 @@
   Async<void> KeepLease();  // renews the lease until this process steps down
   Async<void> Load();
   Async<void> AskPreviousHolder();
+  Async<Result<platform::StorePage>> AwaitChanges(std::string aPrefix,
+                                                  std::uint64_t aRevision,
+                                                  bool& aIsFailing);
   Async<void> WatchJobs(std::uint64_t aRevision);
   Async<void> WatchWorkers(std::uint64_t aRevision);
   Async<void> RunPlan();
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr Duration kWatchWait = milliseconds(1500);       // detects a dead connection within this
+constexpr Duration kWatchWait = milliseconds(1500);  // detects a dead connection within this
+constexpr Duration kLateWatch = kWatchWait + milliseconds(500);
 constexpr Duration kWatchBatchDelay = milliseconds(200);  // collects changes into one answer
 constexpr Duration kRecordInterval = milliseconds(60);    // checks for workers to record
 constexpr Duration kStoreInterval = milliseconds(40);     // collects ends of tasks into one write
@@ -178,11 +179,36 @@
     EnsureWatched(id);
 }
 
+// Waits for changes below a prefix of the store. Logs an answer that was late and, in a series of
+// failures, the first one.
+Async<Result<platform::StorePage>> Holder::AwaitChanges(std::string aPrefix,
+                                                        std::uint64_t aRevision,
+                                                        bool& aIsFailing)
+{
+  auto self = shared_from_this();
+  const TimePoint sentAt = BootClock::now();
+  auto page = co_await mStore.Watch(aPrefix, aRevision, kWatchWait);
+  const Duration took = BootClock::now() - sentAt;
+  if (!page && !aIsFailing)
+    Log(LogPart::Store,
+        LogLevel::Warn,
+        "a watch failed",
+        { { "prefix", aPrefix }, { "what", page.error().mDetail }, { "took_ms", took } });
+  else if (page && took > kLateWatch)
+    Log(LogPart::Store,
+        LogLevel::Warn,
+        "a watch was answered late",
+        { { "prefix", aPrefix }, { "changes", page->mItems.size() }, { "took_ms", took } });
+  aIsFailing = !page;
+  co_return page;
+}
+
 Async<void> Holder::WatchJobs(std::uint64_t aRevision)
 {
   auto self = shared_from_this();
+  bool isFailing = false;
   while (!mSteppedDown) {
-    auto page = co_await mStore.Watch(std::string(kJobPrefix), aRevision, kWatchWait);
+    auto page = co_await AwaitChanges(std::string(kJobPrefix), aRevision, isFailing);
     if (mSteppedDown)
       co_return;
     if (!page && page.error().mKind == FailureKind::Conflict)
@@ -206,9 +232,10 @@
 Async<void> Holder::WatchWorkers(std::uint64_t aRevision)
 {
   auto self = shared_from_this();
+  bool isFailing = false;
   while (!mSteppedDown) {
     auto page =
-      co_await mStore.Watch(std::string(platform::kDirectoryPrefix), aRevision, kWatchWait);
+      co_await AwaitChanges(std::string(platform::kDirectoryPrefix), aRevision, isFailing);
     if (mSteppedDown)
       co_return;
     if (!page && page.error().mKind == FailureKind::Conflict) {
