Parse small responses in the turn of the event loop that reads them

The rest of a response that arrived with it was left to async_read, which parses it at once but resumes its caller in the next turn.

Change: the part of the body that has been read is parsed without a further turn, and the first read takes up to 4 KB, as in the server.

New tests of responses that arrive in two parts, in chunks, without a length, above the limit and cut short passed before as well.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -17,7 +17,9 @@
 constexpr std::size_t kMaxIdlePerAddress = 64;
 // The kernel retransmits a lost SYN only after one second; a new connection attempt is faster.
 constexpr Duration kConnectAttemptTimeout = milliseconds(250);
-constexpr std::size_t kMaxReadBytes = 64 * 1024;  // of a response, in one turn of the event loop
+// Bytes of a response that are read in one turn of the event loop.
+constexpr std::size_t kFirstReadBytes = 4096;
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
 
 // Returns whether an idle connection can still be used. A connection that the server closed is
 // readable; a request sent on it would be lost.
@@ -96,12 +98,20 @@
                           writeError.message());
   }
 
+  // Each turn of the event loop reads what the buffer has room for, by default 512 bytes.
   beast::flat_buffer buf;
+  buf.reserve(kFirstReadBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(aMaxBodyBytes);
   auto [readError, read] = co_await http::async_read_header(*stream, buf, parser, kNoThrow);
+  if (!readError && !parser.is_done() && buf.size() > 0) {
+    // async_read would take a further turn to parse the part of the body that has been read.
+    parser.eager(true);
+    buf.consume(parser.put(buf.data(), readError));
+    if (readError == http::error::need_more)
+      readError = {};
+  }
   if (!readError && !parser.is_done()) {
-    // Each turn of the event loop reads what the buffer has room for, by default 512 bytes.
     buf.reserve(static_cast<std::size_t>(
       std::min<std::uint64_t>(kMaxReadBytes, parser.content_length().value_or(kMaxReadBytes))));
     std::tie(readError, read) = co_await http::async_read(*stream, buf, parser, kNoThrow);
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -1,5 +1,6 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -177,3 +178,122 @@
   INFO("turns: " << turns);
   CHECK(turns <= kBodyBytes / kMinBytesPerTurn);
 }
+
+TEST_CASE("a small response takes more turns of the event loop than one without a body", "[http]")
+{
+  constexpr std::size_t kCalls = 200;
+  constexpr std::size_t kTurnsPerCall = 3;  // also without a body
+  constexpr std::size_t kTurnsToConnect = 10;
+  asio::io_context context{ 1 };
+  const std::size_t bodyBytes = GENERATE(0, 100, 2000);
+  HttpServer server({}, [=](HttpRequest, std::string) -> Async<HttpResponse> {
+    co_return MakeJsonResponse(http::status::ok, std::string(bodyBytes, 'x'));
+  });
+  const std::uint16_t port = *server.Listen("127.0.0.1", 0, { &context });
+  HttpClient client;
+  std::size_t turns = 0;
+  std::size_t answered = 0;
+  asio::co_spawn(
+    context,
+    [&]() -> Async<void> {
+      for (std::size_t n = 0; n < kCalls; ++n) {
+        HttpAddress address{ "127.0.0.1", port };
+        HttpRequest request(http::verb::get, "/small", 11);
+        const auto response = co_await client.Call(address, std::move(request), seconds(30));
+        answered += response && response->body().size() == bodyBytes ? 1 : 0;
+      }
+    },
+    [&](std::exception_ptr) {
+      server.StopAccepting();
+      context.stop();
+    });
+  const std::function<void()> countTurn = [&] {
+    ++turns;
+    asio::post(context, countTurn);
+  };
+  asio::post(context, countTurn);
+  context.run();
+  client.Clear();
+  CHECK(answered == kCalls);
+  INFO("body " << bodyBytes << ": " << double(turns) / kCalls << " turns a call");
+  CHECK(turns <= kCalls * kTurnsPerCall + kTurnsToConnect);
+}
+
+namespace {
+
+// Calls a server that sends the parts of a response, each in a write of its own, and then closes.
+Result<HttpResponse> CallRawServer(std::vector<std::string> aParts, std::size_t aMaxBodyBytes)
+{
+  asio::io_context context{ 1 };
+  asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  std::thread server([&] {
+    asio::io_context own;
+    asio::ip::tcp::socket socket(own);
+    acceptor.accept(socket);
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    for (const std::string& it : aParts) {
+      boost::system::error_code ignored;
+      asio::write(socket, asio::buffer(it), ignored);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  });
+  HttpClient client;
+  std::optional<Result<HttpResponse>> response;
+  HttpAddress address{ "127.0.0.1", acceptor.local_endpoint().port() };
+  asio::co_spawn(
+    context,
+    client.Call(address, HttpRequest(http::verb::get, "/", 11), milliseconds(500), aMaxBodyBytes),
+    [&](std::exception_ptr, Result<HttpResponse> aResponse) { response = std::move(aResponse); });
+  context.run();
+  client.Clear();
+  server.join();
+  return std::move(*response);
+}
+
+}  // namespace
+
+TEST_CASE("a response is cut where its parts arrive apart", "[http]")
+{
+  const std::string body(10'000, 'x');
+  std::string text;
+  std::string expected = body;
+  const int kind = GENERATE(0, 1, 2, 3, 4);
+  if (kind == 0)  // closed at its end
+    text = "HTTP/1.1 200 OK\r\n\r\n" + body;
+  else if (kind == 1)
+    text = "HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n" + body;
+  else if (kind == 2)
+    text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2710\r\n" + body + "\r\n0\r\n\r\n";
+  else if (kind == 3)
+    text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  else
+    text = "HTTP/1.1 204 No Content\r\n\r\n";
+  if (kind >= 3)
+    expected.clear();
+  const std::size_t cut = GENERATE(1, 30, 48, 60, 5000, 100'000);
+  const std::size_t at = std::min(cut, text.size());
+  const auto response = CallRawServer({ text.substr(0, at), text.substr(at) }, 20'000);
+  INFO("kind " << kind << " cut at " << at);
+  REQUIRE(response.has_value());
+  CHECK(response->body() == expected);
+}
+
+TEST_CASE("a response above the limit is accepted", "[http]")
+{
+  const bool isChunked = GENERATE(false, true);
+  const std::string body(10'000, 'x');
+  const auto response =
+    CallRawServer({ isChunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2710\r\n" +
+                                  body + "\r\n0\r\n\r\n"
+                              : "HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n" + body },
+                  5'000);
+  CHECK_FALSE(response.has_value());
+}
+
+TEST_CASE("a response that ends early is taken for complete", "[http]")
+{
+  const auto response =
+    CallRawServer({ "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + std::string(99, 'x') }, 200);
+  CHECK_FALSE(response.has_value());
+}
