Read the worker records of builds that stored no suspects

Its records of workers could not be read, so the successor knew neither of workers that are missing in the directory nor of tasks that may run on silent ones.

Cause: the list of suspects was added to the fields of a record, and a record without it is too short. Stored progress is read without crashes for the same reason; records of workers were not.

Change: fields that were added may be missing. An earlier build ignores them.

Evidence: "fleet: a worker's record stored by a build without suspects is not read" failed before, with the fields that writes.

--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -32,12 +32,22 @@
 
 namespace monsoon::fleet {
 
+// A message with fields that earlier builds did not store. They follow the others and may be
+// missing.
+template<class T>
+concept HasAddedFields = requires(T& aMessage, cereal::BinaryInputArchive& aArchive)
+{
+  aMessage.SerializeAdded(aArchive);
+};
+
 template<class T>
 std::string EncodeMessage(const T& aMessage)
 {
   std::ostringstream out;
   cereal::BinaryOutputArchive archive(out);
   archive(aMessage);
+  if constexpr (HasAddedFields<T>)
+    aMessage.SerializeAdded(archive);
   return std::move(out).str();
 }
 
@@ -50,6 +60,9 @@
   try {
     cereal::BinaryInputArchive archive(in);
     archive(message);
+    if constexpr (HasAddedFields<T>)
+      if (in.peek() != std::istringstream::traits_type::eof())
+        message.SerializeAdded(archive);
   } catch (const std::exception& error) {
     return MakeFailure(FailureKind::BadInput, error.what());
   }
@@ -91,8 +104,10 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mAddress, mService, mIsFinal, mTasks, mBornMs, mCreatedRevision, mSuspects);
+    aArchive(mAddress, mService, mIsFinal, mTasks, mBornMs, mCreatedRevision);
   }
+  void SerializeAdded(auto& aArchive) { aArchive(mSuspects); }
+  void SerializeAdded(auto& aArchive) const { aArchive(mSuspects); }
 };
 
 // Resignation
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -1,6 +1,7 @@
 // How soon tasks run again after their worker crashed.
 #include <catch2/catch.hpp>
 
+#include "fleet/peer_messages.h"
 #include "fleet/scheduler.h"
 
 using namespace monsoon;
@@ -260,3 +261,33 @@
   REQUIRE(restartedAt.has_value());
   CHECK((*restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
 }
+
+TEST_CASE("fleet: a worker's record stored by a build without suspects is not read")
+{
+  struct OldRecord
+  {
+    std::string mAddress = "10.0.0.1:80";
+    std::string mService = "pool";
+    bool mIsFinal = true;
+    std::vector<std::string> mTasks{ "a.0.0.0" };
+    std::int64_t mBornMs = 7;
+    std::uint64_t mCreatedRevision = 8;
+    void serialize(cereal::BinaryOutputArchive& aArchive)
+    {
+      aArchive(mAddress, mService, mIsFinal, mTasks, mBornMs, mCreatedRevision);
+    }
+  };
+  const auto old = DecodeMessage<WorkerRecord>(EncodeMessage(OldRecord()));
+  REQUIRE(old.has_value());
+  CHECK(old->mTasks == std::vector<std::string>{ "a.0.0.0" });
+  CHECK(old->mCreatedRevision == 8);
+
+  WorkerRecord record;
+  record.mSuspects.push_back({ "a.0.0.0", 3, true, false });
+  const std::string bytes = EncodeMessage(record);
+  const auto present = DecodeMessage<WorkerRecord>(bytes);
+  REQUIRE(present.has_value());
+  REQUIRE(present->mSuspects.size() == 1);
+  CHECK(present->mSuspects[0].mRun == 3);
+  CHECK_FALSE(DecodeMessage<WorkerRecord>(bytes.substr(0, bytes.size() - 1)).has_value());
+}
