Withdraw queued starts of a worker that is draining

What callers could see: DRAIN, or work that is lost when the worker leaves. A worker gets three orders at once, each of which may wait 400 ms for its answer; a start that waited in its queue was sent although the worker had announced its shutdown meanwhile.

Cause: the last check before a start is sent knew of workers that had fallen silent or shrunk, but not of draining ones.

Change: it does; the task is placed elsewhere.

Evidence: "fleet: a start that waits in a queue is sent although its worker is draining" failed before.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -268,7 +268,8 @@
 
   // Orders
   // Returns whether a planned start is still to be sent: its task may have ended elsewhere, or its
-  // worker may have become unresponsive, while the order waited for its turn.
+  // worker may have become unresponsive or announced its shutdown, while the order waited for its
+  // turn.
   [[nodiscard]] bool IsStartWanted(const StartOrder& aOrder);
   void OnStart(const StartOrder& aOrder, StartOutcome aOutcome, TimePoint aNow);
   void OnStop(const StopOrder& aOrder, bool aAcked, TimePoint aNow);
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -15,7 +15,7 @@
 bool Scheduler::IsStartWanted(const StartOrder& aOrder)
 {
   const Worker* worker = FindWorker(aOrder.mWorker);
-  if (!worker || !worker->mReachable)
+  if (!worker || !worker->mReachable || worker->mEntry.mDraining)
     return false;
   const auto run =
     std::find_if(worker->mRuns.begin(), worker->mRuns.end(), [&aOrder](const Run& aItem) {
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -291,3 +291,16 @@
   CHECK(present->mSuspects[0].mRun == 3);
   CHECK_FALSE(DecodeMessage<WorkerRecord>(bytes.substr(0, bytes.size() - 1)).has_value());
 }
+
+TEST_CASE("fleet: a start that waits in a queue is sent although its worker is draining")
+{
+  Scheduler scheduler = MakeScheduler(seconds(10));
+  AddWorkers(scheduler, 1);
+  scheduler.AddJob(MakeLastingJob(), {}, false, kStart);
+  const StartOrder order = PlanUntilStart(scheduler, kStart).first;
+  CHECK(scheduler.IsStartWanted(order));
+  WorkerEntry entry = scheduler.FindWorker("w0")->mEntry;
+  entry.mDraining = true;
+  scheduler.ListWorker(entry, false, kStart);
+  CHECK_FALSE(scheduler.IsStartWanted(order));
+}
