Take back all crashes of a worker that was shown between two silences

What callers could see: LOST, a job shown as failed although none of its workers crashed.

Cause: the crash of a vanished worker is taken back when the same incarnation answers again. If its entry is shown meanwhile (the store reaches it again before we do) and goes once more, the worker vanishes a second time, with no tasks, and what it ran the first time was overwritten.

Change: what the same incarnation ran each time it vanished is kept.

Evidence: "fleet: a task is given up for partitions of workers that did not crash" now also shows the entries in between; that failed before (the job was given up).

--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -84,7 +84,12 @@
   if (!isCertain) {
     std::erase_if(mVanished,
                   [aNow](const auto& aItem) { return aNow - aItem.second.mAt > kVanishedAge; });
-    mVanished[aWorker.mEntry.mId] = { aWorker.mEntry.mBornMs, aNow, ListSuspects(aWorker) };
+    VanishedWorker& vanished = mVanished[aWorker.mEntry.mId];
+    if (vanished.mBornMs != aWorker.mEntry.mBornMs)
+      vanished = { .mBornMs = aWorker.mEntry.mBornMs };
+    vanished.mAt = aNow;
+    for (SuspectRun& it : ListSuspects(aWorker))
+      vanished.mRuns.push_back(std::move(it));
   }
   aWorker.mPastRuns.clear();
   const bool isAlone = jobs.size() == 1 && !CrashedWithOthers(aWorker);
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -338,7 +338,8 @@
 
 TEST_CASE("fleet: a task is given up for partitions of workers that did not crash")
 {
-  const bool isRestarted = GENERATE(false, true);  // the workers did crash, and kept their ids
+  const bool isRestarted = GENERATE(false, true);     // the workers did crash, and kept their ids
+  const bool isShownBetween = GENERATE(false, true);  // their entries, while they don't answer
   TimePoint now{ seconds(2000) };
   Scheduler scheduler({});
   SetQueue(scheduler);
@@ -367,6 +368,13 @@
     scheduler.UnlistWorker(entry.mId, now);
     now += seconds(6);
     scheduler.DropLapsed(now);
+    if (isShownBetween) {
+      scheduler.ListWorker(entry, false, now);
+      now += seconds(4);
+      scheduler.UnlistWorker(entry.mId, now);
+      now += seconds(10);
+      scheduler.DropLapsed(now);
+    }
     report.mBornMs = list().mBornMs;
     if (!isRestarted)
       report.mEnded.push_back({ ++ends, start.mTask, start.mRun, EndKind::Lapsed, "" });
