Count the overhang of previous holders from the election only

What callers would see: LOST, where workers don't check tokens: a lasting task whose worker crashes in the 2 s after a takeover stays away 2 s longer than needed, and with it all tasks of earlier epochs that wait, as its worker is unresolved.

Cause: until reports count (1.2 s in which the previous holder may start tasks, and 0.95 s), a worker that answers has its leases renewed by the new holder, but the 2 s by which previous holders may have exceeded theirs were added to the latest renewal, not to the election.

Change: the leases have expired when those of this holder have, and those that a previous one may have granted, counted from the election.

Evidence: "fleet: a lasting task stays away when its worker crashes soon after a takeover" took 9,200 ms with leases of 6 s and 10,380 ms with leases of 10 s before (9,000 allowed).

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -158,6 +158,7 @@
   bool mInherited = false;  // stored by a previous holder, which may have started tasks there
   bool mFenced = false;     // answered in this epoch, or its older leases expired
   bool mReachable = false;  // answered the last call
+  TimePoint mAddedAt{};     // at the election, for workers of previous holders
   TimePoint mAnsweredAt{};
   TimePoint mLeaseSentAt{};      // when the last order that renewed its tasks' leases was sent
   TimePoint mUnlistedAt{};       // when its directory entry was last removed
@@ -291,8 +292,8 @@
   // aHolderRenewedAt: when the holder's own lease was last renewed.
   [[nodiscard]] Duration GetTaskLease(TimePoint aNow, TimePoint aHolderRenewedAt) const;
   // Releases the tasks of unresponsive workers whose task leases have certainly expired. Previous
-  // holders may have granted leases to workers that have not answered in this epoch, which end
-  // kMaxLeaseOverhang later.
+  // holders may have granted leases to workers that are not fenced, which end kMaxLeaseOverhang
+  // later, counted from the election.
   void DropLapsed(TimePoint aNow);
 
   // Stored progress
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -93,10 +93,11 @@
     return;
   auto [it, isNew] = mWorkers.try_emplace(aEntry.mId);
   Worker& worker = it->second;
-  if (isNew)
+  if (isNew) {
+    worker.mAddedAt = aNow;
     worker.mLeaseSentAt = aNow;  // a previous holder may have renewed leases until now
-  else if (aEntry.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
-           aEntry.mBornMs > worker.mEntry.mBornMs) {
+  } else if (aEntry.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
+             aEntry.mBornMs > worker.mEntry.mBornMs) {
     ResetForNewIncarnation(worker, aNow);
   }
   const std::int64_t startMs = std::max(worker.mEntry.mBornMs, aEntry.mBornMs);
@@ -166,13 +167,15 @@
   };
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     Worker& worker = it->second;
-    const Duration limit = getExpiry(worker.mFenced ? mTaskLease : mTaskLease + kMaxLeaseOverhang);
+    TimePoint lapsesAt = worker.mLeaseSentAt + getExpiry(mTaskLease);
+    if (!worker.mFenced)
+      lapsesAt = std::max(lapsesAt, worker.mAddedAt + getExpiry(mTaskLease + kMaxLeaseOverhang));
     // The entry of a worker that is only silent stays listed for two more heartbeats at least; one
     // that disappears sooner after an answer was removed because the worker left.
     const bool hasLeft =
       worker.mEntry.mDraining && !worker.mListed && worker.mFenced &&
       worker.mUnlistedAt - worker.mAnsweredAt < 2 * mSettings.mWorkerHeartbeat - kLeaseExpiryMargin;
-    if (worker.mReachable || (aNow < worker.mLeaseSentAt + limit && !hasLeft)) {
+    if (worker.mReachable || (aNow < lapsesAt && !hasLeft)) {
       ++it;
       continue;
     }
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -304,3 +304,25 @@
   scheduler.ListWorker(entry, false, kStart);
   CHECK_FALSE(scheduler.IsStartWanted(order));
 }
+
+TEST_CASE("fleet: a lasting task stays away when its worker crashes soon after a takeover")
+{
+  Scheduler scheduler = MakeScheduler(GENERATE(seconds(6), seconds(10)), 2);
+  AddWorkers(scheduler, 60);
+  scheduler.AddJob(MakeLastingJob(), {}, true, kStart);
+  WorkerEntry entry;
+  entry.mId = "gone";
+  entry.mAddress = "10.0.1.1:80";
+  entry.mService = "pool";
+  scheduler.ListWorker(entry, true, kStart);
+  scheduler.SetFencedFrom(kStart + milliseconds(2150));
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = "a.0.0.0", .mRun = 7 });
+  const TimePoint crashedAt = kStart + seconds(2);
+  scheduler.OnReport("gone", report, crashedAt, crashedAt);
+  scheduler.FindWorker("gone")->mLeaseSentAt = crashedAt;  // renewed by the new holder
+  scheduler.OnSilence("gone", crashedAt + milliseconds(1));
+  const auto [order, startedAt] = PlanUntilStart(scheduler, crashedAt);
+  REQUIRE(order.mTask == "a.0.0.0");
+  CHECK((startedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
+}
