Count an unresolved run once if its crash is recorded already

Cause: a task starts again only if it may even if all its unresolved runs crashed their workers. A run can be listed as unresolved although its crash is recorded: after a takeover, if the previous holder had stored the crash but not yet removed the worker; or if a start was in flight when its worker restarted. It counted twice.

Change: it counts once. For copies it still counts as not survived.

Evidence: "fleet: a crash that is stored already counts again until its worker is resolved" failed before (no start, with four crashes).

--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -183,9 +183,14 @@
 void Scheduler::CountUnproven()
 {
   mUnresolved.clear();
-  const auto add = [this](const TaskRef& aRef, bool aUnproven) {
+  const auto add = [this](const TaskRef& aRef, std::uint64_t aRun, bool aUnproven) {
+    const Task* task = FindTask(aRef);
+    const bool isCounted =
+      task && std::any_of(task->mCrashes.begin(), task->mCrashes.end(), [&](const auto& aItem) {
+        return aItem.mRun == aRun;
+      });
     UnresolvedRuns& runs = mUnresolved[aRef];
-    ++runs.mCount;
+    runs.mCount += isCounted ? 0 : 1;
     runs.mUnproven += aUnproven ? 1 : 0;
   };
   for (const auto& [id, worker] : mWorkers) {
@@ -193,11 +198,11 @@
       continue;
     for (const Run& it : worker.mRuns)
       if (it.mKnown)
-        add(it.mRef, IsUnproven(worker, it));
+        add(it.mRef, it.mRun, IsUnproven(worker, it));
     TaskRef ref;
     for (const SuspectRun& it : worker.mPastRuns)
       if (ParseTask(it.mTask, ref))
-        add(ref, it.mUnproven);
+        add(ref, it.mRun, it.mUnproven);
   }
   for (auto& [id, worker] : mWorkers) {
     worker.mUnprovenCount = 0;
--- a/src/policy/crash_budget.h
+++ b/src/policy/crash_budget.h
@@ -21,8 +21,8 @@
 // Runs of a task on workers that do not answer: it is not known whether these crashed.
 struct UnresolvedRuns
 {
-  std::size_t mCount = 0;
-  std::size_t mUnproven = 0;  // of these, the worker has not been seen to survive its start
+  std::size_t mCount = 0;     // without those whose crash is recorded already
+  std::size_t mUnproven = 0;  // the worker has not been seen to survive the start
 };
 
 // Returns whether a copy of the task may start although some of its runs are unresolved.
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -407,6 +407,38 @@
   CHECK(crashes[0].mSoon);
 }
 
+TEST_CASE("fleet: a crash that is stored already counts again until its worker is resolved")
+{
+  TimePoint now{ seconds(2000) };
+  Scheduler scheduler({});
+  SetQueue(scheduler);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, now);
+  std::vector<SuspectRun> suspects;
+  for (std::size_t n = 1; n < kMaxStarts; ++n) {
+    const std::string worker = "w" + std::to_string(n);
+    scheduler.ListWorker(MakeEntry(worker), true, now);
+    scheduler.OnReport(worker, {}, now, now);
+    const Orders orders = scheduler.Plan(now, 0, true, 0);
+    REQUIRE(orders.mStarts.size() == 1);
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, now);
+    now += seconds(1);
+    scheduler.OnReport(worker, ListRunning(orders.mStarts[0]), now, now);
+    scheduler.OnSilence(worker, now);
+    suspects = scheduler.ListSuspects(*scheduler.FindWorker(worker));
+    scheduler.OnReplaced(worker, now);
+  }
+  // The holder is lost after it has stored the last crash, before it has removed the worker.
+  Scheduler next({ .mEpoch = 2 });
+  SetQueue(next);
+  next.AddJob(MakeJob("a", 1), scheduler.CollectProgress(31, now).mJobs.at(0).mBytes, true, now);
+  WorkerEntry dead = MakeEntry("dead");
+  next.ListWorker(dead, true, now);
+  next.SetFinalTasks("dead", {}, suspects);
+  next.ListWorker(MakeEntry("w"), true, now);
+  next.OnReport("w", {}, now, now);
+  CHECK(next.Plan(now, 0, true, 0).mStarts.size() == 1);
+}
+
 TEST_CASE("fleet: a lasting task is given up for crashes of its workers months apart")
 {
   const bool isLasting = GENERATE(true, false);
