--- /dev/null
+++ b/src/fleet/holder_load.cpp
@@ -0,0 +1,260 @@
+// Reads jobs and workers from the store, and watches them for changes.
+#include <algorithm>
+
+#include "fleet/holder_impl.h"
+#include "fleet/keys.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kWatchWait = milliseconds(1500);  // detects a dead connection within this
+constexpr Duration kLateWatch = kWatchWait + milliseconds(500);
+constexpr Duration kWatchBatchDelay = milliseconds(200);  // collects changes into one answer
+
+}  // namespace
+
+// Reads the stored state, retrying until the store answers, then starts the other loops.
+Async<void> Holder::Load()
+{
+  auto self = shared_from_this();
+  const TimePoint startedAt = BootClock::now();
+  platform::StorePage state;
+  platform::StorePage directory;
+  for (bool isDone = false; !isDone && !mSteppedDown;) {
+    auto page = co_await mStore.List(std::string(kRoot), 3 * platform::kStoreDeadline);
+    if (page) {
+      state = std::move(*page);
+      auto workers =
+        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
+      if (workers) {
+        directory = std::move(*workers);
+        isDone = true;
+        break;
+      }
+    }
+    co_await Sleep(kRetryStore);
+  }
+  if (mSteppedDown)
+    co_return;
+  const bool isInherited = mGrant.mPreviousHolder.has_value();
+  for (const StoreItem& it : state.mItems) {
+    if (it.mKey.starts_with(kProgressPrefix)) {
+      const std::string id = it.mKey.substr(kProgressPrefix.size());
+      mEarlyProgress[id] = it.mValue;
+      mProgressRevisions[id] = it.mRevision;
+    }
+  }
+  for (const StoreItem& it : state.mItems)
+    ApplyJobItem(it, isInherited);
+  for (const StoreItem& it : state.mItems) {
+    if (!it.mKey.starts_with(kWorkerPrefix))
+      continue;
+    auto record = DecodeMessage<WorkerRecord>(it.mValue);
+    if (!record) {
+      Log(LogPart::Task,
+          LogLevel::Error,
+          "a worker's record in the store can't be decoded",
+          { { "key", it.mKey }, { "what", record.error().mDetail } });
+      continue;
+    }
+    WorkerEntry worker;
+    worker.mId = it.mKey.substr(kWorkerPrefix.size());
+    worker.mAddress = record->mAddress;
+    worker.mService = record->mService;
+    worker.mBornMs = record->mBornMs;
+    worker.mCreatedRevision = record->mCreatedRevision;
+    mScheduler.ListWorker(worker, true, mElectedAt);
+    mScheduler.UnlistWorker(worker.mId, BootClock::now());
+    mRecordedWorkers.insert(worker.mId);
+    if (Worker* known = mScheduler.FindWorker(worker.mId))
+      known->mRecordRevision = it.mRevision;
+    if (record->mIsFinal)
+      mScheduler.SetFinalTasks(worker.mId,
+                               std::set(record->mTasks.begin(), record->mTasks.end()),
+                               std::move(record->mSuspects));
+  }
+  for (const StoreItem& it : directory.mItems)
+    ApplyWorkerItem(it);
+  mEarlyProgress.clear();
+  mEarlyCancels.clear();
+  mLoaded = true;
+  Log(LogPart::Ownership,
+      LogLevel::Info,
+      "loaded the stored jobs and the worker directory",
+      { { "items", state.mItems.size() },
+        { "workers", directory.mItems.size() },
+        { "took_ms", BootClock::now() - startedAt } });
+  for (const auto& [id, worker] : mScheduler.GetWorkers())
+    EnsureWatched(id);
+  Spawn(mContext, WatchJobs(state.mRevision));
+  Spawn(mContext, WatchWorkers(directory.mRevision));
+  Spawn(mContext, RecordWorkers());
+  Spawn(mContext, RunPlan());
+  Spawn(mContext, StoreProgress());
+  Spawn(mContext, ForgetEndedJobs());
+  Spawn(mContext, YieldToLarger());
+}
+
+void Holder::ApplyJobItem(const StoreItem& aItem, bool aInherited)
+{
+  if (!aItem.mKey.starts_with(kJobPrefix) || aItem.mDeleted)
+    return;
+  std::string id = aItem.mKey.substr(kJobPrefix.size());
+  if (id.ends_with(kCancelSuffix)) {
+    id.resize(id.size() - kCancelSuffix.size());
+    if (mScheduler.FindJob(id))
+      mScheduler.CancelJob(id, BootClock::now());
+    else
+      mEarlyCancels.insert(id);
+    return;
+  }
+  if (mScheduler.FindJob(id))
+    return;
+  auto spec = DecodeMessage<JobSpec>(aItem.mValue);
+  if (!spec) {
+    Log(LogPart::Job,
+        LogLevel::Error,
+        "a job in the store can't be decoded",
+        { { "job", id }, { "what", spec.error().mDetail } });
+    return;
+  }
+  // The wall clocks of VMs differ by little. The clamp bounds the error of a clock that jumped.
+  const std::int64_t age = aInherited ? ReadWallMillis() - spec->mAcceptedMs : 0;
+  const Duration waited =
+    std::clamp<Duration>(milliseconds(age), Duration::zero(), mSettings.mKeepEnded);
+  auto progress = mEarlyProgress.find(id);
+  mScheduler.AddJob(std::move(*spec),
+                    progress == mEarlyProgress.end() ? std::string_view() : progress->second,
+                    aInherited,
+                    BootClock::now(),
+                    waited);
+  if (mEarlyCancels.erase(id) != 0)
+    mScheduler.CancelJob(id, BootClock::now());
+}
+
+void Holder::OnJobAccepted(const std::string& aId, std::string_view aValue)
+{
+  if (!mLoaded || mSteppedDown)
+    return;
+  ApplyJobItem({ MakeJobKey(aId), std::string(aValue), 0, false }, false);
+  WakePlan();
+}
+
+void Holder::OnJobCancelled(const std::string& aId)
+{
+  if (!mLoaded || mSteppedDown)
+    return;
+  mScheduler.CancelJob(aId, BootClock::now());
+  WakePlan();
+}
+
+void Holder::ApplyWorkerItem(const StoreItem& aItem)
+{
+  if (!aItem.mKey.starts_with(platform::kDirectoryPrefix))
+    return;
+  std::string id = aItem.mKey.substr(platform::kDirectoryPrefix.size());
+  const TimePoint now = BootClock::now();
+  if (aItem.mDeleted) {
+    mScheduler.UnlistWorker(id, now);
+    return;
+  }
+  auto entry = platform::ParseWorkerEntry(id, aItem.mValue);
+  if (!entry) {
+    Log(LogPart::Task,
+        LogLevel::Warn,
+        "an entry of the worker directory is invalid",
+        { { "worker", id }, { "what", entry.error().mDetail } });
+    mScheduler.UnlistWorker(id, now);
+    return;
+  }
+  entry->mCreatedRevision = aItem.mCreated;
+  mScheduler.ListWorker(std::move(*entry), false, now);
+  if (mLoaded)
+    EnsureWatched(id);
+}
+
+// Waits for changes below a prefix of the store. Logs an answer that was late and, in a series of
+// failures, the first one.
+Async<Result<platform::StorePage>> Holder::AwaitChanges(std::string aPrefix,
+                                                        std::uint64_t aRevision,
+                                                        bool& aIsFailing)
+{
+  auto self = shared_from_this();
+  const TimePoint sentAt = BootClock::now();
+  auto page = co_await mStore.Watch(aPrefix, aRevision, kWatchWait);
+  const Duration took = BootClock::now() - sentAt;
+  if (!page && !aIsFailing)
+    Log(LogPart::Store,
+        LogLevel::Warn,
+        "a watch failed",
+        { { "prefix", aPrefix }, { "what", page.error().mDetail }, { "took_ms", took } });
+  else if (page && took > kLateWatch)
+    Log(LogPart::Store,
+        LogLevel::Warn,
+        "a watch was answered late",
+        { { "prefix", aPrefix }, { "changes", page->mItems.size() }, { "took_ms", took } });
+  aIsFailing = !page;
+  co_return page;
+}
+
+Async<void> Holder::WatchJobs(std::uint64_t aRevision)
+{
+  auto self = shared_from_this();
+  bool isFailing = false;
+  while (!mSteppedDown) {
+    auto page = co_await AwaitChanges(std::string(kJobPrefix), aRevision, isFailing);
+    if (mSteppedDown)
+      co_return;
+    if (!page && page.error().mKind == FailureKind::Conflict)
+      page = co_await mStore.List(std::string(kJobPrefix), 3 * platform::kStoreDeadline);
+    if (!page) {
+      co_await Sleep(kRetryStore);
+      continue;
+    }
+    aRevision = page->mRevision;
+    if (page->mItems.empty())
+      continue;
+    for (const StoreItem& it : page->mItems)
+      ApplyJobItem(it, false);
+    WakePlan();
+    // The processes that accept jobs also notify the holder directly. This watch finds the jobs
+    // whose notification was lost, so it can be slower.
+    co_await Sleep(kWatchBatchDelay);
+  }
+}
+
+Async<void> Holder::WatchWorkers(std::uint64_t aRevision)
+{
+  auto self = shared_from_this();
+  bool isFailing = false;
+  while (!mSteppedDown) {
+    auto page =
+      co_await AwaitChanges(std::string(platform::kDirectoryPrefix), aRevision, isFailing);
+    if (mSteppedDown)
+      co_return;
+    if (!page && page.error().mKind == FailureKind::Conflict) {
+      page =
+        co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
+      if (page) {
+        std::set<std::string> listed;
+        for (const StoreItem& it : page->mItems)
+          listed.insert(it.mKey.substr(platform::kDirectoryPrefix.size()));
+        for (const auto& [id, worker] : mScheduler.GetWorkers())
+          if (!listed.contains(id))
+            mScheduler.UnlistWorker(id, BootClock::now());
+      }
+    }
+    if (!page) {
+      co_await Sleep(kRetryStore);
+      continue;
+    }
+    aRevision = page->mRevision;
+    for (const StoreItem& it : page->mItems)
+      ApplyWorkerItem(it);
+    if (!page->mItems.empty())
+      WakePlan();
+  }
+}
+
+}  // namespace monsoon::fleet
