Hold tickets of full workers for lasting tasks that ran before

What callers saw: a lasting task that has lost its worker stays away for 10 to 16 s on a full fleet, although workers become free all the time.

Cause: a policy call named only workers with capacity at that moment, 1 to 5 of 350 here. When their tickets came, 0.5 s later, tasks of other stages had taken the capacity, and a ticket ends (2 s) before such a worker is free again. That lasting tasks go first (place order) doesn't help without a ticket.

Change: calls of lasting tasks that ran before name full workers, too, if they are large enough; up to 60 workers while fewer than 16 have capacity. Other stages ask as before.

Evidence: "fleet: a lasting task finds no capacity, as other tasks take what becomes free" failed before (not back after 20 s where other tasks run for 4, 6 or 8 s; 8.4 to 8.5 s of 9 now).

--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -24,6 +24,14 @@
   return std::find(aItems.begin(), aItems.end(), aItem) != aItems.end();
 }
 
+// Returns whether an idle worker of this size has the capacity for a task.
+bool IsLargeEnough(const Worker& aWorker, const StageSpec& aSpec)
+{
+  return (aSpec.mFiller || aSpec.mMilliCores <= aWorker.mEntry.mMilliCores) &&
+         aSpec.mMemoryMiB <= aWorker.mEntry.mMemoryMiB &&
+         aSpec.mAccelerators <= aWorker.mEntry.mAccelerators;
+}
+
 std::string GetRack(const Worker& aWorker)
 {
   return aWorker.mEntry.mLabels.size() > 1 ? aWorker.mEntry.mLabels[1] : std::string();
@@ -361,13 +369,15 @@
     return;
   // -(free cores), worker; a slow worker counts as full.
   std::vector<std::pair<std::int64_t, std::string>> candidates;
-  bool hasCapacity = false;
-  bool isFirst = stage.mTickets.empty() && stage.mExcluded.empty();
+  std::size_t fitting = 0;
+  const bool isFirst = stage.mTickets.empty() && stage.mExcluded.empty();
   for (const auto& [id, worker] : mWorkers) {
     if (stage.mExcluded.contains(id) || !CanHost(worker, aReady, aNow))
       continue;
     const bool fits = HasCapacity(worker, *aReady.mSpec);
-    if (!fits && !isFirst)
+    // Lasting tasks that ran before hold tickets of full workers as well: by the time a ticket of a
+    // worker that has just become free arrives, other tasks have taken its capacity.
+    if (!fits && !isFirst && !(aReady.mIsRestart && IsLargeEnough(worker, *aReady.mSpec)))
       continue;
     if (aReady.mSpec->mMaxPerWorker != 0 &&
         CountRuns(worker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
@@ -375,15 +385,17 @@
     auto ticket = stage.mTickets.find(id);
     if (ticket != stage.mTickets.end() && ticket->second.second >= aNow + kTicketMargin)
       continue;
-    hasCapacity = hasCapacity || fits;
+    fitting += fits ? 1 : 0;
     const std::int64_t freeCores =
       std::int64_t{ worker.mEntry.mMilliCores } - worker.mUsedMilliCores;
     candidates.emplace_back(aNow < worker.mSlowUntil ? 0 : -freeCores, id);
   }
-  if (candidates.empty() || !hasCapacity)
+  if (candidates.empty() || (fitting == 0 && !aReady.mIsRestart))
     return;
   std::sort(candidates.begin(), candidates.end());
-  const std::size_t maxWorkers = isFirst ? mSettings.mMaxAdviceWorkers : kMaxRenewedTickets;
+  const bool isScarce = aReady.mIsRestart && fitting < kMaxRenewedTickets;
+  const std::size_t maxWorkers =
+    isFirst || isScarce ? mSettings.mMaxAdviceWorkers : kMaxRenewedTickets;
   if (candidates.size() > maxWorkers)
     candidates.resize(maxWorkers);
   AdviceOrder order;
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -326,3 +326,75 @@
   REQUIRE(order.mTask == "a.0.0.0");
   CHECK((startedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
 }
+
+TEST_CASE("fleet: a lasting task finds no capacity, as other tasks take what becomes free")
+{
+  constexpr int kWorkers = 350;
+  const Duration runTime = seconds(GENERATE(1, 4, 6, 8));  // of the other tasks
+  Scheduler scheduler = MakeScheduler(seconds(10));
+  QueueConfig other;
+  other.mName = "other";
+  other.mService = "pool";
+  other.mPriority = 9;
+  FleetConfig config;
+  config.mQueues.push_back(other);
+  scheduler.SetQueues(config);
+  AddWorkers(scheduler, kWorkers);
+  scheduler.AddJob(MakeLastingJob(), {}, false, kStart);
+  const auto [first, startedAt] = PlanUntilStart(scheduler, kStart);
+  scheduler.OnStart(first, StartOutcome::Started, startedAt);
+  JobSpec job = MakeLastingJob();
+  job.mId = "b";
+  job.mQueue = "other";
+  job.mStages[0].mLongRunning = false;
+  job.mStages[0].mCount = 10'000;
+  job.mStages[0].mMilliCores = 8000;
+  scheduler.AddJob(job, {}, false, startedAt);
+  const TimePoint crashedAt = startedAt + seconds(4);
+  scheduler.FindWorker(first.mWorker)->mLeaseSentAt = crashedAt;
+  scheduler.OnSilence(first.mWorker, crashedAt + milliseconds(1));
+
+  std::map<std::string, std::pair<StartOrder, TimePoint>> running;  // worker → other task, its end
+  std::map<std::string, std::uint64_t> ends;
+  std::optional<std::pair<AdviceOrder, TimePoint>> call;
+  std::optional<TimePoint> restartedAt;
+  for (TimePoint now = crashedAt; now < crashedAt + seconds(20) && !restartedAt; now += kStep) {
+    if (call && now >= call->second + milliseconds(call->first.mExpectedMs)) {
+      std::vector<AdmittedWorker> admitted;
+      for (const std::string& id : call->first.mWorkers)
+        if (std::hash<std::string>{}(id) % 2 == 0)
+          admitted.push_back({ id, "ticket" });
+      scheduler.OnAdvice(call->first, &admitted, seconds(2), call->second, now);
+      call.reset();
+    }
+    // One worker becomes free at a time.
+    auto ended = std::find_if(running.begin(), running.end(), [now](const auto& aItem) {
+      return now >= aItem.second.second;
+    });
+    if (ended != running.end()) {
+      const auto& [order, endsAt] = ended->second;
+      WorkerReport report;
+      report.mEnded.push_back(
+        { ++ends[order.mWorker], order.mTask, order.mRun, EndKind::Done, {} });
+      scheduler.OnReport(order.mWorker, report, now, now);
+      running.erase(ended);
+    }
+    scheduler.DropLapsed(now);
+    Orders orders = scheduler.Plan(now, 0, true, call ? 0 : 1);
+    const bool isFull = now > crashedAt + runTime;
+    for (const StartOrder& it : orders.mStarts) {
+      scheduler.OnStart(it, StartOutcome::Started, now);
+      if (it.mTask == first.mTask)
+        restartedAt = now;
+      else
+        running[it.mWorker] = {
+          it, now + (isFull ? runTime : int(running.size()) * 97 % kWorkers * runTime / kWorkers)
+        };
+    }
+    if (!orders.mAdvice.empty())
+      call = { orders.mAdvice[0], now };
+  }
+  INFO("other tasks run for " << runTime / milliseconds(1) << " ms");
+  REQUIRE(restartedAt.has_value());
+  CHECK((*restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
+}
