Renew no long leases for workers that may have crashed

What callers saw: tasks, lasting ones among them, that are started on a worker that has crashed silently or run there stay away for up to 11.5 s instead of 9, as the rule allows.

Cause: polls renewed leases after the crash, and the tasks wait until the last of them has expired. A worker without tasks is polled each 3 s, so a poll that tells of the crash grants a full lease up to 3 s after it, and a start that isn't answered was followed by another poll that did so, up to 1.4 s after the crash on busy workers.

Change: the scheduler decides what a poll grants (Scheduler::RenewTaskLeases). Until a worker answers after an unanswered start, polls renew nothing; the next poll follows the answer at once. A worker on which no task is known to run gets 4 s. Leases never shorten, so earlier ones count as before. The model of the fleet takes its leases from there as well.

--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -97,15 +97,12 @@
   order.mWaitMs =
     static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(aWait).count());
   Channel& channel = mChannels[aId];
-  // The first poll of a worker that did not answer before renews no task lease: the scheduler may
-  // be waiting for its tasks' leases to expire.
-  const Duration lease = mScheduler.GetTaskLease(sentAt, mGrant.mRenewedAt);
-  if (channel.mClockMs != 0 && worker->mReachable && MayRenewTaskLeases() &&
-      lease > Duration::zero()) {
+  Duration lease{};
+  if (channel.mClockMs != 0 && MayRenewTaskLeases())
+    lease = mScheduler.RenewTaskLeases(*worker, sentAt, mGrant.mRenewedAt);
+  if (lease > Duration::zero())
     order.mUntilMs = EstimateWorkerClock(channel, sentAt) +
                      std::chrono::duration_cast<milliseconds>(lease).count();
-    worker->mLeaseSentAt = sentAt;
-  }
   auto report =
     co_await platform::RequestReport(mClient, std::move(*target), order, aWait + kReportMargin);
   if (mSteppedDown)
@@ -155,7 +152,9 @@
 Async<void> Holder::ProbeWorker(std::string aId)
 {
   auto self = shared_from_this();
-  co_await PollWorker(std::move(aId), Duration::zero());
+  // After an unanswered start this poll renews no leases; the next one does.
+  if (co_await PollWorker(aId, Duration::zero()))
+    WakeWorker(aId);
 }
 
 Async<void> Holder::WatchWorker(std::string aId)
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -159,6 +159,7 @@
   bool mFenced = false;     // answered in this epoch, or its older leases expired
   bool mReachable = false;  // answered the last call
   TimePoint mAddedAt{};     // at the election, for workers of previous holders
+  bool mHasUnansweredStart = false;  // since its last answer
   TimePoint mAnsweredAt{};
   TimePoint mLeaseSentAt{};      // when the last order that renewed its tasks' leases was sent
   TimePoint mUnlistedAt{};       // when its directory entry was last removed
@@ -291,6 +292,9 @@
   // Returns how long the tasks on a worker may run after a renewal that is sent now.
   // aHolderRenewedAt: when the holder's own lease was last renewed.
   [[nodiscard]] Duration GetTaskLease(TimePoint aNow, TimePoint aHolderRenewedAt) const;
+  // Returns how long the tasks on a worker may run after a poll that is sent now; zero: the poll
+  // renews no leases. Counts the renewal as sent.
+  Duration RenewTaskLeases(Worker& aWorker, TimePoint aNow, TimePoint aHolderRenewedAt);
   // Releases the tasks of unresponsive workers whose task leases have certainly expired. Previous
   // holders may have granted leases to workers that are not fenced, which end kMaxLeaseOverhang
   // later, counted from the election.
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -50,6 +50,7 @@
       run->mStarted = true;
       run->mProgressAt = aNow;
       worker->mReachable = true;
+      worker->mHasUnansweredStart = false;
       worker->mAnsweredAt = aNow;
       if (Job* job = FindJobMutable(ref.mJob); job && job->mState == JobState::Queued)
         job->mState = JobState::Running;
@@ -58,6 +59,7 @@
       if (run->mPhase == RunPhase::Starting)
         run->mPhase = RunPhase::Unconfirmed;
       run->mSentAt = aNow;
+      worker->mHasUnansweredStart = true;
       return;
     case StartOutcome::StaleRun:
       // The worker has seen an order with this run number or a higher one, so the next run needs a
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -201,6 +201,7 @@
   RevokeCrashes(worker);
   worker.mPastRuns.clear();
   worker.mReachable = true;
+  worker.mHasUnansweredStart = false;
   if (!worker.mFenced && aSentAt >= mFencedFrom) {
     worker.mFenced = true;
     worker.mLeaseSentAt = aNow;  // the previous holder may have renewed leases until now
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Duration kIdleLease = seconds(4);  // a worker that runs nothing is polled each 3 s
+
 // Returns whether the first is certainly an earlier incarnation at the same address. The time of
 // day of a machine may jump, and the entry of an ended incarnation may be created again by a write
 // that was delayed, so both orders must agree where both are known.
@@ -159,6 +161,25 @@
   return std::min(mTaskLease, aHolderRenewedAt + mTaskLease + kMaxLeaseOverhang - aNow);
 }
 
+Duration Scheduler::RenewTaskLeases(Worker& aWorker, TimePoint aNow, TimePoint aHolderRenewedAt)
+{
+  const Duration lease = GetTaskLease(aNow, aHolderRenewedAt);
+  // The first poll of a worker that did not answer before renews no lease: DropLapsed may be
+  // waiting for its tasks' leases to expire.
+  if (!aWorker.mReachable || aWorker.mHasUnansweredStart || lease <= Duration::zero())
+    return Duration::zero();
+  // That a worker without tasks has crashed is noticed late, so what starts there meanwhile would
+  // have to wait for a full lease.
+  if (lease > kIdleLease && std::none_of(aWorker.mRuns.begin(),
+                                         aWorker.mRuns.end(),
+                                         [](const Run& aItem) { return aItem.mStarted; })) {
+    aWorker.mLeaseSentAt = std::max(aWorker.mLeaseSentAt, aNow + kIdleLease - mTaskLease);
+    return kIdleLease;
+  }
+  aWorker.mLeaseSentAt = aNow;
+  return lease;
+}
+
 void Scheduler::DropLapsed(TimePoint aNow)
 {
   const auto getExpiry = [this](Duration aLease) {
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -310,10 +310,9 @@
     return;
   }
   node.mToken = std::max(node.mToken, mEpoch);
-  if (worker->mReachable) {
-    node.mLeaseUntil = std::max(node.mLeaseUntil, mNow + kLease);
-    worker->mLeaseSentAt = mNow;
-  }
+  const Duration lease = mScheduler->RenewTaskLeases(*worker, mNow, mNow);
+  if (lease > Duration::zero())
+    node.mLeaseUntil = std::max(node.mLeaseUntil, mNow + lease);
   const std::uint64_t acknowledged = worker->mStoredEnd;
   for (const EndedTask& row : node.mEnded)
     if (row.mNumber <= acknowledged && row.mKind == EndKind::Done)
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -398,3 +398,56 @@
   REQUIRE(restartedAt.has_value());
   CHECK((*restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
 }
+
+TEST_CASE("fleet: polls renew the leases of an idle worker that has crashed silently")
+{
+  Scheduler scheduler = MakeScheduler(seconds(10));
+  AddWorkers(scheduler, 60);
+  scheduler.AddJob(MakeLastingJob(), {}, false, kStart);
+  const auto [first, startedAt] = PlanUntilStart(scheduler, kStart);
+  REQUIRE(first.mRun == 1);
+  Worker& worker = *scheduler.FindWorker(first.mWorker);
+  const Duration idle = milliseconds(GENERATE(0, 1000, 2000, 2999));  // from the crash to the start
+  const bool isPolled = GENERATE(false, true);                        // right before the start
+  const TimePoint crashedAt = startedAt - idle;
+  worker.mLeaseSentAt = crashedAt;
+
+  if (isPolled) {
+    std::vector<Run> runs = std::move(worker.mRuns);
+    worker.mRuns.clear();
+    scheduler.RenewTaskLeases(worker, startedAt, startedAt);
+    worker.mRuns = std::move(runs);
+  }
+  const TimePoint unansweredAt = startedAt + milliseconds(400);
+  scheduler.OnStart(first, StartOutcome::Unknown, unansweredAt);
+  scheduler.RenewTaskLeases(worker, unansweredAt, unansweredAt);
+  scheduler.OnSilence(first.mWorker, unansweredAt + milliseconds(400));
+  const auto [second, restartedAt] = PlanUntilStart(scheduler, unansweredAt + milliseconds(400));
+  REQUIRE(second.mTask == first.mTask);
+  CHECK(second.mWorker != first.mWorker);
+  CHECK((restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
+}
+
+TEST_CASE("fleet: a poll after an unanswered start renews the leases of a crashed worker")
+{
+  Scheduler scheduler = MakeScheduler(seconds(10));
+  AddWorkers(scheduler, 60);
+  scheduler.AddJob(MakeLastingJob(), {}, false, kStart);
+  const auto [first, startedAt] = PlanUntilStart(scheduler, kStart);
+  scheduler.OnStart(first, StartOutcome::Started, startedAt);
+  Worker& worker = *scheduler.FindWorker(first.mWorker);
+  const TimePoint crashedAt = startedAt + seconds(4);
+  scheduler.RenewTaskLeases(worker, crashedAt, crashedAt);
+  // Another start is sent there 0.9 s later; the poll that was waiting ends after 1.4 s.
+  Run other;
+  other.mTask = "b.0.0.0";
+  other.mRun = 1;
+  worker.mRuns.push_back(other);
+  const TimePoint unansweredAt = crashedAt + milliseconds(1300);
+  scheduler.OnStart({ first.mWorker, "b.0.0.0", 1 }, StartOutcome::Unknown, unansweredAt);
+  scheduler.RenewTaskLeases(worker, unansweredAt, unansweredAt);
+  scheduler.OnSilence(first.mWorker, crashedAt + milliseconds(1400));
+  const auto [second, restartedAt] = PlanUntilStart(scheduler, crashedAt + milliseconds(1400));
+  REQUIRE(second.mTask == first.mTask);
+  CHECK((restartedAt - crashedAt) / milliseconds(1) <= kMaxAway / milliseconds(1));
+}
