--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -138,6 +138,16 @@
     mDone.begin(), mDone.end(), [&](const std::string& aItem) { return GetJob(aItem) == aJob; }));
 }
 
+std::uint64_t FleetStandin::CountCrashes(const std::string& aJob) const
+{
+  const std::lock_guard lock(mLock);
+  std::uint64_t most = 0;
+  for (const auto& [task, crashes] : mCrashes)
+    if (GetJob(task) == aJob)
+      most = std::max(most, crashes);
+  return most;
+}
+
 void FleetStandin::RegisterJob(const std::string& aId, std::vector<StandinStage> aStages)
 {
   const std::lock_guard lock(mLock);
@@ -157,6 +167,8 @@
   Advance(worker);
   ++mRevision;
   Remove("servers/" + worker.mId);
+  for (const Running& it : worker.mRunning)
+    ++mCrashes[it.mTask];
   worker.mId = "w" + std::to_string(aWorker) + "-" + std::to_string(++worker.mLife);
   worker.mRunning.clear();
   worker.mEnded.clear();
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -68,6 +68,8 @@
   [[nodiscard]] std::vector<std::string> ReadViolations() const;
   [[nodiscard]] std::uint64_t CountStarts() const { return mStarts; }
   [[nodiscard]] std::uint64_t CountEnds(const std::string& aJob) const;  // tasks that ended well
+  // Returns how many workers have crashed while they ran the same task, for the job's worst task.
+  [[nodiscard]] std::uint64_t CountCrashes(const std::string& aJob) const;
 
 private:
   struct StoredItem
@@ -130,8 +132,9 @@
   std::uint64_t mNextLease = 1;
   std::vector<std::unique_ptr<WorkerState>> mWorkers{};
   std::map<std::string, std::vector<StandinStage>> mJobs{};
-  std::set<std::string> mDone{};   // tasks with a good end
-  std::set<std::string> mNoted{};  // ... that was taken note of
+  std::map<std::string, std::uint64_t> mCrashes{};  // task → workers that crashed while they ran it
+  std::set<std::string> mDone{};                    // tasks with a good end
+  std::set<std::string> mNoted{};                   // ... that was taken note of
   std::vector<std::string> mViolations{};
 };
 
