Count the longest lease for a worker that restarted under its id

What callers could see: TWICE. A worker that ran nothing restarts under its id, a task is started there before its new clock is known, and it is cut off: its task counts as lapsed 4 s after the last poll, but runs for as long as workers allow.

Cause: polls and starts name the end of a lease by the worker's clock, which starts anew. By the clock of the earlier incarnation, if that is ahead, they ask for minutes, and the worker shortens that to its longest lease. This holder counted what it meant to grant. Orders went on by the old clock after the restart was known.

Change: a restart counts as a renewal of the longest lease at that moment, and later renewals don't lower that. Until the new incarnation answers, nothing is started or renewed there; it is polled at once.

Evidence: "fleet: a task starts again while a worker that restarted under its id may still run it" failed before: next start 4,980 ms after the first with leases of 6 s and 5,010 with 10 s (6,122 and 10,204 at least are needed), or 8,160 if the worker answered before it was cut off (10 s). Unit tests "fleet:*" pass.

--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -169,9 +169,14 @@
     return;
   }
   entry->mCreatedRevision = aItem.mCreated;
+  const Worker* known = mScheduler.FindWorker(id);
+  const bool wasReachable = known && known->mReachable;
   mScheduler.ListWorker(std::move(*entry), false, now);
   if (mLoaded)
     EnsureWatched(id);
+  known = mScheduler.FindWorker(id);
+  if (wasReachable && known && !known->mReachable)
+    WakeWorker(id);  // it was restarted
 }
 
 // Waits for changes below a prefix of the store. Logs an answer that was late and, in a series of
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -157,7 +157,7 @@
   bool mRecorded = false;   // in the stored list of workers in use
   bool mInherited = false;  // stored by a previous holder, which may have started tasks there
   bool mFenced = false;     // answered in this epoch, or its older leases expired
-  bool mReachable = false;  // answered the last call
+  bool mReachable = false;  // this incarnation answered the last call
   TimePoint mAddedAt{};     // at the election, for workers of previous holders
   bool mHasUnansweredStart = false;  // since its last answer
   TimePoint mAnsweredAt{};
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -204,7 +204,8 @@
   worker.mHasUnansweredStart = false;
   if (!worker.mFenced && aSentAt >= mFencedFrom) {
     worker.mFenced = true;
-    worker.mLeaseSentAt = aNow;  // the previous holder may have renewed leases until now
+    // The previous holder may have renewed leases until now.
+    worker.mLeaseSentAt = std::max(worker.mLeaseSentAt, aNow);
   }
   worker.mAnsweredAt = aNow;
 
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -128,6 +128,13 @@
       DropRun(aWorker, n);
   aWorker.mLastEnd = 0;
   aWorker.mStoredEnd = 0;
+  // Orders sent until now were timed by the clock of the earlier incarnation. If that was ahead,
+  // they have granted leases as long as workers allow. The next answer tells the new clock.
+  aWorker.mLeaseSentAt =
+    std::max(aWorker.mLeaseSentAt, aNow + mSettings.mMaxTaskLease - mTaskLease);
+  if (aWorker.mReachable)
+    aWorker.mUnresponsiveSince = aNow;
+  aWorker.mReachable = false;
 }
 
 void Scheduler::UnlistWorker(const std::string& aId, TimePoint aNow)
@@ -176,7 +183,7 @@
     aWorker.mLeaseSentAt = std::max(aWorker.mLeaseSentAt, aNow + kIdleLease - mTaskLease);
     return kIdleLease;
   }
-  aWorker.mLeaseSentAt = aNow;
+  aWorker.mLeaseSentAt = std::max(aWorker.mLeaseSentAt, aNow);
   return lease;
 }
 
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -503,3 +503,46 @@
   CHECK((*startedAt - kStart) / milliseconds(1) <= kMaxAwayInTakeover / milliseconds(1));
   CHECK(calls <= 2);
 }
+
+// An order that was timed by the clock of the earlier incarnation, which may be far ahead, grants
+// the longest lease that workers allow.
+TEST_CASE("fleet: a task starts again while a worker that restarted under its id may still run it")
+{
+  const Duration longest = seconds(GENERATE(6, 10));
+  Scheduler scheduler = MakeScheduler(longest);
+  AddWorkers(scheduler, 60);
+  scheduler.AddJob(MakeLastingJob(), {}, false, kStart);
+  const auto [first, startedAt] = PlanUntilStart(scheduler, kStart);
+  REQUIRE(first.mRun == 1);
+  Worker& worker = *scheduler.FindWorker(first.mWorker);
+  worker.mEntry.mBornMs = 1000;
+  worker.mLeaseSentAt = {};
+  scheduler.RenewTaskLeases(worker, startedAt, startedAt);
+  WorkerEntry entry = worker.mEntry;
+  entry.mBornMs = 2000;
+  const TimePoint seenAt = startedAt + milliseconds(100);
+
+  SECTION("the restart is seen in the directory, and the worker is cut off")
+  {
+    scheduler.ListWorker(entry, false, seenAt);
+    CHECK(scheduler.RenewTaskLeases(worker, seenAt, seenAt) == Duration::zero());
+    CHECK_FALSE(scheduler.IsStartWanted(first));
+    scheduler.OnStart(first, StartOutcome::Unknown, startedAt + milliseconds(400));
+    scheduler.OnSilence(first.mWorker, startedAt + milliseconds(800));
+  }
+  SECTION("the worker answers before it is cut off")
+  {
+    WorkerReport report;
+    report.mBornMs = entry.mBornMs;
+    report.mRunning.push_back({ .mTask = first.mTask, .mRun = first.mRun });
+    scheduler.OnReport(first.mWorker, report, seenAt, seenAt);
+    scheduler.RenewTaskLeases(worker, seenAt, seenAt);
+    scheduler.OnSilence(first.mWorker, startedAt + milliseconds(800));
+  }
+  const auto [second, restartedAt] = PlanUntilStart(scheduler, startedAt + milliseconds(800));
+  REQUIRE(second.mTask == first.mTask);
+  CHECK(second.mRun == 2);
+  const Duration held = restartedAt - startedAt;
+  CHECK(held / milliseconds(1) >=
+        std::chrono::duration_cast<Duration>(longest / 0.98) / milliseconds(1));
+}
