Let policy calls for full workers give way to other stages

What callers could see: LOST, or late jobs. On a fleet that is full for some lasting tasks that have to run again, no other stage gets a policy call any more, also small tasks that have room.

Change: a call that names full workers only does not follow another one while another stage wants to ask, so others get every second call at least. Lasting tasks for which some worker has capacity ask first as before.

Unit tests "fleet:*" pass.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -364,8 +364,9 @@
   void RepairGang(const Ready& aReady, TimePoint aNow, Orders& aOrders);
   [[nodiscard]] static bool HasRunBefore(const StageRun& aStage);
   [[nodiscard]] static bool IsGangRepairable(const StageRun& aStage);
-  void RequestAdvice(const Ready& aReady,
+  bool RequestAdvice(const Ready& aReady,
                      TimePoint aNow,
+                     bool aMayYield,
                      std::size_t& aFree,
                      std::size_t& aFreeSlow,
                      Orders& aOrders);
@@ -402,6 +403,7 @@
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
   std::uint64_t mNextAdvice = 1;
+  bool mLastAdviceWithoutCapacity = false;          // the last policy call named full workers only
   TimePoint mLastFastAdviceAt{};                    // last policy call that is not slow
   std::map<std::uint64_t, bool> mAdviceInFlight{};  // number of the call → whether it is a slow one
 };
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -366,18 +366,21 @@
     it.mNeverRan = false;
 }
 
-void Scheduler::RequestAdvice(const Ready& aReady,
+// Returns false if the call gives way to other stages: a call that names full workers only does so
+// after another one if aMayYield, since lasting tasks without capacity ask all the time.
+bool Scheduler::RequestAdvice(const Ready& aReady,
                               TimePoint aNow,
+                              bool aMayYield,
                               std::size_t& aFree,
                               std::size_t& aFreeSlow,
                               Orders& aOrders)
 {
   StageRun& stage = *aReady.mStage;
   if (stage.mAdviceNumber != 0 || aNow < stage.mAdviceRetryAt || aFree == 0)
-    return;
+    return true;
   const bool isSlow = aReady.mQueue->mAdviceBase >= kMinSlowAdvice;
   if (isSlow && aFreeSlow == 0)
-    return;
+    return true;
   // -(free cores), worker; a slow worker counts as full.
   std::vector<std::pair<std::int64_t, std::string>> candidates;
   std::size_t fitting = 0;
@@ -402,7 +405,10 @@
     candidates.emplace_back(aNow < worker.mSlowUntil ? 0 : -freeCores, id);
   }
   if (candidates.empty() || (fitting == 0 && !aReady.mIsRestart))
-    return;
+    return true;
+  if (fitting == 0 && aMayYield && mLastAdviceWithoutCapacity)
+    return false;
+  mLastAdviceWithoutCapacity = fitting == 0;
   std::sort(candidates.begin(), candidates.end());
   const bool isScarce = aReady.mIsRestart && fitting < kMaxRenewedTickets;
   const std::size_t maxWorkers =
@@ -425,6 +431,7 @@
   else
     mLastFastAdviceAt = aNow;
   aOrders.mAdvice.push_back(std::move(order));
+  return true;
 }
 
 void Scheduler::PlaceReady(const Ready& aReady, TimePoint aNow, Orders& aOrders)
@@ -461,12 +468,16 @@
                      ? advisors
                      : std::max<std::size_t>(1, advisors * 3 / 4);
   std::size_t freeSlow = slowAdvisors > slowInFlight ? slowAdvisors - slowInFlight : 0;
+  std::vector<Ready> yielding;
   for (const Ready& ready : CollectReady(aNow, aWallMs)) {
     if (!ready.mIsHeld)
       PlaceReady(ready, aNow, orders);
-    if (ready.mStage->mWaiting > 0 && ready.mQueue->mNeedsAdvice)
-      RequestAdvice(ready, aNow, aFreeAdvisors, freeSlow, orders);
+    if (ready.mStage->mWaiting > 0 && ready.mQueue->mNeedsAdvice &&
+        !RequestAdvice(ready, aNow, true, aFreeAdvisors, freeSlow, orders))
+      yielding.push_back(ready);
   }
+  for (const Ready& ready : yielding)
+    RequestAdvice(ready, aNow, false, aFreeAdvisors, freeSlow, orders);
   return orders;
 }
 
--- a/tests/unit/test_fleet_recovery.cpp
+++ b/tests/unit/test_fleet_recovery.cpp
@@ -546,3 +546,70 @@
   CHECK(held / milliseconds(1) >=
         std::chrono::duration_cast<Duration>(longest / 0.98) / milliseconds(1));
 }
+
+TEST_CASE("fleet: lasting tasks that find no capacity keep other tasks from their policy calls")
+{
+  constexpr int kWorkers = 350;
+  const std::size_t advisors = GENERATE(1, 4);
+  const bool isFast = GENERATE(false, true);
+  Scheduler scheduler = MakeScheduler(seconds(6), 2);
+  QueueConfig other;
+  other.mName = "other";
+  other.mService = "pool";
+  QueueConfig fast = other;
+  fast.mName = "fast";
+  fast.mNeedsAdvice = true;
+  fast.mAdviceBase = milliseconds(30);
+  fast.mAdviceValid = seconds(2);
+  FleetConfig config;
+  config.mQueues = { other, fast };
+  scheduler.SetQueues(config);
+  AddWorkers(scheduler, kWorkers);
+  // 5 of the 8 cores of each worker are in use, so no task of 4 cores finds room.
+  JobSpec filling = MakeLastingJob();
+  filling.mId = "filling";
+  filling.mQueue = "other";
+  filling.mStages[0].mCount = kWorkers;
+  filling.mStages[0].mMilliCores = 5000;
+  scheduler.AddJob(filling, {}, false, kStart);
+  for (const StartOrder& it : scheduler.Plan(kStart, 0, true, 0).mStarts)
+    scheduler.OnStart(it, StartOutcome::Started, kStart);
+  for (int n = 0; n < 6; ++n) {
+    JobSpec job = MakeLastingJob();
+    job.mId = "lasting" + std::to_string(n);
+    job.mStages[0].mMilliCores = 4000;
+    scheduler.AddJob(job, {}, true, kStart);
+  }
+
+  std::vector<std::pair<AdviceOrder, TimePoint>> calls;
+  std::optional<TimePoint> startedAt;
+  const TimePoint addedAt = kStart + seconds(5);
+  for (TimePoint now = kStart; now < kStart + seconds(30) && !startedAt; now += kStep) {
+    if (now == addedAt) {
+      JobSpec job = MakeLastingJob();
+      job.mId = "small";
+      job.mQueue = isFast ? "fast" : "q";
+      job.mStages[0].mLongRunning = false;
+      scheduler.AddJob(job, {}, false, now);
+    }
+    std::erase_if(calls, [&](const auto& aItem) {
+      const auto& [call, askedAt] = aItem;
+      if (now < askedAt + milliseconds(call.mExpectedMs))
+        return false;
+      std::vector<AdmittedWorker> admitted;
+      for (const std::string& id : call.mWorkers)
+        admitted.push_back({ id, "ticket" });
+      scheduler.OnAdvice(call, &admitted, seconds(2), askedAt, now);
+      return true;
+    });
+    Orders orders = scheduler.Plan(now, 0, true, advisors - calls.size());
+    for (const StartOrder& it : orders.mStarts)
+      if (it.mTask == "small.0.0.0")
+        startedAt = now;
+    for (AdviceOrder& it : orders.mAdvice)
+      calls.emplace_back(std::move(it), now);
+  }
+  INFO(advisors << " advisors, fast calls: " << isFast);
+  REQUIRE(startedAt.has_value());
+  CHECK((*startedAt - addedAt) / milliseconds(1) <= 2000);  // two slow calls
+}
