--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -61,6 +61,9 @@
   return aWorker.mInherited && !aWorker.mFenced;
 }
 
+// For a start order to reach its worker while its ticket is valid.
+inline constexpr Duration kTicketMargin = milliseconds(60);
+
 // A worker that still answers this long after a task started there has survived the start.
 inline constexpr Duration kProvenAfter = milliseconds(250);
 
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -1,4 +1,4 @@
-// Scheduler: outcomes of start orders, stop orders and policy calls.
+// Scheduler: outcomes of start and stop orders.
 #include <algorithm>
 
 #include "fleet/scheduler_impl.h"
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Duration kAdviceRetryDelay = milliseconds(150);  // after a policy call that failed
 constexpr Duration kFullDuration = milliseconds(100);  // a worker reports again within this time
 
 }  // namespace
@@ -96,36 +95,4 @@
       it.mStopAckedAt = aNow;
 }
 
-void Scheduler::OnAdvice(const AdviceOrder& aOrder,
-                         const std::vector<AdmittedWorker>* aAdmitted,
-                         Duration aValid,
-                         TimePoint aAskedAt,
-                         TimePoint aNow)
-{
-  mAdviceInFlight.erase(aOrder.mNumber);
-  TaskRef ref;
-  if (!ParseTask(aOrder.mStage + ".0", ref))
-    return;
-  StageRun* stage = FindStage(ref);
-  if (!stage || stage->mAdviceNumber != aOrder.mNumber)
-    return;
-  stage->mAdviceNumber = 0;
-  if (!aAdmitted) {
-    stage->mAdviceRetryAt = aNow + kAdviceRetryDelay;
-    return;
-  }
-  if (aValid <= Duration::zero())  // the answer states no validity
-    if (const QueueConfig* queue = FindQueue(FindJob(ref.mJob)->mSpec.mQueue))
-      aValid = queue->mAdviceValid;
-  for (const std::string& id : aOrder.mWorkers)
-    stage->mExcluded.insert(id);
-  for (const AdmittedWorker& it : *aAdmitted) {
-    stage->mExcluded.erase(it.mWorker);
-    // The service counts the validity from the moment of its answer, which is not known here. It is
-    // estimated from the expected duration of the call, and lies between the request and now.
-    const TimePoint answered = std::max(aAskedAt + milliseconds(aOrder.mExpectedMs), aAskedAt);
-    stage->mTickets[it.mWorker] = { it.mTicket, std::min(answered, aNow) + aValid };
-  }
-}
-
 }  // namespace monsoon::fleet
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -10,15 +10,10 @@
 namespace {
 
 constexpr std::uint64_t kRunsPerEpoch = 1000;  // run numbers reserved for a task in each epoch
-constexpr Duration kTicketMargin = milliseconds(60);  // for a start order to reach its worker
-// Policy calls are slow from this mAdviceBase on.
-constexpr Duration kMinSlowAdvice = milliseconds(200);
 // When there was no fast policy call for this long, slow calls may take all advisors.
 constexpr Duration kFastAdviceIdle = seconds(2);
-// Tickets for lasting tasks are obtained this long before they may start; a first call takes 0.8 s.
+// Tickets for lasting tasks are obtained this long before the wait of a takeover ends.
 constexpr Duration kTicketLead = milliseconds(1200);
-// Workers named by a policy call that is not the first of its stage.
-constexpr std::size_t kMaxRenewedTickets = 16;
 
 template<class T>
 bool Contains(const std::vector<T>& aItems, const T& aItem)
@@ -26,14 +21,6 @@
   return std::find(aItems.begin(), aItems.end(), aItem) != aItems.end();
 }
 
-// Returns whether an idle worker of this size has the capacity for a task.
-bool IsLargeEnough(const Worker& aWorker, const StageSpec& aSpec)
-{
-  return (aSpec.mFiller || aSpec.mMilliCores <= aWorker.mEntry.mMilliCores) &&
-         aSpec.mMemoryMiB <= aWorker.mEntry.mMemoryMiB &&
-         aSpec.mAccelerators <= aWorker.mEntry.mAccelerators;
-}
-
 std::string GetRack(const Worker& aWorker)
 {
   return aWorker.mEntry.mLabels.size() > 1 ? aWorker.mEntry.mLabels[1] : std::string();
@@ -366,74 +353,6 @@
     it.mNeverRan = false;
 }
 
-// Returns false if the call gives way to other stages: a call that names full workers only does so
-// after another one if aMayYield, since lasting tasks without capacity ask all the time.
-bool Scheduler::RequestAdvice(const Ready& aReady,
-                              TimePoint aNow,
-                              bool aMayYield,
-                              std::size_t& aFree,
-                              std::size_t& aFreeSlow,
-                              Orders& aOrders)
-{
-  StageRun& stage = *aReady.mStage;
-  if (stage.mAdviceNumber != 0 || aNow < stage.mAdviceRetryAt || aFree == 0)
-    return true;
-  const bool isSlow = aReady.mQueue->mAdviceBase >= kMinSlowAdvice;
-  if (isSlow && aFreeSlow == 0)
-    return true;
-  // -(free cores), worker; a slow worker counts as full.
-  std::vector<std::pair<std::int64_t, std::string>> candidates;
-  std::size_t fitting = 0;
-  const bool isFirst = stage.mTickets.empty() && stage.mExcluded.empty();
-  for (const auto& [id, worker] : mWorkers) {
-    if (stage.mExcluded.contains(id) || !CanHost(worker, aReady, aNow))
-      continue;
-    const bool fits = HasCapacity(worker, *aReady.mSpec);
-    // Lasting tasks that ran before hold tickets of full workers as well: by the time a ticket of a
-    // worker that has just become free arrives, other tasks have taken its capacity.
-    if (!fits && !isFirst && !(aReady.mIsRestart && IsLargeEnough(worker, *aReady.mSpec)))
-      continue;
-    if (aReady.mSpec->mMaxPerWorker != 0 &&
-        CountRuns(worker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
-      continue;
-    auto ticket = stage.mTickets.find(id);
-    if (ticket != stage.mTickets.end() && ticket->second.second >= aNow + kTicketMargin)
-      continue;
-    fitting += fits ? 1 : 0;
-    const std::int64_t freeCores =
-      std::int64_t{ worker.mEntry.mMilliCores } - worker.mUsedMilliCores;
-    candidates.emplace_back(aNow < worker.mSlowUntil ? 0 : -freeCores, id);
-  }
-  if (candidates.empty() || (fitting == 0 && !aReady.mIsRestart))
-    return true;
-  if (fitting == 0 && aMayYield && mLastAdviceWithoutCapacity)
-    return false;
-  mLastAdviceWithoutCapacity = fitting == 0;
-  std::sort(candidates.begin(), candidates.end());
-  const bool isScarce = aReady.mIsRestart && fitting < kMaxRenewedTickets;
-  const std::size_t maxWorkers =
-    isFirst || isScarce ? mSettings.mMaxAdviceWorkers : kMaxRenewedTickets;
-  if (candidates.size() > maxWorkers)
-    candidates.resize(maxWorkers);
-  AdviceOrder order;
-  order.mNumber = mNextAdvice++;
-  order.mStage = FormatStage(aReady.mRef);
-  for (auto& [left, id] : candidates)
-    order.mWorkers.push_back(std::move(id));
-  const Duration expected =
-    aReady.mQueue->mAdviceBase + order.mWorkers.size() * aReady.mQueue->mAdvicePerWorker;
-  order.mExpectedMs = std::chrono::duration_cast<milliseconds>(expected).count();
-  stage.mAdviceNumber = order.mNumber;
-  mAdviceInFlight[order.mNumber] = isSlow;
-  --aFree;
-  if (isSlow)
-    --aFreeSlow;
-  else
-    mLastFastAdviceAt = aNow;
-  aOrders.mAdvice.push_back(std::move(order));
-  return true;
-}
-
 void Scheduler::PlaceReady(const Ready& aReady, TimePoint aNow, Orders& aOrders)
 {
   if (aReady.mSpec->mGang && aReady.mStage->mWaiting < aReady.mStage->mTasks.size())
