--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <functional>
 #include <optional>
 #include <thread>
 
@@ -79,6 +78,15 @@
   std::thread mThread{};
 };
 
+// Counts the turns of an event loop from now on.
+void CountTurns(asio::io_context& aContext, std::size_t& aTurns)
+{
+  asio::post(aContext, [&aContext, &aTurns] {
+    ++aTurns;
+    CountTurns(aContext, aTurns);
+  });
+}
+
 }  // namespace
 
 TEST_CASE("malformed requests are answered with 400, and the server keeps serving", "[http]")
@@ -165,11 +173,7 @@
       server.StopAccepting();
       context.stop();
     });
-  const std::function<void()> countTurn = [&] {
-    ++turns;
-    asio::post(context, countTurn);
-  };
-  asio::post(context, countTurn);
+  CountTurns(context, turns);
   context.run();
   client.Clear();
   REQUIRE(response.has_value());
@@ -207,11 +211,7 @@
       server.StopAccepting();
       context.stop();
     });
-  const std::function<void()> countTurn = [&] {
-    ++turns;
-    asio::post(context, countTurn);
-  };
-  asio::post(context, countTurn);
+  CountTurns(context, turns);
   context.run();
   client.Clear();
   CHECK(answered == kCalls);
