Log why a holder drops a run, changes of capacity, and runs of unknown size

The log could not tell the three hypotheses apart: a run that is missing in a report was dropped without a line, a restart did not say which incarnation followed which, a changed capacity was not named, and a run that is not tracked did not say whether its size is known.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -324,7 +324,7 @@
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
-  void ResetForNewIncarnation(Worker& aWorker, TimePoint aNow);
+  void ResetForNewIncarnation(Worker& aWorker, std::int64_t aBornMs, TimePoint aNow);
   void RecordCrash(Worker& aWorker, CrashEvidence aEvidence, TimePoint aNow);
   [[nodiscard]] bool OutlivedCrashes(const Worker& aWorker, const Run& aRun) const;
   void ForgetCrashes(const TaskRef& aRef);
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -194,7 +194,7 @@
     Log(LogPart::Task, LogLevel::Info, "a worker answers again", { { "worker", aId } });
   if (aReport.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
       aReport.mBornMs > worker.mEntry.mBornMs) {
-    ResetForNewIncarnation(worker, aNow);
+    ResetForNewIncarnation(worker, aReport.mBornMs, aNow);
   }
   if (aReport.mBornMs != 0)
     worker.mEntry.mBornMs = aReport.mBornMs;
@@ -249,6 +249,15 @@
                          aSentAt > run.mStopAckedAt) ||
                         !run.mKnown;
     if (isGone) {
+      Log(LogPart::Task,
+          run.mPhase == RunPhase::Running ? LogLevel::Warn : LogLevel::Info,
+          "a run is missing in a report that lists no end of it",
+          { { "task", run.mTask },
+            { "run", run.mRun },
+            { "worker", aId },
+            { "stopped", run.mPhase == RunPhase::Stopping ? "yes" : "no" },
+            { "known", run.mKnown ? "yes" : "no" },
+            { "ends", aReport.mEnded.size() } });
       const bool neverRan = run.mKnown && !run.mReported && run.mPhase == RunPhase::Stopping;
       if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
         task->mFailedOn.push_back(aId);  // this worker refuses this run number from now on
@@ -274,7 +283,10 @@
     Log(LogPart::Task,
         LogLevel::Info,
         isAdopted ? "adopted a running task" : "a worker runs a task that is not tracked",
-        { { "task", row->mTask }, { "run", row->mRun }, { "worker", aId } });
+        { { "task", row->mTask },
+          { "run", row->mRun },
+          { "worker", aId },
+          { "known", FindTask(run.mRef) ? "yes" : "no" } });
     worker.mRuns.push_back(std::move(run));
   }
 }
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -21,6 +21,24 @@
          (!hasRevisions || aLeft.mCreatedRevision < aRight.mCreatedRevision);
 }
 
+void LogCapacityChange(const Worker& aWorker, const WorkerEntry& aEntry)
+{
+  const WorkerEntry& known = aWorker.mEntry;
+  if (known.mMilliCores == aEntry.mMilliCores && known.mMemoryMiB == aEntry.mMemoryMiB &&
+      known.mAccelerators == aEntry.mAccelerators)
+    return;
+  Log(LogPart::Place,
+      LogLevel::Info,
+      "the capacity of a worker has changed",
+      { { "worker", aEntry.mId },
+        { "millicores", aEntry.mMilliCores },
+        { "before", known.mMilliCores },
+        { "in_use", aWorker.mUsedMilliCores },
+        { "mib", aEntry.mMemoryMiB },
+        { "accelerators", aEntry.mAccelerators },
+        { "born_ms", aEntry.mBornMs } });
+}
+
 }  // namespace
 
 Worker* Scheduler::FindWorker(const std::string& aId)
@@ -100,8 +118,10 @@
     worker.mLeaseSentAt = aNow;  // a previous holder may have renewed leases until now
   } else if (aEntry.mBornMs != 0 && worker.mEntry.mBornMs != 0 &&
              aEntry.mBornMs > worker.mEntry.mBornMs) {
-    ResetForNewIncarnation(worker, aNow);
+    ResetForNewIncarnation(worker, aEntry.mBornMs, aNow);
   }
+  if (!isNew && worker.mListed)
+    LogCapacityChange(worker, aEntry);
   const std::int64_t startMs = std::max(worker.mEntry.mBornMs, aEntry.mBornMs);
   if (aEntry.mDraining && !worker.mEntry.mDraining)
     Log(LogPart::Drain, LogLevel::Info, "a worker is draining", { { "worker", aEntry.mId } });
@@ -114,12 +134,14 @@
 
 // Drops the runs of a worker that was restarted, as its tasks are gone. Runs whose start order is
 // in flight stay, because that order may reach the new incarnation.
-void Scheduler::ResetForNewIncarnation(Worker& aWorker, TimePoint aNow)
+void Scheduler::ResetForNewIncarnation(Worker& aWorker, std::int64_t aBornMs, TimePoint aNow)
 {
   Log(LogPart::Task,
       LogLevel::Info,
       "a worker was restarted under the same id; its tasks are lost",
       { { "worker", aWorker.mEntry.mId },
+        { "born_ms", aBornMs },
+        { "before", aWorker.mEntry.mBornMs },
         { "tasks", aWorker.mRuns.size() },
         { "just_started", FormatUnproven(aWorker) } });
   RecordCrash(aWorker, CrashEvidence::Replaced, aNow);
@@ -221,7 +243,9 @@
             { "tasks", worker.mRuns.size() },
             { "renewed_ago_ms", aNow - worker.mLeaseSentAt },
             { "answered", worker.mFenced ? "yes" : "no" },
-            { "listed", worker.mListed ? "yes" : "no" } });
+            { "answered_ago_ms", aNow - worker.mAnsweredAt },
+            { "listed", worker.mListed ? "yes" : "no" },
+            { "left", hasLeft ? "yes" : "no" } });
     if (worker.mListed)
       worker.mPastRuns = ListSuspects(worker);
     else
