Fleet model: restarts under an id, capacities that change, missing entries, previous holders that go on

The model could show none of the hypotheses: a takeover stopped the previous holder at once, jobs were known everywhere, the directory was never late, workers kept their size and their entries, restarted under new ids only, and listed all ends. It can now, and it checks an end against starts that came before its acknowledgement, as the rule does.

--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -1,10 +1,13 @@
 // A simulated fleet in virtual time for tests of fleet::Scheduler: workers that run tasks, lose
-// answers, carry out orders late, crash and become unresponsive; a policy service; and a store that
-// outlives the scheduler. Each start is checked against the scheduler's invariants; mViolations
-// lists those that were broken.
+// answers, carry out orders late, crash, restart, shrink and become unresponsive; a directory that
+// shows their entries late; a policy service; a store that outlives the scheduler; and previous
+// holders that go on for a while after a takeover. Each start is checked against the scheduler's
+// invariants, from what the workers themselves see; mViolations lists those that were broken.
 #pragma once
 
+#include <deque>
 #include <functional>
+#include <limits>
 #include <random>
 
 #include "fleet/scheduler.h"
@@ -14,33 +17,43 @@
 struct FleetFaults
 {
   double mLostAnswer = 0;    // share of orders that are carried out, but whose answer is lost
+  double mLostReport = 0;    // share of polls that are carried out, but whose answer is lost
   double mDelayed = 0;       // share of starts without an answer, carried out 2 to 12 s later
   double mFailure = 0;       // share of runs that fail
   double mNoConnection = 0;  // share of starts that never reach their worker
   double mCrashPerS = 0;     // crashes of a worker per second; it restarts 1 s later, with a new id
+  // Restarts of a worker per second: within 1 s, under its id, with another capacity.
+  double mRestartPerS = 0;
+  double mResizePerS = 0;  // changes of a running worker's capacity per second
   // Times per second that a worker answers nothing for 0.5 to 8 s, while its tasks go on.
   double mUnresponsivePerS = 0;
+  double mUnlistPerS =
+    0;  // times per second that a running worker's entry is missing for 0.5 to 6 s
+  double mDrainPerS = 0;  // drains per second; the worker leaves 2 to 6 s later, another one joins
   double mStallPerS = 0;  // times per second that a worker's tasks make no progress for 0.5 to 6 s
   double mTakeoverPerS = 0;  // times per second that a new, empty scheduler takes over
+  Duration mDirectoryLag{};  // a change of a worker is listed up to this much later
+  Duration mJobLag{};        // a new holder reads jobs accepted since its election this much later
+  Duration mPreviousHolder{};  // goes on for up to this long after a takeover
+  double mPartitioned =
+    0;  // share of workers that a new holder reaches 0 to 6 s after its election
 };
 
 class FleetModel
 {
 public:
   FleetModel(std::uint64_t aSeed, FleetFaults aFaults, std::size_t aWorkers);
+  ~FleetModel();
 
   void SetQueue(QueueConfig aQueue);
   void Submit(JobSpec aSpec);
   void Cancel(const std::string& aId);
   void RunFor(Duration aTime);
-  void StopFaults() { mFaults = {}; }
+  void StopFaults() { mFaults = { .mDirectoryLag = mFaults.mDirectoryLag }; }
   void TakeOver();
-  [[nodiscard]] const Job* FindJob(const std::string& aId) const
-  {
-    return mScheduler->FindJob(aId);
-  }
+  [[nodiscard]] const Job* FindJob(const std::string& aId) const;
   [[nodiscard]] std::size_t CountStarts(const std::string& aTask) const;
-  [[nodiscard]] Scheduler& GetScheduler() { return *mScheduler; }
+  [[nodiscard]] Scheduler& GetScheduler();
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
   // Makes each worker that starts this task crash; it restarts 3 s later, with a new id.
   void SetPoison(std::string aTask) { mPoison.insert(std::move(aTask)); }
@@ -50,6 +63,8 @@
   void Stall(const std::string& aTask, Duration aTime);
   // Gives this outcome to the next start order, which does not reach its worker.
   void ForceNextStart(StartOutcome aOutcome) { mForcedOutcome = aOutcome; }
+  // Workers list at most this many ends in a report.
+  void SetMaxListedEnds(std::size_t aCount) { mMaxListedEnds = aCount; }
 
   std::vector<std::string> mViolations{};
   std::size_t mAloneEnds = 0;  // EndKind::Alone rows in all reports, repeated ones included
@@ -62,38 +77,80 @@
     EndKind mEnd = EndKind::Done;
     TimePoint mStartedAt{};
   };
+  struct Ended
+  {
+    EndedTask mRow{};
+    TimePoint mAt{};
+    bool mHasLapsed = false;  // the worker's lease has expired since
+  };
   struct Node
   {
     WorkerEntry mEntry{};
     bool mUp = true;
     bool mIsReplaced = false;  // another incarnation answers at its address
+    std::uint32_t mLife = 0;   // tickets are valid for one
     TimePoint mUnresponsiveUntil{};
+    TimePoint mPartitionedUntil{};  // from the current holder
     TimePoint mStalledUntil{};
     TimePoint mAdvancedAt{};
     TimePoint mLeaseUntil{};
+    TimePoint mListedUntil{};  // until when the last change of its entry is delivered
     std::uint64_t mToken = 0;
     std::vector<Running> mRunning{};
-    std::vector<EndedTask> mEnded{};
+    std::vector<Ended> mEnded{};
     std::uint64_t mNextEnd = 1;
     std::map<std::string, std::uint64_t> mClosed{};  // task → highest run stopped or ended
+    std::deque<std::pair<TimePoint, std::uint32_t>> mCores{};  // until when it had how much
   };
+  struct HolderState  // a process that schedules; it goes on after it was replaced, for a while
+  {
+    std::unique_ptr<Scheduler> mScheduler{};
+    std::uint64_t mEpoch = 0;
+    TimePoint mElectedAt{};
+    TimePoint mReplacedAt = TimePoint::max();
+    TimePoint mStopsAt = TimePoint::max();
+    std::shared_ptr<HolderState> mPrevious{};
+  };
+  using HolderRef = std::shared_ptr<HolderState>;
 
+  // Holders (fleet_model.cpp)
   void Schedule(Duration aDelay, std::function<void()> aAction);
   [[nodiscard]] bool Happens(double aShare);
+  [[nodiscard]] Duration Draw(Duration aMin, Duration aMax);
   void Tick();
+  void PlanFor(const HolderRef& aHolder);
+  [[nodiscard]] bool HasStopped(const HolderState& aHolder) const;
+  [[nodiscard]] bool MayStart(const HolderState& aHolder) const;
   void PollWorker(const std::string& aId);
+  void Poll(const HolderRef& aHolder, const std::string& aId, Node& aNode);
+  void SendStart(const HolderRef& aHolder, const StartOrder& aOrder);
+  void SendStop(const HolderRef& aHolder, const StopOrder& aOrder);
+  void SendAdvice(const HolderRef& aHolder, const AdviceOrder& aOrder);
+  void StoreProgress();
+  void RecordWorkers();
+  [[nodiscard]] HolderRef MakeHolder();
+  void ForEachHolder(const std::function<void(HolderState&)>& aAction);
+
+  // Workers (fleet_model_workers.cpp)
+  void AddNode(std::string aId, std::string aAddress);
+  void Announce(const std::string& aId, Duration aLag);
   void Advance(Node& aNode);
   [[nodiscard]] double ComputePercent(const Running& aRunning) const;
   void EndRun(Node& aNode, std::size_t aIndex, EndKind aKind);
   void DeliverStart(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt);
-  void SendStart(const StartOrder& aOrder);
-  void SendStop(const StopOrder& aOrder);
-  void StoreProgress();
-  void RecordWorkers();
+  void CheckStart(const Node& aNode, const StartOrder& aOrder);
+  void Acknowledge(Node& aNode, std::uint64_t aNumber);
   void InjectFaults();
   void BreakGang(const StartOrder& aMember);
   void CrashUnderTask(const std::string& aId);
-  void AddNode(std::string aId, std::string aAddress);
+  void RestartNode(const std::string& aId);
+  void ResizeNode(Node& aNode);
+  void HideNode(const std::string& aId);
+  void DrainNode(const std::string& aId);
+  void LoseTasks(Node& aNode);
+  [[nodiscard]] std::uint32_t GetAllowedCores(const Node& aNode) const;
+  [[nodiscard]] std::string GetTicket(const std::string& aId) const;
+  [[nodiscard]] bool IsAnswering(const Node& aNode, const HolderState& aHolder) const;
   void ReportViolation(std::string aWhat);
   [[nodiscard]] const StageSpec* FindStage(const std::string& aTask, const JobSpec** aJob) const;
 
@@ -102,18 +159,21 @@
   TimePoint mNow{ seconds(1000) };
   std::multimap<TimePoint, std::function<void()>> mEvents{};
   std::map<std::string, Node> mNodes{};
+  std::map<std::string, WorkerEntry> mDirectory{};
   std::size_t mNextNode = 0;
-  std::uint64_t mEpoch = 1;
-  std::unique_ptr<Scheduler> mScheduler{};
+  std::size_t mMaxListedEnds = std::numeric_limits<std::size_t>::max();
+  HolderRef mHolder{};
   FleetConfig mConfig{};
   std::map<std::string, JobSpec> mJobs{};
   std::map<std::string, std::string> mProgress{};
   std::set<std::string> mCancelled{};
-  std::map<std::string, std::string> mRecorded{};  // worker → address, as stored
+  std::map<std::string, WorkerEntry> mRecorded{};  // as stored: no capacity
   // Tasks that unresponsive workers may run, as stored.
   std::map<std::string, std::set<std::string>> mFinalTasksByWorker{};
   std::map<std::string, std::vector<SuspectRun>> mSuspectsByWorker{};  // stored with them
   std::map<std::string, std::size_t> mStarts{};
+  std::map<std::string, TimePoint> mLastStarts{};
+  std::set<std::string> mDone{};          // tasks that ended successfully
   std::set<std::string> mAcknowledged{};  // tasks whose successful end was acknowledged
   std::map<std::string, std::size_t> mFailures{};
   std::map<std::string, Duration> mRunTimes{};
--- /dev/null
+++ b/tests/unit/fleet_model_workers.cpp
@@ -0,0 +1,411 @@
+// FleetModel: what workers do and see, the directory that lists them, and their faults.
+#include "fleet_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kTick = milliseconds(10);
+constexpr Duration kPollInterval = milliseconds(100);
+constexpr Duration kLease = seconds(6);
+constexpr Duration kHeartbeat = milliseconds(1500);
+// A capacity that has shrunk counts until this long afterwards: contact_ms and a heartbeat.
+constexpr Duration kShrinkNotice = seconds(3) + kHeartbeat;
+constexpr std::uint32_t kSizes[] = { 8'000, 16'000, 32'000 };  // in milli-cores
+
+std::int64_t GetUnixMillis(TimePoint aAt)
+{
+  return 1'700'000'000'000 + aAt.time_since_epoch() / milliseconds(1);
+}
+
+}  // namespace
+
+void FleetModel::ReportViolation(std::string aWhat)
+{
+  if (mViolations.size() < 20)
+    mViolations.push_back(std::to_string((mNow - TimePoint(seconds(1000))) / milliseconds(1)) +
+                          " ms: " + std::move(aWhat));
+}
+
+const StageSpec* FleetModel::FindStage(const std::string& aTask, const JobSpec** aJob) const
+{
+  const auto dot = aTask.find('.');
+  auto job = mJobs.find(aTask.substr(0, dot));
+  if (job == mJobs.end())
+    return nullptr;
+  *aJob = &job->second;
+  const auto stage = std::stoul(aTask.substr(aTask.find('.', dot + 1) + 1));
+  return stage < job->second.mStages.size() ? &job->second.mStages[stage] : nullptr;
+}
+
+bool FleetModel::IsAnswering(const Node& aNode, const HolderState& aHolder) const
+{
+  const bool isPartitioned = &aHolder == mHolder.get() && mNow < aNode.mPartitionedUntil;
+  return aNode.mUp && mNow >= aNode.mUnresponsiveUntil && !isPartitioned;
+}
+
+std::string FleetModel::GetTicket(const std::string& aId) const
+{
+  const auto node = mNodes.find(aId);
+  const std::uint32_t life = node == mNodes.end() ? 0 : node->second.mLife;
+  return life == 0 ? "ticket" : "ticket-" + std::to_string(life);
+}
+
+std::uint32_t FleetModel::GetAllowedCores(const Node& aNode) const
+{
+  std::uint32_t cores = aNode.mEntry.mMilliCores;
+  for (const auto& [until, earlier] : aNode.mCores)
+    if (mNow < until + kShrinkNotice)
+      cores = std::max(cores, earlier);
+  return cores;
+}
+
+void FleetModel::AddNode(std::string aId, std::string aAddress)
+{
+  Node node;
+  node.mEntry.mId = aId;
+  node.mEntry.mAddress = std::move(aAddress);
+  node.mEntry.mService = "pool";
+  node.mEntry.mMilliCores = 16'000;
+  node.mEntry.mMemoryMiB = 65'536;
+  if (mFaults.mRestartPerS > 0)
+    node.mEntry.mBornMs = GetUnixMillis(mNow);
+  mHolder->mScheduler->ListWorker(node.mEntry, true, mNow);
+  mRecorded[aId] = node.mEntry;
+  mDirectory[aId] = node.mEntry;
+  mNodes[aId] = std::move(node);
+  Schedule(kPollInterval, [this, aId] { PollWorker(aId); });
+}
+
+// Shows the present entry of a worker in the directory after aLag, and behind its earlier changes.
+void FleetModel::Announce(const std::string& aId, Duration aLag)
+{
+  Node& node = mNodes.at(aId);
+  node.mListedUntil = std::max(node.mListedUntil + milliseconds(1), mNow + aLag);
+  Schedule(node.mListedUntil - mNow, [this, aId, entry = node.mEntry] {
+    mDirectory[aId] = entry;
+    ForEachHolder(
+      [&](HolderState& aHolder) { aHolder.mScheduler->ListWorker(entry, false, mNow); });
+  });
+}
+
+void FleetModel::EndRun(Node& aNode, std::size_t aIndex, EndKind aKind)
+{
+  const Running it = std::move(aNode.mRunning[aIndex]);
+  aNode.mRunning.erase(aNode.mRunning.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  aNode.mEnded.push_back(
+    { { aNode.mNextEnd++, it.mOrder.mTask, it.mOrder.mRun, aKind, "" }, mNow, false });
+  auto& closed = aNode.mClosed[it.mOrder.mTask];
+  closed = std::max(closed, it.mOrder.mRun);
+  if (aKind == EndKind::Done)
+    mDone.insert(it.mOrder.mTask);
+  if (aKind == EndKind::Failed)
+    ++mFailures[it.mOrder.mTask];
+}
+
+// Forgets the ends up to aNumber, as told by a holder. One that was successful counts from now on,
+// also against starts since then, unless the worker's lease has expired in between.
+void FleetModel::Acknowledge(Node& aNode, std::uint64_t aNumber)
+{
+  for (const Ended& it : aNode.mEnded) {
+    if (it.mRow.mNumber > aNumber || it.mRow.mKind != EndKind::Done)
+      continue;
+    mAcknowledged.insert(it.mRow.mTask);
+    const JobSpec* job = nullptr;
+    const StageSpec* stage = FindStage(it.mRow.mTask, &job);
+    if (stage && !stage->mSpeculative && !it.mHasLapsed && mLastStarts[it.mRow.mTask] > it.mAt)
+      ReportViolation("a start after a successful end that was acknowledged later: " +
+                      it.mRow.mTask);
+  }
+  std::erase_if(aNode.mEnded,
+                [aNumber](const Ended& aItem) { return aItem.mRow.mNumber <= aNumber; });
+}
+
+// Returns the progress of a task in whole percent, as workers report it.
+double FleetModel::ComputePercent(const Running& aRunning) const
+{
+  const double all = static_cast<double>((aRunning.mEndAt - aRunning.mStartedAt).count());
+  const double done = static_cast<double>((mNow - aRunning.mStartedAt).count());
+  return all <= 0 ? 100 : std::floor(100 * done / all);
+}
+
+void FleetModel::Advance(Node& aNode)
+{
+  // A stalled worker makes no progress, so the start and end of its tasks are shifted.
+  const Duration stalled = std::min(mNow, aNode.mStalledUntil) - aNode.mAdvancedAt;
+  if (aNode.mAdvancedAt != TimePoint{} && stalled > Duration::zero())
+    for (Running& it : aNode.mRunning)
+      if (it.mEnd != EndKind::Stopped) {
+        it.mStartedAt += stalled;
+        it.mEndAt += stalled;
+      }
+  aNode.mAdvancedAt = mNow;
+  for (std::size_t n = aNode.mRunning.size(); n-- > 0;) {
+    if (aNode.mRunning[n].mEndAt <= mNow)
+      EndRun(aNode, n, aNode.mRunning[n].mEnd);
+    else if (aNode.mLeaseUntil < mNow)
+      EndRun(aNode, n, EndKind::Lapsed);
+  }
+  if (aNode.mLeaseUntil < mNow)
+    for (Ended& it : aNode.mEnded)
+      it.mHasLapsed = true;
+}
+
+// Checks the invariants of a start that a worker is about to carry out.
+void FleetModel::CheckStart(const Node& aNode, const StartOrder& aOrder)
+{
+  const JobSpec* job = nullptr;
+  const StageSpec* stage = FindStage(aOrder.mTask, &job);
+  std::uint64_t used = stage->mMilliCores;
+  for (const Running& it : aNode.mRunning) {
+    const JobSpec* other = nullptr;
+    used += FindStage(it.mOrder.mTask, &other)->mMilliCores;
+  }
+  if (used > GetAllowedCores(aNode))
+    ReportViolation("a worker is over its capacity: " + aOrder.mWorker + " with " + aOrder.mTask);
+  for (auto& [id, other] : mNodes) {
+    Advance(other);
+    for (const Running& it : other.mRunning)
+      if (other.mUp && it.mOrder.mTask == aOrder.mTask && !stage->mSpeculative)
+        ReportViolation("two runs of a task at once: " + aOrder.mTask + " on " + id + " and " +
+                        aOrder.mWorker);
+  }
+  if (mAcknowledged.contains(aOrder.mTask) && !stage->mSpeculative)
+    ReportViolation("a start after an acknowledged successful end: " + aOrder.mTask);
+  for (const std::uint32_t before : stage->mAfter)
+    for (std::uint32_t n = 0; n < job->mStages[before].mCount; ++n) {
+      const std::string earlier =
+        job->mId + ".0." + std::to_string(before) + "." + std::to_string(n);
+      if (!mDone.contains(earlier) && !job->mStages[before].mGang)
+        ReportViolation("a start before " + earlier + " has ended: " + aOrder.mTask);
+    }
+}
+
+// Carries out a start order on its worker.
+void FleetModel::DeliverStart(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt)
+{
+  auto found = mNodes.find(aOrder.mWorker);
+  if (found == mNodes.end() || !found->second.mUp)
+    return;
+  Node& node = found->second;
+  Advance(node);
+  if (aEpoch < node.mToken || mNow > aSentAt + kLease)
+    return;
+  node.mToken = aEpoch;
+  if (!aOrder.mTicket.empty() && aOrder.mTicket != GetTicket(aOrder.mWorker))
+    return;
+  auto closed = node.mClosed.find(aOrder.mTask);
+  if (closed != node.mClosed.end() && aOrder.mRun <= closed->second)
+    return;
+  for (const Running& it : node.mRunning)
+    if (it.mOrder.mTask == aOrder.mTask && it.mOrder.mRun == aOrder.mRun)
+      return;
+  const JobSpec* job = nullptr;
+  const StageSpec* stage = FindStage(aOrder.mTask, &job);
+  if (!stage) {
+    ReportViolation("a start of a task of an unknown job or stage: " + aOrder.mTask);
+    return;
+  }
+  if (node.mRunning.empty())
+    node.mLeaseUntil = aSentAt + kLease;
+  node.mLeaseUntil = std::max(node.mLeaseUntil, aSentAt + kLease);
+  CheckStart(node, aOrder);
+  ++mStarts[aOrder.mTask];
+  mLastStarts[aOrder.mTask] = mNow;
+  if (mPoison.contains(aOrder.mTask))
+    Schedule(milliseconds(10), [this, id = aOrder.mWorker] { CrashUnderTask(id); });
+  auto runTime = mRunTimes.find(job->mId);
+  const Duration planned =
+    runTime != mRunTimes.end() ? runTime->second : Duration(milliseconds(200 + mRandom() % 1500));
+  Running it;
+  it.mOrder = aOrder;
+  it.mEnd = Happens(mFaults.mFailure) ? EndKind::Failed : EndKind::Done;
+  it.mStartedAt = mNow;
+  it.mEndAt = stage->mLongRunning ? mNow + seconds(10'000) : mNow + planned;
+  if (stage->mGang) {
+    // Members start to work when all of them are there. A member that waits in vain ends.
+    it.mEndAt = mNow + seconds(3);
+    it.mEnd = EndKind::Alone;
+  }
+  node.mRunning.push_back(it);
+  if (!stage->mGang)
+    return;
+  std::vector<Running*> members;
+  const std::string prefix = aOrder.mTask.substr(0, aOrder.mTask.rfind('.') + 1);
+  for (auto& [id, other] : mNodes)
+    for (Running& member : other.mRunning)
+      if (other.mUp && member.mOrder.mTask.starts_with(prefix) && member.mOrder.mRun == aOrder.mRun)
+        members.push_back(&member);
+  if (members.size() < stage->mCount)
+    return;
+  for (Running* member : members) {
+    member->mEndAt = mNow + planned;
+    member->mEnd = EndKind::Done;
+  }
+}
+
+// Ends the other members of a gang that has lost one.
+void FleetModel::BreakGang(const StartOrder& aMember)
+{
+  const JobSpec* job = nullptr;
+  const StageSpec* stage = FindStage(aMember.mTask, &job);
+  if (!stage || !stage->mGang)
+    return;
+  const std::string prefix = aMember.mTask.substr(0, aMember.mTask.rfind('.') + 1);
+  for (auto& [id, node] : mNodes)
+    for (Running& it : node.mRunning)
+      if (it.mOrder.mTask.starts_with(prefix) && it.mOrder.mRun == aMember.mRun) {
+        it.mEndAt = mNow;
+        it.mEnd = EndKind::Broken;
+      }
+}
+
+void FleetModel::LoseTasks(Node& aNode)
+{
+  Advance(aNode);
+  for (const Running& it : aNode.mRunning)
+    BreakGang(it.mOrder);
+  aNode.mRunning.clear();
+}
+
+// Crashes a worker. Once its successor answers at its address, polls of the old id tell the
+// scheduler so.
+void FleetModel::CrashUnderTask(const std::string& aId)
+{
+  auto found = mNodes.find(aId);
+  if (found == mNodes.end() || !found->second.mUp)
+    return;
+  found->second.mUp = false;
+  for (const Running& it : found->second.mRunning)
+    BreakGang(it.mOrder);
+  found->second.mRunning.clear();
+  mDirectory.erase(aId);
+  const std::string address = found->second.mEntry.mAddress;
+  Schedule(seconds(3), [this, aId, address] {
+    mNodes[aId].mIsReplaced = true;
+    AddNode("w" + std::to_string(mNextNode++), address);
+  });
+}
+
+// Restarts a worker under its id: it knows nothing of before, its counts start anew, and it may be
+// of another size. At times the directory shows its former entry again, until its next heartbeat.
+void FleetModel::RestartNode(const std::string& aId)
+{
+  Node& node = mNodes.at(aId);
+  LoseTasks(node);
+  node.mUp = false;
+  Schedule(Draw(milliseconds(20), seconds(1)), [this, aId] {
+    Node& it = mNodes.at(aId);
+    const Node former = std::move(it);
+    it = Node{};
+    it.mEntry = former.mEntry;
+    it.mEntry.mBornMs = GetUnixMillis(mNow) - (Happens(0.15) ? 3000 : 0);  // its clock was set back
+    it.mEntry.mMilliCores = kSizes[mRandom() % std::size(kSizes)];
+    it.mLife = former.mLife + 1;
+    it.mListedUntil = former.mListedUntil;
+    it.mUnresponsiveUntil = former.mUnresponsiveUntil;
+    Announce(aId, Draw(milliseconds(5), mFaults.mDirectoryLag));
+    if (!Happens(0.1))
+      return;
+    const WorkerEntry present = it.mEntry;
+    it.mEntry = former.mEntry;
+    Announce(aId, Draw(Duration::zero(), milliseconds(500)));
+    it.mEntry = present;
+    Announce(aId, kHeartbeat);
+  });
+}
+
+void FleetModel::ResizeNode(Node& aNode)
+{
+  aNode.mCores.emplace_back(mNow, aNode.mEntry.mMilliCores);
+  while (aNode.mCores.front().first + kShrinkNotice < mNow)
+    aNode.mCores.pop_front();
+  aNode.mEntry.mMilliCores = kSizes[mRandom() % std::size(kSizes)];
+  Announce(aNode.mEntry.mId, Draw(Duration::zero(), kHeartbeat));
+}
+
+// Removes the entry of a worker that runs on, as when its heartbeats do not reach the store.
+void FleetModel::HideNode(const std::string& aId)
+{
+  mDirectory.erase(aId);
+  ForEachHolder([&](HolderState& aHolder) { aHolder.mScheduler->UnlistWorker(aId, mNow); });
+  Schedule(Draw(milliseconds(500), seconds(6)), [this, aId] {
+    if (mNodes.at(aId).mUp)
+      Announce(aId, Duration::zero());
+  });
+}
+
+void FleetModel::DrainNode(const std::string& aId)
+{
+  mNodes.at(aId).mEntry.mDraining = true;
+  Announce(aId, Draw(Duration::zero(), mFaults.mDirectoryLag));
+  Schedule(Draw(seconds(2), seconds(6)), [this, aId] {
+    Node& node = mNodes.at(aId);
+    LoseTasks(node);
+    node.mUp = false;
+    mDirectory.erase(aId);
+    ForEachHolder([&](HolderState& aHolder) { aHolder.mScheduler->UnlistWorker(aId, mNow); });
+    const std::size_t number = mNextNode++;
+    AddNode("w" + std::to_string(number), "10.0.1." + std::to_string(number) + ":80");
+  });
+}
+
+void FleetModel::InjectFaults()
+{
+  const double tick = std::chrono::duration<double>(kTick).count();
+  if (Happens(mFaults.mTakeoverPerS * tick))
+    TakeOver();
+  std::vector<std::string> ids;
+  for (const auto& [id, node] : mNodes)
+    if (node.mUp)
+      ids.push_back(id);
+  for (const std::string& id : ids) {
+    if (Happens(mFaults.mUnresponsivePerS * tick))
+      mNodes[id].mUnresponsiveUntil = mNow + milliseconds(500 + mRandom() % 7500);
+    if (Happens(mFaults.mStallPerS * tick)) {
+      Advance(mNodes[id]);
+      mNodes[id].mStalledUntil = mNow + milliseconds(500 + mRandom() % 5500);
+    }
+    if (Happens(mFaults.mResizePerS * tick))
+      ResizeNode(mNodes[id]);
+    if (Happens(mFaults.mUnlistPerS * tick))
+      HideNode(id);
+    if (Happens(mFaults.mDrainPerS * tick) && !mNodes[id].mEntry.mDraining &&
+        mNodes[id].mEntry.mAddress != "10.0.0.0:80")
+      DrainNode(id);
+    if (Happens(mFaults.mRestartPerS * tick) && !mNodes[id].mEntry.mDraining)
+      RestartNode(id);
+    if (!Happens(mFaults.mCrashPerS * tick) || !mNodes[id].mUp)
+      continue;
+    Node& node = mNodes[id];
+    node.mUp = false;
+    node.mRunning.clear();
+    mDirectory.erase(id);
+    const std::string address = node.mEntry.mAddress;
+    Schedule(seconds(1), [this, address] { AddNode("w" + std::to_string(mNextNode++), address); });
+  }
+}
+
+void FleetModel::Stall(const std::string& aTask, Duration aTime)
+{
+  for (auto& [id, node] : mNodes)
+    for (const Running& it : node.mRunning)
+      if (it.mOrder.mTask == aTask) {
+        Advance(node);
+        node.mStalledUntil = mNow + aTime;
+        return;
+      }
+}
+
+void FleetModel::MakeUnresponsive(const std::string& aTask, Duration aTime)
+{
+  for (auto& [id, node] : mNodes)
+    for (const Running& it : node.mRunning)
+      if (it.mOrder.mTask == aTask)
+        node.mUnresponsiveUntil = mNow + aTime;
+}
+
+}  // namespace monsoon::fleet
