Infer no end of a run from a report that does not list all ends

What callers saw: TWICE, where a worker has more than 500 ends that are not acknowledged, as after a long outage of the store.

Cause: workers list 500 ends at a time. A run that was neither running nor among the listed ends counted as gone, and its task started again; its successful end was read afterwards. A new holder took the first such report for all that the worker knows.

Then no run is dropped for being missing, and a worker counts as answered in this epoch only once its list is complete.

'fleet: a run whose end is not listed yet starts again' failed before in both sections.

--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -158,6 +158,7 @@
   std::int64_t mBornMs = 0;   // as in WorkerEntry
   std::vector<RunningTask> mRunning{};
   std::vector<EndedTask> mEnded{};
+  bool mHasMoreEnds = false;  // mEnded is cut; the rest is listed once these are acknowledged
 };
 
 struct SuspectRun  // a run that may have crashed its worker
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -203,7 +203,8 @@
   worker.mPastRuns.clear();
   worker.mReachable = true;
   worker.mHasUnansweredStart = false;
-  if (!worker.mFenced && aSentAt >= mFencedFrom) {
+  // Ends that are not listed yet may be of tasks that a previous holder started.
+  if (!worker.mFenced && aSentAt >= mFencedFrom && !aReport.mHasMoreEnds) {
     worker.mFenced = true;
     // The previous holder may have renewed leases until now.
     worker.mLeaseSentAt = std::max(worker.mLeaseSentAt, aNow);
@@ -245,6 +246,8 @@
       listed.erase(it);
       continue;
     }
+    if (aReport.mHasMoreEnds)
+      continue;  // its end may be one of those that are not listed yet
     const bool isGone = (run.mPhase == RunPhase::Running && aSentAt > run.mSentAt) ||
                         (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
                          aSentAt > run.mStopAckedAt) ||
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -269,7 +269,8 @@
   WorkerReport report;
   report.mBornMs = aNode.mEntry.mBornMs;
   for (const Ended& it : aNode.mEnded) {
-    if (report.mEnded.size() == mMaxListedEnds)
+    report.mHasMoreEnds = report.mEnded.size() == mMaxListedEnds;
+    if (report.mHasMoreEnds)
       break;
     report.mEnded.push_back(it.mRow);
     mAloneEnds += it.mRow.mKind == EndKind::Alone ? 1 : 0;
--- a/tests/unit/test_fleet_forgotten_runs.cpp
+++ b/tests/unit/test_fleet_forgotten_runs.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "fleet_model.h"
+#include "platform/wire.h"
 
 using namespace monsoon;
 using namespace monsoon::fleet;
@@ -95,6 +96,24 @@
 }
 
 constexpr std::size_t kAllEnds = 500;
+constexpr TimePoint kStart{ seconds(2000) };
+
+// Returns a scheduler that is told of one worker with room for one task.
+Scheduler MakeScheduler(std::uint64_t aEpoch)
+{
+  Scheduler scheduler({ .mEpoch = aEpoch });
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue(false));
+  scheduler.SetQueues(config);
+  WorkerEntry entry;
+  entry.mId = "w0";
+  entry.mAddress = "10.0.0.1:80";
+  entry.mService = "pool";
+  entry.mMilliCores = 4000;
+  entry.mMemoryMiB = 16'000;
+  scheduler.ListWorker(entry, true, kStart);
+  return scheduler;
+}
 
 }  // namespace
 
@@ -163,3 +182,43 @@
   faults.mTakeoverPerS = 0.1;
   CheckRandomJobs(seed, faults, 3);
 }
+
+TEST_CASE("fleet: a run whose end is not listed yet starts again")
+{
+  WorkerReport cut;
+  cut.mHasMoreEnds = true;
+  SECTION("of this holder")
+  {
+    Scheduler scheduler = MakeScheduler(1);
+    scheduler.OnReport("w0", {}, kStart, kStart);
+    scheduler.AddJob(MakeJob("a", 1, 1), {}, false, kStart);
+    const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+    REQUIRE(orders.mStarts.size() == 1);
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, kStart);
+    scheduler.OnReport("w0", cut, kStart + seconds(1), kStart + seconds(1));
+    CHECK(scheduler.Plan(kStart + seconds(1), 0, true, 0).mStarts.empty());
+  }
+  SECTION("of the previous holder")
+  {
+    Scheduler scheduler = MakeScheduler(2);
+    scheduler.AddJob(MakeJob("a", 1, 1), {}, true, kStart);
+    scheduler.OnReport("w0", cut, kStart + seconds(1), kStart + seconds(1));
+    CHECK_FALSE(scheduler.AreAllResolved());
+    CHECK(scheduler.Plan(kStart + seconds(1), 0, true, 0).mStarts.empty());
+  }
+}
+
+TEST_CASE("platform: a report that lists as many ends as fit is taken for a complete one")
+{
+  const auto ends = GENERATE(std::size_t{ 499 }, std::size_t{ 500 });
+  std::string rows;
+  for (std::size_t n = 1; n <= ends; ++n) {
+    rows += n == 1 ? "" : ",";
+    rows.append("[").append(std::to_string(n)).append(R"(,"a.0.0.0",1,"done",""])");
+  }
+  const auto report =
+    platform::ParseReport(R"({"clock_ms":1,"running":[],"ended":[)" + rows + "]}");
+  REQUIRE(report.has_value());
+  CHECK(report->mEnded.size() == ends);
+  CHECK(report->mHasMoreEnds == (ends == 500));
+}
