Count runs of jobs that only the previous holder was told of

Cause: a process notifies the holder that it knows of a job that it stored. A previous holder that goes on (cut off from its successor, or its connections silent) may so start tasks of jobs that its successor has not read.

Change: nothing starts on a worker while it runs a task of unknown size. Reports of unknown jobs are given up only when all jobs stored before them have been read, and a task waits for its run that is being stopped. A job read after the election may have been started by a previous holder unless all workers have answered, or its revision is above the store's at a time when the last one had stopped. The cost is one read of the store a takeover, and for jobs of that span the wait for workers that do not answer.

Four tests of single cases failed before.

--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -58,6 +58,8 @@
     OnPredecessorStopped(*mGrant.mOwnQuietTime);
   else if (!mPreviousHolderStopped)
     Spawn(mContext, AskPreviousHolder());
+  if (mGrant.mPreviousHolder)
+    Spawn(mContext, ReadRevisionOfTakeover());
   if (!mSettings.mTokensChecked)
     Spawn(mContext, RecordSettled());
 }
@@ -203,6 +205,22 @@
   WakePlan();
 }
 
+// Reads how far the store was when the last earlier holder had stopped: none of them has started
+// tasks of jobs that were accepted later.
+Async<void> Holder::ReadRevisionOfTakeover()
+{
+  auto self = shared_from_this();
+  while (!mSteppedDown && BootClock::now() < mPredecessorQuietAt)
+    co_await Sleep(kPlanInterval);
+  while (!mSteppedDown && !mTakeoverRevision) {
+    auto page = co_await mStore.List(std::string(kHolderKey), platform::kStoreDeadline);
+    if (page)
+      mTakeoverRevision = page->mRevision;
+    else
+      co_await Sleep(kRetryStore);
+  }
+}
+
 // Records that no order of an earlier holder can take effect, so that the next holder need not wait
 // for more than this one.
 Async<void> Holder::RecordSettled()
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -123,6 +123,8 @@
   Async<void> YieldToLarger();
 
   void ApplyJobItem(const platform::StoreItem& aItem, bool aInherited);
+  [[nodiscard]] bool MayBeStarted(const platform::StoreItem& aJob) const;
+  Async<void> ReadRevisionOfTakeover();
   void ApplyWorkerItem(const platform::StoreItem& aItem, bool aIsChange);
   void EnsureWatched(const std::string& aId);  // runs WatchWorker unless it runs already
   void WakePlan();
@@ -159,6 +161,8 @@
   std::deque<TimePoint> mUnansweredAt{};  // times of recent polls without an answer
   bool mRequestsLeaseEnd = false;         // asks members to end its lease
   bool mPreviousHolderStopped = false;    // confirmed that it sends no orders
+  // Of the store when no earlier holder could start tasks any more.
+  std::optional<std::uint64_t> mTakeoverRevision{};
   TimePoint mPredecessorQuietAt{};  // from then on no order of an earlier holder can take effect
   std::map<std::uint64_t, TimePoint> mUnsettledStarts{};  // by number: sent, effect not known yet
   std::uint64_t mNextStart = 0;
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -21,7 +21,9 @@
   const TimePoint startedAt = BootClock::now();
   platform::StorePage state;
   platform::StorePage directory;
+  TimePoint listedAt{};
   for (bool isDone = false; !isDone && !mSteppedDown;) {
+    listedAt = BootClock::now();
     auto page = co_await mStore.List(std::string(kRoot), 3 * platform::kStoreDeadline);
     if (page) {
       state = std::move(*page);
@@ -76,6 +78,7 @@
   }
   for (const StoreItem& it : directory.mItems)
     ApplyWorkerItem(it, false);
+  mScheduler.SetJobsReadUntil(listedAt);
   mEarlyProgress.clear();
   mEarlyCancels.clear();
   mLoaded = true;
@@ -109,8 +112,11 @@
       mEarlyCancels.insert(id);
     return;
   }
-  if (mScheduler.FindJob(id))
+  if (mScheduler.FindJob(id)) {
+    if (!aInherited)
+      mScheduler.ClearInherited(id);
     return;
+  }
   auto spec = DecodeMessage<JobSpec>(aItem.mValue);
   if (!spec) {
     Log(LogPart::Job,
@@ -133,11 +139,22 @@
     mScheduler.CancelJob(id, BootClock::now());
 }
 
+// Returns whether an earlier holder may have started tasks of a job that was read after the
+// election: it may have been told of the job sooner. The revision of a job that this process was
+// told of is not known; the watch delivers it.
+bool Holder::MayBeStarted(const StoreItem& aJob) const
+{
+  if (!mGrant.mPreviousHolder || mScheduler.AreAllResolved())
+    return false;
+  return !mTakeoverRevision || aJob.mRevision <= *mTakeoverRevision;
+}
+
 void Holder::OnJobAccepted(const std::string& aId, std::string_view aValue)
 {
-  if (!mLoaded || mSteppedDown)
+  if (!mLoaded || mSteppedDown || mScheduler.FindJob(aId))
     return;
-  ApplyJobItem({ MakeJobKey(aId), std::string(aValue), 0, false }, false);
+  const StoreItem job{ MakeJobKey(aId), std::string(aValue), 0, false };
+  ApplyJobItem(job, MayBeStarted(job));
   WakePlan();
 }
 
@@ -209,20 +226,24 @@
   auto self = shared_from_this();
   bool isFailing = false;
   while (!mSteppedDown) {
+    TimePoint sentAt = BootClock::now();
     auto page = co_await AwaitChanges(std::string(kJobPrefix), aRevision, isFailing);
     if (mSteppedDown)
       co_return;
-    if (!page && page.error().mKind == FailureKind::Conflict)
+    if (!page && page.error().mKind == FailureKind::Conflict) {
+      sentAt = BootClock::now();
       page = co_await mStore.List(std::string(kJobPrefix), 3 * platform::kStoreDeadline);
+    }
     if (!page) {
       co_await Sleep(kRetryStore);
       continue;
     }
     aRevision = page->mRevision;
+    for (const StoreItem& it : page->mItems)
+      ApplyJobItem(it, MayBeStarted(it));
+    mScheduler.SetJobsReadUntil(sentAt);
     if (page->mItems.empty())
       continue;
-    for (const StoreItem& it : page->mItems)
-      ApplyJobItem(it, false);
     WakePlan();
     // The processes that accept jobs also notify the holder directly. This watch finds the jobs
     // whose notification was lost, so it can be slower.
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -188,7 +188,7 @@
     mHasNewEnds = false;
     for (auto& [id, worker] : mWorkers) {
       std::erase_if(worker.mOrphanEnds,
-                    [aNow](const auto& aItem) { return aNow - aItem.first > kMaxOrphanAge; });
+                    [&](const auto& aItem) { return IsOrphan(aItem.first, aNow); });
       if (worker.mLastEnd > worker.mStoredEnd && worker.mOrphanEnds.empty())
         batch.mEnds.push_back({ id, worker.mBornMs, worker.mLastEnd });
       mHasNewEnds = mHasNewEnds || !worker.mOrphanEnds.empty();
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -68,6 +68,12 @@
   EndJob(*job, JobState::Cancelled, aNow);
 }
 
+void Scheduler::ClearInherited(const std::string& aId)
+{
+  if (Job* job = FindJobMutable(aId))
+    job->mInherited = false;
+}
+
 const Job* Scheduler::FindJob(const std::string& aId) const
 {
   auto it = mJobs.find(aId);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -61,6 +61,7 @@
   std::string mCheckpoint{};  // last one that the worker reported
   TaskRef mRef{};
   bool mKnown = false;  // mRef names a task of a tracked job
+  bool mSized = false;  // the capacity that it takes is known, and reserved
   std::uint64_t mRun = 0;
   RunPhase mPhase = RunPhase::Starting;
   std::uint32_t mMilliCores = 0;  // reserved
@@ -123,7 +124,7 @@
   JobState mState = JobState::Queued;
   JobState mStoredState = JobState::Queued;  // as last written to the store
   std::vector<Occurrence> mOccurrences{};
-  bool mInherited = false;  // accepted before this epoch: its tasks may be running
+  bool mInherited = false;  // a previous holder may have started its tasks
   bool mDirty = false;      // has progress that CollectProgress did not return yet
   TimePoint mSeenAt{};      // when this holder added it
   TimePoint mDueAt{};       // estimated end of a job that is on time; orders the jobs
@@ -186,6 +187,7 @@
   // tasks under which workers have crashed.
   std::uint32_t mUnprovenCount = 0;
   std::uint32_t mSuspectCount = 0;
+  std::uint32_t mUnsizedCount = 0;  // runs of unknown size; counted by each plan
 };
 
 // Results
@@ -244,6 +246,11 @@
               TimePoint aNow,
               Duration aAge = Duration::zero());
   void CancelJob(const std::string& aId, TimePoint aNow);
+  // Tells that no previous holder can have started a task of a job that was added as inherited.
+  void ClearInherited(const std::string& aId);
+  // All jobs that were stored before aAt are added, or have ended. Until told so, runs and ends
+  // that were reported since then may be of jobs that are added later.
+  void SetJobsReadUntil(TimePoint aAt) { mJobsReadUntil = aAt; }
   [[nodiscard]] const Job* FindJob(const std::string& aId) const;
   [[nodiscard]] std::size_t CountPending(std::string_view aQueue) const;  // in JobState::Queued
   // Removes the jobs that ended more than aAge ago and whose end was collected for the store.
@@ -351,6 +358,7 @@
   void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedTask& aRow, TimePoint aNow);
   void ApplyOrphanReports(Job& aJob, TimePoint aNow);
+  [[nodiscard]] bool IsOrphan(TimePoint aReportedAt, TimePoint aNow) const;
   bool AdoptRun(Worker& aWorker, Run& aRun, TimePoint aNow);
   void MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow);
   void CheckJobEnd(Job& aJob, TimePoint aNow);
@@ -403,6 +411,7 @@
   std::set<std::string> mDirtyJobs{};
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
+  TimePoint mJobsReadUntil = TimePoint::max();
   bool mHoldsInherited = false;  // inherited jobs wait for workers that have not answered
   // Of tasks on workers that do not answer. Set by CountUnproven.
   std::map<TaskRef, UnresolvedRuns> mUnresolved{};
@@ -423,8 +432,8 @@
 // lease was last renewed.
 inline constexpr Duration kMaxLeaseOverhang = seconds(2);
 
-// How long reports of tasks whose job is unknown are kept. After a takeover, a job that the
-// previous holder accepted may be added a little later than a worker reports its tasks.
+// How long reports of tasks whose job is unknown are kept, at least. After a takeover, a job that
+// the previous holder was told of may be added later than a worker reports its tasks.
 inline constexpr Duration kMaxOrphanAge = seconds(3);  // twice the holder's lease
 
 [[nodiscard]] std::string FormatTask(const TaskRef& aRef);   // JOB.OCCURRENCE.STAGE.INDEX
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -207,6 +207,7 @@
   for (auto& [id, worker] : mWorkers) {
     worker.mUnprovenCount = 0;
     worker.mSuspectCount = 0;
+    worker.mUnsizedCount = CountUnsized(worker);
     if (!worker.mReachable)
       continue;
     for (const Run& it : worker.mRuns) {
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -81,6 +81,13 @@
          aWorker.mEntry.mBornMs == aWorker.mBornMs;
 }
 
+// Returns how many runs take capacity that is not known, as their job was not read yet.
+inline std::uint32_t CountUnsized(const Worker& aWorker)
+{
+  return static_cast<std::uint32_t>(std::count_if(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const Run& aItem) { return !aItem.mSized; }));
+}
+
 // Returns whether more is reserved than the worker has, as when it has shrunk.
 inline bool IsOverCapacity(const Worker& aWorker)
 {
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -22,7 +22,7 @@
     });
   if (run == worker->mRuns.end() || run->mPhase != RunPhase::Starting)
     return false;
-  if (IsOverCapacity(*worker) || !IsEntryCurrent(*worker))
+  if (IsOverCapacity(*worker) || !IsEntryCurrent(*worker) || CountUnsized(*worker) > 0)
     return false;
   const Job* job = FindJob(run->mRef.mJob);
   const Task* task = FindTask(run->mRef);
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -145,7 +145,8 @@
 {
   if (!aWorker.mListed || !aWorker.mRecorded || aWorker.mFinalTasks || aWorker.mFinalWanted ||
       !aWorker.mFenced || !aWorker.mReachable || aWorker.mEntry.mDraining ||
-      aWorker.mEntry.mService != aReady.mQueue->mService || !IsEntryCurrent(aWorker))
+      aWorker.mEntry.mService != aReady.mQueue->mService || !IsEntryCurrent(aWorker) ||
+      aWorker.mUnsizedCount > 0)
     return false;
   if (aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mFullUntil)
     return false;
@@ -227,6 +228,7 @@
   run.mRef.mIndex = aIndex;
   run.mTask = FormatTask(run.mRef);
   run.mKnown = true;
+  run.mSized = true;
   run.mRun = aRun;
   run.mMilliCores = aReady.mSpec->mFiller ? 0 : aReady.mSpec->mMilliCores;
   run.mMemoryMiB = aReady.mSpec->mMemoryMiB;
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -14,6 +14,13 @@
 
 }  // namespace
 
+// Returns whether a run or an end that was reported of an unknown job can't be of one that is yet
+// to be added.
+bool Scheduler::IsOrphan(TimePoint aReportedAt, TimePoint aNow) const
+{
+  return aNow - aReportedAt > kMaxOrphanAge && aReportedAt < mJobsReadUntil;
+}
+
 // Applies the ends and running tasks that workers reported of a job before it was added.
 void Scheduler::ApplyOrphanReports(Job& aJob, TimePoint aNow)
 {
@@ -27,8 +34,9 @@
       else
         worker.mOrphanEnds.emplace_back(seenAt, std::move(row));
     }
+    // Also one that is being stopped: its task has to wait until it is gone.
     for (Run& run : worker.mRuns)
-      if (!run.mKnown && run.mPhase == RunPhase::Running && run.mTask.starts_with(prefix))
+      if (!run.mKnown && run.mTask.starts_with(prefix))
         AdoptRun(worker, run, aNow);
   }
 }
@@ -45,7 +53,8 @@
   if (!job || !task)
     return false;
   const StageSpec& spec = job->mSpec.mStages[aRun.mRef.mStage];
-  if (aRun.mMemoryMiB == 0 && aRun.mMilliCores == 0 && aRun.mAccelerators == 0) {
+  if (!aRun.mSized) {
+    aRun.mSized = true;
     aRun.mMilliCores = spec.mFiller ? 0 : spec.mMilliCores;
     aRun.mMemoryMiB = spec.mMemoryMiB;
     aRun.mAccelerators = spec.mAccelerators;
--- a/src/fleet/scheduler_running.cpp
+++ b/src/fleet/scheduler_running.cpp
@@ -36,7 +36,7 @@
         continue;
       bool mustStop = run.mPhase == RunPhase::Stopping;
       if (!run.mKnown)
-        mustStop = mustStop || FindJob(run.mRef.mJob) || aNow - run.mProgressAt > kMaxOrphanAge;
+        mustStop = mustStop || FindJob(run.mRef.mJob) || IsOrphan(run.mProgressAt, aNow);
       else if (!mustStop) {
         const Job* job = FindJob(run.mRef.mJob);
         const Task* task = FindTask(run.mRef);
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -53,14 +53,18 @@
     if (mFaults.mJobLag > Duration::zero())
       lag = Draw(Duration::zero(), mFaults.mJobLag);
   }
-  if (lag > Duration::zero())
-    Schedule(lag, [this, holder = mHolder, aSpec] {
-      holder->mScheduler->AddJob(aSpec, {}, false, mNow);
+  if (lag > Duration::zero()) {
+    mHolder->mUnread.insert(mNow);
+    Schedule(lag, [this, holder = mHolder, aSpec, acceptedAt = mNow] {
+      holder->mUnread.erase(holder->mUnread.find(acceptedAt));
+      const bool mayBeStarted = !holder->mScheduler->AreAllResolved();
+      holder->mScheduler->AddJob(aSpec, {}, mayBeStarted, mNow);
       if (mCancelled.contains(aSpec.mId))
         holder->mScheduler->CancelJob(aSpec.mId, mNow);
     });
-  else
+  } else {
     mHolder->mScheduler->AddJob(std::move(aSpec), {}, false, mNow);
+  }
 }
 
 void FleetModel::Cancel(const std::string& aId)
@@ -365,6 +369,7 @@
 void FleetModel::PlanFor(const HolderRef& aHolder)
 {
   Scheduler& scheduler = *aHolder->mScheduler;
+  scheduler.SetJobsReadUntil(aHolder->mUnread.empty() ? mNow : *aHolder->mUnread.begin());
   scheduler.DropLapsed(mNow);
   Orders orders = scheduler.Plan(mNow, 0, MayStart(*aHolder), 8);
   for (const StopOrder& it : orders.mStops)
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -112,6 +112,7 @@
     TimePoint mReplacedAt = TimePoint::max();
     TimePoint mStopsAt = TimePoint::max();
     std::shared_ptr<HolderState> mPrevious{};
+    std::multiset<TimePoint> mUnread{};  // acceptances of jobs that it has not read yet
   };
   using HolderRef = std::shared_ptr<HolderState>;
 
--- a/tests/unit/test_fleet_forgotten_runs.cpp
+++ b/tests/unit/test_fleet_forgotten_runs.cpp
@@ -148,7 +148,7 @@
 TEST_CASE(
   "fleet: a previous holder that goes on starts tasks of jobs that its successor has not read")
 {
-  const auto seed = GENERATE(range(1U, 41U));
+  const auto seed = GENERATE(range(1U, 41U), values({ 222U, 367U, 518U }));
   INFO("seed " << seed);
   FleetFaults faults;
   faults.mTakeoverPerS = 0.15;
@@ -222,3 +222,81 @@
   CHECK(report->mEnded.size() == ends);
   CHECK(report->mHasMoreEnds == (ends == 500));
 }
+
+TEST_CASE("fleet: a worker that runs a task of an unread job is given more than it has room for")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = "x.0.0.0", .mRun = 7 });
+  scheduler.OnReport("w0", report, kStart, kStart);
+  scheduler.AddJob(MakeJob("a", 1, 1), {}, false, kStart);
+  CHECK(scheduler.Plan(kStart, 0, true, 0).mStarts.empty());
+  scheduler.AddJob(MakeJob("x", 1, 1), {}, true, kStart + milliseconds(200));
+  CHECK(scheduler.Plan(kStart + milliseconds(200), 0, true, 0).mStarts.empty());
+  scheduler.OnReport("w0", {}, kStart + seconds(1), kStart + seconds(1));
+  CHECK(scheduler.Plan(kStart + seconds(1), 0, true, 0).mStarts.size() == 1);
+}
+
+TEST_CASE("fleet: a queued start is sent to a worker that runs a task of an unread job")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  scheduler.OnReport("w0", {}, kStart, kStart);
+  scheduler.AddJob(MakeJob("a", 1, 1), {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = "x.0.0.0", .mRun = 7 });
+  scheduler.OnReport("w0", report, kStart, kStart);
+  CHECK_FALSE(scheduler.IsStartWanted(orders.mStarts[0]));
+}
+
+TEST_CASE("fleet: a task starts while its run of a previous holder is being stopped")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  WorkerEntry other;
+  other.mId = "w1";
+  other.mAddress = "10.0.0.2:80";
+  other.mService = "pool";
+  other.mMilliCores = 4000;
+  other.mMemoryMiB = 16'000;
+  scheduler.ListWorker(other, true, kStart);
+  scheduler.OnReport("w1", {}, kStart, kStart);
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = "x.0.0.0", .mRun = 7 });
+  scheduler.OnReport("w0", report, kStart, kStart);
+  const TimePoint later = kStart + seconds(4);
+  scheduler.OnReport("w0", report, later, later);
+  const Orders orders = scheduler.Plan(later, 0, true, 0);
+  REQUIRE(orders.mStops.size() == 1);
+  scheduler.AddJob(MakeJob("x", 1, 1), {}, true, later);
+  CHECK(scheduler.Plan(later, 0, true, 0).mStarts.empty());
+  scheduler.OnStop(orders.mStops[0], true, later);
+  scheduler.OnReport("w0", {}, later + seconds(1), later + seconds(1));
+  CHECK(scheduler.Plan(later + seconds(1), 0, true, 0).mStarts.size() == 1);
+}
+
+TEST_CASE("fleet: a successful end is acknowledged, and forgotten, before its job is read")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  scheduler.SetJobsReadUntil(kStart);
+  WorkerReport report;
+  report.mEnded.push_back({ 1, "x.0.0.0", 7, EndKind::Done, "" });
+  scheduler.OnReport("w0", report, kStart + seconds(1), kStart + seconds(1));
+  CHECK(scheduler.CollectProgress(10, kStart + seconds(10)).mEnds.empty());
+  scheduler.AddJob(MakeJob("x", 1, 1), {}, true, kStart + seconds(10));
+  CHECK(scheduler.FindJob("x")->mState == JobState::Completed);
+}
+
+TEST_CASE("fleet: a job that no previous holder was told of waits for workers that do not answer")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  scheduler.OnReport("w0", {}, kStart, kStart);
+  WorkerEntry silent;
+  silent.mId = "w1";
+  silent.mAddress = "10.0.0.2:80";
+  scheduler.ListWorker(silent, true, kStart);
+  scheduler.AddJob(MakeJob("a", 1, 1), {}, true, kStart);
+  CHECK(scheduler.Plan(kStart, 0, true, 0).mStarts.empty());
+  scheduler.ClearInherited("a");
+  CHECK(scheduler.Plan(kStart, 0, true, 0).mStarts.size() == 1);
+}
