Delete a worker's record only in the revision that was read

What callers could see: TWICE. After a takeover, tasks of a worker that is missing in the directory start again although it runs on.

Cause: a holder deletes the record of a worker that it has given up. The store may apply a write whose answer was lost seconds later. Writes of records depend on the revision that they replace, deletes did not: one that was applied late removed the record that had been written anew, as the worker was back. The next holder did not know that this worker may run tasks.

Change: deletes depend on the revision as well. What is written and under which conditions is planned apart from the calls of the store, in WorkerRecords, so that it can be tested.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -18,6 +18,7 @@
 #include "fleet/peer_messages.h"
 #include "fleet/scheduler.h"
 #include "fleet/settings.h"
+#include "fleet/worker_records.h"
 #include "observe/metrics.h"
 #include "platform/store.h"
 #include "platform/workers.h"
@@ -108,9 +109,6 @@
   Async<bool> StoreBatch();
   Async<void> RecordWorkers();
   Async<void> CheckHolderKey();
-  void ApplyRecordRevisions(
-    const platform::StoreOutcome& aOutcome,
-    const std::map<std::string, std::optional<std::set<std::string>>>& aWritten);
   Async<void> WatchWorker(std::string aId);
   Async<bool> PollWorker(std::string aId, Duration aWait);
   Async<void> ProbeWorker(std::string aId);
@@ -172,7 +170,7 @@
   std::map<std::uint64_t, AdviceCall> mAdviceCalls{};  // in progress, by number
   bool mLocalAdviceBusy = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
-  std::set<std::string> mRecordedWorkers{};                   // have a record in the store
+  WorkerRecords mRecords{};
   std::map<std::string, std::uint64_t> mProgressRevisions{};  // by job, in the store
   std::map<std::string, std::string> mEarlyProgress{};        // progress of jobs not read yet
   std::set<std::string> mEarlyCancels{};                      // cancelled jobs not read yet
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -68,9 +68,7 @@
     worker.mCreatedRevision = record->mCreatedRevision;
     mScheduler.ListWorker(worker, true, mElectedAt);
     mScheduler.UnlistWorker(worker.mId, BootClock::now());
-    mRecordedWorkers.insert(worker.mId);
-    if (Worker* known = mScheduler.FindWorker(worker.mId))
-      known->mRecordRevision = it.mRevision;
+    mRecords.SetRevision(worker.mId, it.mRevision);
     if (record->mIsFinal)
       mScheduler.SetFinalTasks(worker.mId,
                                std::set(record->mTasks.begin(), record->mTasks.end()),
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -14,96 +14,42 @@
 
 }  // namespace
 
-// Writes a record for each worker before its first task, so that a later holder finds the worker
-// even if its directory entry has expired. While a worker does not answer, no task starts there,
-// and its record lists, as final, all tasks that it may run; the list is cleared before another
-// task starts there. Each write is conditional on the record that it replaces, so that a write that
-// the store applies late changes nothing.
 Async<void> Holder::RecordWorkers()
 {
   auto self = shared_from_this();
   while (!mSteppedDown) {
+    const RecordPlan plan = mRecords.Plan(mScheduler, platform::kMaxTransactionEntries - 1);
+    if (plan.IsEmpty()) {
+      co_await Sleep(kRecordInterval);
+      continue;
+    }
     StoreTransaction transaction;
     transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
-    std::map<std::string, std::optional<std::set<std::string>>> written;  // worker: final tasks
-    const auto isFull = [&transaction] {
-      return transaction.mConditions.size() + transaction.mWrites.size() +
-               transaction.mDeletes.size() + 2 >
-             platform::kMaxTransactionEntries;
-    };
-    for (const auto& [id, worker] : mScheduler.GetWorkers()) {
-      const bool isUnresponsive = worker.mFinalWanted && !worker.mReachable;
-      const bool clearsFinal =
-        (worker.mFinalTasks || worker.mFinalWanted) && worker.mReachable && worker.mFenced;
-      const bool isNew = !worker.mRecorded && worker.mListed;
-      if ((!isNew && !isUnresponsive && !clearsFinal) || isFull())
-        continue;
-      WorkerRecord record{ worker.mEntry.mAddress, worker.mEntry.mService };
-      record.mBornMs = worker.mBornMs;
-      record.mCreatedRevision = worker.mEntry.mCreatedRevision;
-      written[id];
-      if (isUnresponsive) {
-        record.mIsFinal = true;
-        for (const Run& run : worker.mRuns)
-          record.mTasks.push_back(run.mTask);
-        record.mSuspects = mScheduler.ListSuspects(worker);
-        written[id] = std::set(record.mTasks.begin(), record.mTasks.end());
-      }
-      transaction.mConditions.emplace_back(MakeWorkerKey(id), worker.mRecordRevision);
+    for (const auto& [id, revision] : plan.mConditions)
+      transaction.mConditions.emplace_back(MakeWorkerKey(id), revision);
+    for (const auto& [id, record] : plan.mWrites)
       transaction.mWrites.push_back({ MakeWorkerKey(id), EncodeMessage(record) });
-    }
-    std::vector<std::string> removed;
-    for (const std::string& id : mRecordedWorkers) {
-      if (mScheduler.GetWorkers().contains(id) || isFull())
-        continue;
+    for (const std::string& id : plan.mDeletes)
       transaction.mDeletes.push_back(MakeWorkerKey(id));
-      removed.push_back(id);
-    }
-    if (written.empty() && removed.empty()) {
-      co_await Sleep(kRecordInterval);
-      continue;
-    }
     auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
     if (!outcome) {
       co_await Sleep(kRetryStore);
       continue;
     }
     if (!outcome->mCommitted) {
-      ApplyRecordRevisions(*outcome, written);
+      std::map<std::string, std::uint64_t> current;
+      for (const StoreItem& it : outcome->mCurrent)
+        if (it.mKey.starts_with(kWorkerPrefix))
+          current[it.mKey.substr(kWorkerPrefix.size())] = it.mRevision;
+      mRecords.OnConflict(plan, current);
       co_await CheckHolderKey();
       continue;
     }
-    for (auto& [id, finalTasks] : written) {
-      mRecordedWorkers.insert(id);
-      Worker* worker = mScheduler.FindWorker(id);
-      if (!worker)
-        continue;
-      worker->mRecorded = true;
-      worker->mRecordRevision = outcome->mRevision;
-      worker->mFinalWanted = false;
-      worker->mFinalTasks = std::move(finalTasks);
-    }
-    for (const std::string& id : removed)
-      mRecordedWorkers.erase(id);
+    mRecords.OnCommitted(plan, outcome->mRevision, mScheduler);
     WakePlan();
   }
 }
 
-// Updates the known revisions of the records after a failed condition: an earlier write of this
-// process was applied, but its answer was lost.
-void Holder::ApplyRecordRevisions(
-  const platform::StoreOutcome& aOutcome,
-  const std::map<std::string, std::optional<std::set<std::string>>>& aWritten)
-{
-  for (const auto& [id, tasks] : aWritten)
-    if (Worker* worker = mScheduler.FindWorker(id))
-      worker->mRecordRevision = 0;
-  for (const StoreItem& it : aOutcome.mCurrent)
-    if (it.mKey.starts_with(kWorkerPrefix))
-      if (Worker* worker = mScheduler.FindWorker(it.mKey.substr(kWorkerPrefix.size())))
-        worker->mRecordRevision = it.mRevision;
-}
-
 Async<void> Holder::CheckHolderKey()
 {
   auto self = shared_from_this();
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -155,7 +155,6 @@
   std::optional<std::set<std::string>> mFinalTasks{};
   // What it ran when its leases expired or, of a previous holder, when it was last known.
   std::vector<SuspectRun> mPastRuns{};
-  std::uint64_t mRecordRevision = 0;  // revision of its record in the store; 0: none
   // It is unresponsive and mFinalTasks is to be stored, so nothing may start there.
   bool mFinalWanted = false;
   bool mRecorded = false;   // in the stored list of workers in use
