Lose a worker only if another answers at the address that it has now

What callers could see: TWICE and LIMIT. A worker that started again under its id at another address is forgotten, with what runs there, and its entry is ignored from then on.

Cause: a poll that another worker answers (421) ended whatever incarnation the holder knew by then, also when the directory had told of the new one while the poll was on its way to the former address.

Change: the address that was polled is passed on, and must be the worker's present one.

--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -90,6 +90,7 @@
   Worker* worker = mScheduler.FindWorker(aId);
   if (!target || !worker)
     co_return false;
+  const std::string address = worker->mEntry.mAddress;
   const TimePoint sentAt = BootClock::now();
   platform::ReportRequest order;
   order.mToken = GetEpoch();
@@ -113,7 +114,7 @@
       co_return false;
     }
     if (report.error().mKind == FailureKind::NotFound) {
-      mScheduler.OnReplaced(aId, BootClock::now());
+      mScheduler.OnReplaced(aId, address, BootClock::now());
       WakePlan();
       co_return false;
     }
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -279,8 +279,8 @@
                 TimePoint aSentAt,
                 TimePoint aNow);
   void OnSilence(const std::string& aId, TimePoint aNow);  // a call was not answered
-  // Another incarnation answered at the worker's address, so this one has ended for good.
-  void OnReplaced(const std::string& aId, TimePoint aNow);
+  // Another worker answered at aAddress. If that is the worker's address, it has ended for good.
+  void OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow);
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
 
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -90,11 +90,11 @@
   return true;
 }
 
-void Scheduler::OnReplaced(const std::string& aId, TimePoint aNow)
+void Scheduler::OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow)
 {
   Worker* worker = FindWorker(aId);
-  if (!worker)
-    return;
+  if (!worker || worker->mEntry.mAddress != aAddress)
+    return;  // it started again under its id at another address meanwhile
   Log(LogPart::Task,
       LogLevel::Info,
       "another incarnation answers at the address of a worker; its tasks are lost",
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -248,7 +248,7 @@
   if (!worker)
     return;
   if (aNode.mIsReplaced) {
-    scheduler.OnReplaced(aId, mNow);
+    scheduler.OnReplaced(aId, aNode.mEntry.mAddress, mNow);
     return;
   }
   Advance(aNode);
--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -201,7 +201,7 @@
   }
   SECTION("the worker was replaced")
   {
-    scheduler.OnReplaced("w0", kStart);
+    scheduler.OnReplaced("w0", "10.0.0.7:80", kStart);
   }
   CHECK(!scheduler.IsStartWanted(order));
 }
@@ -211,7 +211,7 @@
   Scheduler scheduler = MakeScheduler();
   scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
   StartOn(scheduler, "w0", 1000);
-  scheduler.OnReplaced("w0", kStart);
+  scheduler.OnReplaced("w0", "10.0.0.7:80", kStart);
   CHECK(!scheduler.FindWorker("w0"));
   scheduler.ListWorker(MakeEntry("w0", 1000), false, kStart);
   CHECK(!scheduler.FindWorker("w0"));
@@ -347,3 +347,21 @@
     "w0", MakeReport(2000), kStart + milliseconds(700), kStart + milliseconds(700));
   CHECK(scheduler.Plan(kStart + milliseconds(700), 0, true, 0).mStarts.size() == 1);
 }
+
+TEST_CASE("fleet: a worker that started again at another address is lost with its former address")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  scheduler.OnReport("w0", MakeReport(1000), kStart, kStart);
+  // A poll is on its way to the former address, where another worker answers.
+  const std::string polled = scheduler.FindWorker("w0")->mEntry.mAddress;
+  WorkerEntry moved = MakeEntry("w0", 2000);
+  moved.mAddress = "10.0.0.9:80";
+  scheduler.ListWorker(moved, false, kStart + seconds(1));
+  StartOn(scheduler, "w0", 2000);
+  scheduler.OnReplaced("w0", polled, kStart + seconds(2));
+  REQUIRE(scheduler.FindWorker("w0"));
+  CHECK(scheduler.FindWorker("w0")->mRuns.size() == 1);
+  scheduler.OnReplaced("w0", moved.mAddress, kStart + seconds(3));
+  CHECK_FALSE(scheduler.FindWorker("w0"));
+}
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -133,7 +133,7 @@
     REQUIRE(orders.mStarts[0].mWorker == worker);
     scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, now);
     scheduler.OnSilence(worker, now);
-    scheduler.OnReplaced(worker, now);
+    scheduler.OnReplaced(worker, scheduler.FindWorker(worker)->mEntry.mAddress, now);
   }
   CHECK(scheduler.FindJob("a")->mState == JobState::Queued);
 }
@@ -160,7 +160,7 @@
     }
     scheduler.OnSilence(worker, now + milliseconds(12));
     now += seconds(3);
-    scheduler.OnReplaced(worker, now);
+    scheduler.OnReplaced(worker, scheduler.FindWorker(worker)->mEntry.mAddress, now);
   }
   CHECK((scheduler.FindJob("a")->mState == JobState::Failed) == !isRack);
 }
@@ -216,7 +216,7 @@
     scheduler.OnSilence(worker, now);
     now += milliseconds(6700);
     scheduler.DropLapsed(now);
-    scheduler.OnReplaced(worker, now);
+    scheduler.OnReplaced(worker, scheduler.FindWorker(worker)->mEntry.mAddress, now);
   }
   INFO("confirmed " << isConfirmed << " late " << isLate);
   CHECK(starts <= kMaxStarts);
@@ -238,7 +238,7 @@
       scheduler.UnlistWorker(dead, now);
       scheduler.SetFinalTasks(dead, { "a.0.0.0" }, suspects);
       now += seconds(1);
-      scheduler.OnReplaced(dead, now);
+      scheduler.OnReplaced(dead, scheduler.FindWorker(dead)->mEntry.mAddress, now);
     }
     const std::string worker = "w" + std::to_string(epoch);
     scheduler.ListWorker(MakeEntry(worker), true, now);
@@ -280,7 +280,7 @@
   Scheduler& present = takesOver ? next : scheduler;
   if (!takesOver)
     present.DropLapsed(now + milliseconds(6700));  // its entry is still listed
-  present.OnReplaced("w", now + seconds(7));
+  present.OnReplaced("w", present.FindWorker("w")->mEntry.mAddress, now + seconds(7));
   INFO("takes over " << takesOver);
   const auto getCrashes = [&](const char* aJob) {
     return present.FindJob(aJob)->mOccurrences[0].mStages[0].mTasks[0].mCrashes;
@@ -322,7 +322,8 @@
           worker->mFinalWanted = false;
         }
       if (age == seconds(4))
-        scheduler.OnReplaced(order.mWorker, now);
+        scheduler.OnReplaced(
+          order.mWorker, scheduler.FindWorker(order.mWorker)->mEntry.mAddress, now);
     }
     scheduler.DropLapsed(now);
     for (const StartOrder& it : scheduler.Plan(now, 0, true, 0).mStarts) {
@@ -425,7 +426,7 @@
     scheduler.OnReport(worker, ListRunning(orders.mStarts[0]), now, now);
     scheduler.OnSilence(worker, now);
     suspects = scheduler.ListSuspects(*scheduler.FindWorker(worker));
-    scheduler.OnReplaced(worker, now);
+    scheduler.OnReplaced(worker, scheduler.FindWorker(worker)->mEntry.mAddress, now);
   }
   // The holder is lost after it has stored the last crash, before it has removed the worker.
   Scheduler next({ .mEpoch = 2 });
@@ -458,7 +459,7 @@
       scheduler.OnReport(worker, ListRunning(it), now, now);
     }
     scheduler.OnSilence(worker, now);
-    scheduler.OnReplaced(worker, now);
+    scheduler.OnReplaced(worker, scheduler.FindWorker(worker)->mEntry.mAddress, now);
   }
   CHECK((scheduler.FindJob("a")->mState == JobState::Failed) == !isLasting);
 }
