Keep runs that no report listed when their worker restarts under its id

A task starts elsewhere while the new incarnation of its worker runs it.

Cause: a restart under an id dropped every run whose start was confirmed, also one that the new incarnation had confirmed before its entry was listed, and every start that was being stopped, although a stop binds only the incarnation that answers it.

Change: runs that no report has listed stay until the new incarnation reports, and their stops are sent again.

--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -135,8 +135,9 @@
   worker.mInherited = worker.mInherited || aRecorded;
 }
 
-// Drops the runs of a worker that was restarted, as its tasks are gone. Runs whose start order may
-// still be carried out stay, because that order may reach the new incarnation.
+// Drops the runs of a worker that was restarted, as its tasks are gone. Runs that no report has
+// listed stay, because their start order may have reached the new incarnation, or may still do so;
+// it has to be told of stops again.
 void Scheduler::ResetForNewIncarnation(Worker& aWorker, std::int64_t aBornMs, TimePoint aNow)
 {
   Log(LogPart::Task,
@@ -148,10 +149,12 @@
         { "tasks", aWorker.mRuns.size() },
         { "just_started", FormatUnproven(aWorker) } });
   RecordCrash(aWorker, CrashEvidence::Replaced, aNow);
-  for (std::size_t n = aWorker.mRuns.size(); n-- > 0;)
-    if (aWorker.mRuns[n].mPhase != RunPhase::Starting &&
-        aWorker.mRuns[n].mPhase != RunPhase::Unconfirmed)
+  for (std::size_t n = aWorker.mRuns.size(); n-- > 0;) {
+    aWorker.mRuns[n].mStopSentAt = {};
+    aWorker.mRuns[n].mStopAckedAt = {};
+    if (aWorker.mRuns[n].mReported)
       DropRun(aWorker, n);
+  }
   aWorker.mEarlierBornMs.insert(aWorker.mBornMs);
   aWorker.mBornMs = aBornMs;
   aWorker.mBornSeenAt = aNow;
--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -365,3 +365,62 @@
   scheduler.OnReplaced("w0", moved.mAddress, kStart + seconds(3));
   CHECK_FALSE(scheduler.FindWorker("w0"));
 }
+
+TEST_CASE("fleet: a task that already runs on the next incarnation of its worker starts elsewhere")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  scheduler.OnReport("w0", MakeReport(1000), kStart, kStart);
+  scheduler.AddJob(MakeJob("a"), {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  WorkerEntry other = MakeEntry("w1", 1000);
+  other.mAddress = "10.0.0.8:80";
+  scheduler.ListWorker(other, true, kStart);
+  scheduler.OnReport("w1", MakeReport(1000), kStart, kStart);
+
+  // The new incarnation has carried out the order; no report has told of it yet.
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, kStart + milliseconds(10));
+  scheduler.ListWorker(MakeEntry("w0", 2000), false, kStart + milliseconds(20));
+  CHECK(scheduler.Plan(kStart + milliseconds(20), 0, true, 0).mStarts.empty());
+  WorkerReport report = MakeReport(2000);
+  report.mRunning.push_back({ "a.0.0.0", orders.mStarts[0].mRun, "", 10 });
+  scheduler.OnReport("w0", report, kStart + milliseconds(30), kStart + milliseconds(40));
+  const Orders next = scheduler.Plan(kStart + milliseconds(40), 0, true, 0);
+  CHECK(next.mStarts.empty());
+  CHECK(next.mStops.empty());
+}
+
+TEST_CASE(
+  "fleet: a start that is being stopped runs on the next incarnation of its worker, unnoticed")
+{
+  Scheduler scheduler = MakeScheduler();
+  scheduler.ListWorker(MakeEntry("w0", 1000), true, kStart);
+  scheduler.OnReport("w0", MakeReport(1000), kStart, kStart);
+  scheduler.AddJob(MakeJob("a"), {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  WorkerEntry other = MakeEntry("w1", 1000);
+  other.mAddress = "10.0.0.8:80";
+  scheduler.ListWorker(other, true, kStart);
+  scheduler.OnReport("w1", MakeReport(1000), kStart, kStart);
+
+  // The order was not answered, so it may still be carried out; the worker restarts before it
+  // answers the stop.
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, kStart + milliseconds(400));
+  scheduler.OnReport(
+    "w0", MakeReport(1000), kStart + milliseconds(410), kStart + milliseconds(410));
+  const Orders stops = scheduler.Plan(kStart + milliseconds(410), 0, true, 0);
+  REQUIRE(stops.mStops.size() == 1);
+  scheduler.ListWorker(MakeEntry("w0", 2000), false, kStart + milliseconds(500));
+  CHECK(scheduler.Plan(kStart + milliseconds(500), 0, true, 0).mStarts.empty());
+  // The new incarnation has to be told as well.
+  scheduler.OnReport(
+    "w0", MakeReport(2000), kStart + milliseconds(600), kStart + milliseconds(600));
+  const Orders again = scheduler.Plan(kStart + seconds(1), 0, true, 0);
+  REQUIRE(again.mStops.size() == 1);
+  scheduler.OnStop(again.mStops[0], true, kStart + milliseconds(1050));
+  scheduler.OnReport(
+    "w0", MakeReport(2000), kStart + milliseconds(1100), kStart + milliseconds(1100));
+  CHECK(scheduler.Plan(kStart + milliseconds(1100), 0, true, 0).mStarts.size() == 1);
+}
