Acknowledge no ends to a worker that may have restarted under its id

A task that has ended on a restarted worker starts again.

Cause: a poll acknowledges ends by number, and carries the id only. A worker that runs nothing is polled each 3 s, so its restart may go unnoticed while it is given a task; the poll after that start acknowledged the new incarnation's first ends by the numbers of the former one, before anybody had read them. The run was missing then, and its task started again.

Change: the answer to a start shows the worker's clock. One that has gone back, an unanswered start, or a worker that does not answer: then a poll acknowledges nothing until a report has named the incarnation.

Not covered: a poll that overtakes a start while both are on their way to the new incarnation.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -127,6 +127,9 @@
   void EnsureWatched(const std::string& aId);  // runs WatchWorker unless it runs already
   void WakePlan();
   void WakeWorker(const std::string& aId);  // polls it without further pause
+  [[nodiscard]] bool IsClockReset(const Channel& aChannel,
+                                  std::int64_t aClockMs,
+                                  TimePoint aSentAt) const;
   void RecordClock(Channel& aChannel, std::int64_t aClockMs, TimePoint aSentAt);
   void FinishAdvice(const AdviceResult& aResult);
   void AssignAdviceCall(AdviceOrder aOrder);
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -22,6 +22,7 @@
 constexpr Duration kUnansweredWindow = seconds(3);            // for kMinUnansweredForLossy
 constexpr Duration kIdlePollInterval = seconds(3);            // of a worker that runs nothing
 constexpr Duration kUnreachablePollInterval = milliseconds(300);
+constexpr milliseconds kClockSlack = milliseconds(100);  // of readings of a worker's clock
 
 std::string_view GetStartLabel(StartOutcome aOutcome)
 {
@@ -44,6 +45,18 @@
   return aChannel.mClockMs + passed.count();
 }
 
+// Returns whether a reading of the worker's clock, in the answer to a call that was sent at
+// aSentAt, is far below what an earlier one leads to, as after a restart. A worker's clock may be
+// slow.
+bool Holder::IsClockReset(const Channel& aChannel, std::int64_t aClockMs, TimePoint aSentAt) const
+{
+  if (aClockMs == 0 || aChannel.mClockMs == 0 || aSentAt < aChannel.mClockAt)
+    return false;
+  const Duration passed = aSentAt - aChannel.mClockAt;
+  const auto slack = std::chrono::duration_cast<milliseconds>(passed / 20) + kClockSlack;
+  return aClockMs + slack.count() < EstimateWorkerClock(aChannel, aSentAt);
+}
+
 void Holder::RecordClock(Channel& aChannel, std::int64_t aClockMs, TimePoint aSentAt)
 {
   if (aClockMs == 0 || aSentAt < aChannel.mClockAt)
@@ -94,7 +107,7 @@
   const TimePoint sentAt = BootClock::now();
   platform::ReportRequest order;
   order.mToken = GetEpoch();
-  order.mAcknowledgedEnd = worker->mStoredEnd;
+  order.mAcknowledgedEnd = Scheduler::GetAcknowledgedEnd(*worker);
   order.mWaitMs =
     static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(aWait).count());
   Channel& channel = mChannels[aId];
@@ -272,6 +285,8 @@
     StepDown("a worker has seen a later epoch");
     co_return;
   }
+  if (IsClockReset(mChannels[aId], answer.mClockMs, sentAt))
+    mScheduler.OnClockReset(aId);
   RecordClock(mChannels[aId], answer.mClockMs, sentAt);
   mScheduler.OnStart(aOrder, answer.mOutcome, BootClock::now());
   if (answer.mOutcome == StartOutcome::Unknown || answer.mOutcome == StartOutcome::StaleRun)
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -163,6 +163,7 @@
   bool mReachable = false;  // this incarnation answered the last call
   TimePoint mAddedAt{};     // at the election, for workers of previous holders
   bool mHasUnansweredStart = false;  // since its last answer
+  bool mMayHaveRestarted = false;    // its clock went back; no report has told of it yet
   TimePoint mAnsweredAt{};
   TimePoint mLeaseSentAt{};      // when the last order that renewed its tasks' leases was sent
   TimePoint mUnlistedAt{};       // when its directory entry was last removed
@@ -279,6 +280,11 @@
                 TimePoint aSentAt,
                 TimePoint aNow);
   void OnSilence(const std::string& aId, TimePoint aNow);  // a call was not answered
+  // The answer to an order shows a clock that started anew: so did the worker, under its id.
+  void OnClockReset(const std::string& aId);
+  // Returns up to which end a worker may forget what it reported. Ends of an incarnation that has
+  // not reported yet are counted by the same numbers, so none while there may be one.
+  [[nodiscard]] static std::uint64_t GetAcknowledgedEnd(const Worker& aWorker);
   // Another worker answered at aAddress. If that is the worker's address, it has ended for good.
   void OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow);
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -212,6 +212,7 @@
   worker.mPastRuns.clear();
   worker.mReachable = true;
   worker.mHasUnansweredStart = false;
+  worker.mMayHaveRestarted = false;
   // Ends that are not listed yet may be of tasks that a previous holder started.
   if (!worker.mFenced && aSentAt >= mFencedFrom && !aReport.mHasMoreEnds) {
     worker.mFenced = true;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -194,6 +194,25 @@
         { "answered_ago_ms", aNow - worker->mAnsweredAt } });
 }
 
+void Scheduler::OnClockReset(const std::string& aId)
+{
+  Worker* worker = FindWorker(aId);
+  if (!worker || worker->mMayHaveRestarted)
+    return;
+  worker->mMayHaveRestarted = true;
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "the clock of a worker went back; it may have restarted under its id",
+      { { "worker", aId }, { "tasks", worker->mRuns.size() } });
+}
+
+std::uint64_t Scheduler::GetAcknowledgedEnd(const Worker& aWorker)
+{
+  const bool isSure =
+    aWorker.mReachable && !aWorker.mHasUnansweredStart && !aWorker.mMayHaveRestarted;
+  return isSure ? aWorker.mStoredEnd : 0;
+}
+
 // While the holder's own lease is not renewed, a successor may be waiting for the leases to expire.
 Duration Scheduler::GetTaskLease(TimePoint aNow, TimePoint aHolderRenewedAt) const
 {
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -186,6 +186,13 @@
       report(milliseconds(3), StartOutcome::BadTicket);
     else
       report(milliseconds(3), isFenced ? StartOutcome::NotStarted : StartOutcome::Started);
+    // The answer shows the worker's clock, which starts anew with each life.
+    if (!isLost && it != mNodes.end() && it->second.mUp &&
+        it->second.mLife != aHolder->mLives[aOrder.mWorker])
+      Schedule(milliseconds(3), [this, aHolder, id = aOrder.mWorker] {
+        if (!HasStopped(*aHolder))
+          aHolder->mScheduler->OnClockReset(id);
+      });
   });
 }
 
@@ -251,6 +258,10 @@
     scheduler.OnReplaced(aId, aNode.mEntry.mAddress, mNow);
     return;
   }
+  const bool isIdle = worker->mRuns.empty() && worker->mFenced && worker->mReachable;
+  if (isIdle && worker->mLastEnd <= worker->mStoredEnd &&
+      mNow - worker->mAnsweredAt < mFaults.mIdlePollInterval)
+    return;
   Advance(aNode);
   if (!IsAnswering(aNode, *aHolder)) {
     scheduler.OnSilence(aId, mNow);
@@ -265,7 +276,7 @@
     scheduler.RenewTaskLeases(*worker, mNow, std::min(mNow, aHolder->mReplacedAt));
   if (lease > Duration::zero())
     aNode.mLeaseUntil = std::max(aNode.mLeaseUntil, mNow + lease);
-  Acknowledge(aNode, worker->mStoredEnd);
+  Acknowledge(aNode, Scheduler::GetAcknowledgedEnd(*worker));
   if (Happens(mFaults.mLostReport)) {
     scheduler.OnSilence(aId, mNow);
     return;
@@ -281,6 +292,7 @@
   }
   for (const Running& it : aNode.mRunning)
     report.mRunning.push_back({ it.mOrder.mTask, it.mOrder.mRun, "", ComputePercent(it), 0 });
+  aHolder->mLives[aId] = aNode.mLife;
   scheduler.OnReport(aId, report, mNow, mNow);
 }
 
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -31,9 +31,11 @@
     0;  // times per second that a running worker's entry is missing for 0.5 to 6 s
   double mDrainPerS = 0;  // drains per second; the worker leaves 2 to 6 s later, another one joins
   double mStallPerS = 0;  // times per second that a worker's tasks make no progress for 0.5 to 6 s
-  double mTakeoverPerS = 0;  // times per second that a new, empty scheduler takes over
-  Duration mDirectoryLag{};  // a change of a worker is listed up to this much later
-  Duration mJobLag{};        // a new holder reads jobs accepted since its election this much later
+  double mTakeoverPerS = 0;            // times per second that a new, empty scheduler takes over
+  Duration mRestartTime = seconds(1);  // a restart takes up to this long
+  Duration mIdlePollInterval{};        // of workers that run nothing; zero: like all others
+  Duration mDirectoryLag{};            // a change of a worker is listed up to this much later
+  Duration mJobLag{};  // a new holder reads jobs accepted since its election this much later
   Duration mPreviousHolder{};  // goes on for up to this long after a takeover
   double mPartitioned =
     0;  // share of workers that a new holder reaches 0 to 6 s after its election
@@ -112,7 +114,8 @@
     TimePoint mReplacedAt = TimePoint::max();
     TimePoint mStopsAt = TimePoint::max();
     std::shared_ptr<HolderState> mPrevious{};
-    std::multiset<TimePoint> mUnread{};  // acceptances of jobs that it has not read yet
+    std::multiset<TimePoint> mUnread{};             // acceptances of jobs that it has not read yet
+    std::map<std::string, std::uint32_t> mLives{};  // of workers, as shown by their clocks
   };
   using HolderRef = std::shared_ptr<HolderState>;
 
--- a/tests/unit/fleet_model_workers.cpp
+++ b/tests/unit/fleet_model_workers.cpp
@@ -308,7 +308,7 @@
   Node& node = mNodes.at(aId);
   LoseTasks(node);
   node.mUp = false;
-  Schedule(Draw(milliseconds(20), seconds(1)), [this, aId] {
+  Schedule(Draw(milliseconds(20), mFaults.mRestartTime), [this, aId] {
     Node& it = mNodes.at(aId);
     const Node former = std::move(it);
     it = Node{};
--- a/tests/unit/test_fleet_forgotten_runs.cpp
+++ b/tests/unit/test_fleet_forgotten_runs.cpp
@@ -145,6 +145,26 @@
   CheckRandomJobs(seed, faults, kAllEnds);
 }
 
+TEST_CASE("fleet: a successful end is acknowledged to a restarted worker before it is read")
+{
+  const auto seed = GENERATE(range(1U, 21U));
+  INFO("seed " << seed);
+  FleetModel model(seed,
+                   { .mRestartPerS = 0.3,
+                     .mRestartTime = milliseconds(100),
+                     .mIdlePollInterval = seconds(3),
+                     .mDirectoryLag = milliseconds(500) },
+                   8);
+  model.SetQueue(MakeQueue(false));
+  for (int n = 0; n < 100; ++n) {
+    const std::string id = "j" + std::to_string(n);
+    model.SetRunTime(id, milliseconds(20));
+    model.Submit(MakeJob(id, 2, 1));  // the smallest worker has room for two
+    model.RunFor(milliseconds(200));
+  }
+  CHECK_THAT(model.mViolations, Catch::Equals(std::vector<std::string>()));
+}
+
 TEST_CASE(
   "fleet: a previous holder that goes on starts tasks of jobs that its successor has not read")
 {
