Check the kind of a worker again before a queued start is sent

A task starts on a worker without the label that it requires, or of another service.

Cause: the last check before an order is sent knew of capacity and incarnation; a worker that restarts under its id, while the start waits in its queue, may be of another kind.

Change: the check of service, label and incarnation is one function, used when a task is placed and before its start is sent.

--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -81,6 +81,15 @@
          aWorker.mEntry.mBornMs == aWorker.mBornMs;
 }
 
+// Returns whether tasks of the stage may run on a worker of this kind.
+inline bool IsSuitable(const Worker& aWorker, std::string_view aService, const StageSpec& aSpec)
+{
+  const std::vector<std::string>& labels = aWorker.mEntry.mLabels;
+  return IsEntryCurrent(aWorker) && aWorker.mEntry.mService == aService &&
+         (aSpec.mRequiredLabel.empty() ||
+          std::find(labels.begin(), labels.end(), aSpec.mRequiredLabel) != labels.end());
+}
+
 // Returns how many runs take capacity that is not known, as their job was not read yet.
 inline std::uint32_t CountUnsized(const Worker& aWorker)
 {
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -22,11 +22,15 @@
     });
   if (run == worker->mRuns.end() || run->mPhase != RunPhase::Starting)
     return false;
-  if (IsOverCapacity(*worker) || !IsEntryCurrent(*worker) || CountUnsized(*worker) > 0)
+  if (IsOverCapacity(*worker) || CountUnsized(*worker) > 0)
     return false;
   const Job* job = FindJob(run->mRef.mJob);
   const Task* task = FindTask(run->mRef);
-  return job && task && !IsOver(job->mState) && !task->mDone && task->mRun == aOrder.mRun &&
+  const QueueConfig* queue = job ? FindQueue(job->mSpec.mQueue) : nullptr;
+  if (!queue || !task ||
+      !IsSuitable(*worker, queue->mService, job->mSpec.mStages[run->mRef.mStage]))
+    return false;
+  return !IsOver(job->mState) && !task->mDone && task->mRun == aOrder.mRun &&
          task->mWorker == aOrder.mWorker;
 }
 
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -145,13 +145,11 @@
 {
   if (!aWorker.mListed || !aWorker.mRecorded || aWorker.mFinalTasks || aWorker.mFinalWanted ||
       !aWorker.mFenced || !aWorker.mReachable || aWorker.mEntry.mDraining ||
-      aWorker.mEntry.mService != aReady.mQueue->mService || !IsEntryCurrent(aWorker) ||
       aWorker.mUnsizedCount > 0)
     return false;
   if (aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mFullUntil)
     return false;
-  const std::string& label = aReady.mSpec->mRequiredLabel;
-  return label.empty() || Contains(aWorker.mEntry.mLabels, label);
+  return IsSuitable(aWorker, aReady.mQueue->mService, *aReady.mSpec);
 }
 
 bool Scheduler::HasCapacity(const Worker& aWorker, const StageSpec& aSpec)
--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -424,3 +424,31 @@
     "w0", MakeReport(2000), kStart + milliseconds(1100), kStart + milliseconds(1100));
   CHECK(scheduler.Plan(kStart + milliseconds(1100), 0, true, 0).mStarts.size() == 1);
 }
+
+TEST_CASE("fleet: a queued start is sent to a worker that restarted as one without the label")
+{
+  Scheduler scheduler = MakeScheduler();
+  WorkerEntry entry = MakeEntry("w0", 1000);
+  entry.mLabels = { "big" };
+  scheduler.ListWorker(entry, true, kStart);
+  scheduler.OnReport("w0", MakeReport(1000), kStart, kStart);
+  JobSpec job = MakeJob("a");
+  job.mStages[0].mRequiredLabel = "big";
+  scheduler.AddJob(job, {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  WorkerEntry next = MakeEntry("w0", 2000);
+  SECTION("without the label")
+  {
+    next.mLabels = { "small" };
+  }
+  SECTION("of another service")
+  {
+    next.mLabels = { "big" };
+    next.mService = "other";
+  }
+  scheduler.ListWorker(next, false, kStart + milliseconds(100));
+  scheduler.OnReport(
+    "w0", MakeReport(2000), kStart + milliseconds(110), kStart + milliseconds(110));
+  CHECK_FALSE(scheduler.IsStartWanted(orders.mStarts[0]));
+}
