--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -205,12 +205,12 @@
   WakePlan();
 }
 
-// Reads how far the store was when the last earlier holder had stopped: none of them has started
-// tasks of jobs that were accepted later.
+// Reads the store's revision once no earlier holder can send a start any more: none of them has
+// started tasks of jobs that were accepted later.
 Async<void> Holder::ReadRevisionOfTakeover()
 {
   auto self = shared_from_this();
-  while (!mSteppedDown && BootClock::now() < mPredecessorQuietAt)
+  while (!mSteppedDown && BootClock::now() < mPredecessorQuietAt - kStartEffect)
     co_await Sleep(kPlanInterval);
   while (!mSteppedDown && !mTakeoverRevision) {
     auto page = co_await mStore.List(std::string(kHolderKey), platform::kStoreDeadline);
