Take no departure from changes of the directory that arrive late, nor from invalid entries

After a gap in the watch, the last write and the expiry of an entry arrive together, which looks like a departure; so does an entry of a draining worker that another writer has overwritten.

Change: a change counts as recent only if the watch before it was answered, and this one in time. An invalid entry clears the time of the last write.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -123,7 +123,7 @@
   void ApplyJobItem(const platform::StoreItem& aItem, bool aInherited);
   [[nodiscard]] bool MayBeStarted(const platform::StoreItem& aJob) const;
   Async<void> ReadRevisionOfTakeover();
-  void ApplyWorkerItem(const platform::StoreItem& aItem, bool aIsChange);
+  void ApplyWorkerItem(const platform::StoreItem& aItem, bool aIsRecent);
   void EnsureWatched(const std::string& aId);  // runs WatchWorker unless it runs already
   void WakePlan();
   void WakeWorker(const std::string& aId);  // polls it without further pause
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -164,7 +164,7 @@
   WakePlan();
 }
 
-void Holder::ApplyWorkerItem(const StoreItem& aItem, bool aIsChange)
+void Holder::ApplyWorkerItem(const StoreItem& aItem, bool aIsRecent)
 {
   if (!aItem.mKey.starts_with(platform::kDirectoryPrefix))
     return;
@@ -181,10 +181,12 @@
         "an entry of the worker directory is invalid",
         { { "worker", id }, { "what", entry.error().mDetail } });
     mScheduler.UnlistWorker(id, now);
+    if (Worker* worker = mScheduler.FindWorker(id))
+      worker->mWrittenAt = {};  // this is no sign that it has left
     return;
   }
   entry->mCreatedRevision = aItem.mCreated;
-  entry->mJustWritten = aIsChange;
+  entry->mJustWritten = aIsRecent;
   const Worker* known = mScheduler.FindWorker(id);
   const bool wasReachable = known && known->mReachable;
   mScheduler.ListWorker(std::move(*entry), false, now);
@@ -254,11 +256,14 @@
   auto self = shared_from_this();
   bool isFailing = false;
   while (!mSteppedDown) {
+    const bool wasFailing = isFailing;
+    const TimePoint sentAt = BootClock::now();
     auto page =
       co_await AwaitChanges(std::string(platform::kDirectoryPrefix), aRevision, isFailing);
     if (mSteppedDown)
       co_return;
-    const bool areChanges = page.has_value();
+    // After a gap, changes of any age arrive together.
+    const bool areRecent = page && !wasFailing && BootClock::now() - sentAt < kLateWatch;
     if (!page && page.error().mKind == FailureKind::Conflict) {
       page =
         co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
@@ -277,7 +282,7 @@
     }
     aRevision = page->mRevision;
     for (const StoreItem& it : page->mItems)
-      ApplyWorkerItem(it, areChanges);
+      ApplyWorkerItem(it, areRecent);
     if (!page->mItems.empty())
       WakePlan();
   }
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -121,7 +121,7 @@
   std::int64_t mDrainRemainingMs = 0;  // minimum time until a draining worker leaves
   std::int64_t mBornMs = 0;            // start of this incarnation, Unix ms; 0: unknown
   std::uint64_t mCreatedRevision = 0;  // of the store when it was first listed; 0: unknown
-  bool mJustWritten = false;           // read as a change, not from a list of entries of any age
+  bool mJustWritten = false;           // it changed a moment ago; otherwise its age is not known
 };
 
 struct RunningTask  // a task that is running on a worker
