Reuse no run number of a start that was confirmed

A run that is being stopped and was listed in no report counted as one that never ran, also when its start had been confirmed: a missing gang member may then start elsewhere under the same run number. Found by the review by reading; no test of its own. The cases of the fleet pass.

--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -272,7 +272,8 @@
             { "stopped", run.mPhase == RunPhase::Stopping ? "yes" : "no" },
             { "known", run.mKnown ? "yes" : "no" },
             { "ends", aReport.mEnded.size() } });
-      const bool neverRan = run.mKnown && !run.mReported && run.mPhase == RunPhase::Stopping;
+      const bool neverRan =
+        run.mKnown && !run.mReported && !run.mStarted && run.mPhase == RunPhase::Stopping;
       if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
         task->mFailedOn.push_back(aId);  // this worker refuses this run number from now on
       DropRun(worker, n, neverRan);
