Learn of restarts under an id from reports alone

A directory entry that a former incarnation wrote late, with a start time after that of the present one, ended the present one's runs; the holder knew only of incarnations that it had met itself. An answer of a stale entry's address could end the worker as well.

Change: an entry of another incarnation, or a clock that went back, makes the worker wait: no start, no renewal, the longest lease assumed, and a poll at once. Its report decides. An address that answers as another worker counts only if the entry is of the present incarnation.

Evidence: 'fleet: a late entry of an unknown former incarnation ends the present one', found by the review, failed before. 'fleet: a start in flight that reaches the next incarnation hides that one's crash' took the entry for the restart; it gets the report that follows it now, and checks the same.

--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -285,10 +285,11 @@
     StepDown("a worker has seen a later epoch");
     co_return;
   }
-  if (IsClockReset(mChannels[aId], answer.mClockMs, sentAt))
-    mScheduler.OnClockReset(aId);
+  const bool isClockReset = IsClockReset(mChannels[aId], answer.mClockMs, sentAt);
   RecordClock(mChannels[aId], answer.mClockMs, sentAt);
   mScheduler.OnStart(aOrder, answer.mOutcome, BootClock::now());
+  if (isClockReset)
+    mScheduler.OnClockReset(aId, BootClock::now());
   if (answer.mOutcome == StartOutcome::Unknown || answer.mOutcome == StartOutcome::StaleRun)
     Spawn(mContext, ProbeWorker(aId));
   if (answer.mOutcome != StartOutcome::Started)
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -149,8 +149,7 @@
   WorkerEntry mEntry{};      // as last listed; may be of another incarnation than mBornMs
   std::int64_t mBornMs = 0;  // of the incarnation that is known to be the latest; 0: unknown
   TimePoint mBornSeenAt{};   // when mBornMs was learned
-  std::set<std::int64_t> mEarlierBornMs{};  // of incarnations that have ended
-  bool mListed = false;                     // the directory lists it now
+  bool mListed = false;      // the directory lists it now
   // All tasks that it may run, as stored while it was unresponsive.
   std::optional<std::set<std::string>> mFinalTasks{};
   // What it ran when its leases expired or, of a previous holder, when it was last known.
@@ -163,7 +162,7 @@
   bool mReachable = false;  // this incarnation answered the last call
   TimePoint mAddedAt{};     // at the election, for workers of previous holders
   bool mHasUnansweredStart = false;  // since its last answer
-  bool mMayHaveRestarted = false;    // its clock went back; no report has told of it yet
+  bool mMayHaveRestarted = false;    // since its last report, as its entry or its clock says
   TimePoint mAnsweredAt{};
   TimePoint mLeaseSentAt{};      // when the last order that renewed its tasks' leases was sent
   TimePoint mUnlistedAt{};       // when its directory entry was last removed
@@ -281,7 +280,7 @@
                 TimePoint aNow);
   void OnSilence(const std::string& aId, TimePoint aNow);  // a call was not answered
   // The answer to an order shows a clock that started anew: so did the worker, under its id.
-  void OnClockReset(const std::string& aId);
+  void OnClockReset(const std::string& aId, TimePoint aNow);
   // Returns up to which end a worker may forget what it reported. Ends of an incarnation that has
   // not reported yet are counted by the same numbers, so none while there may be one.
   [[nodiscard]] static std::uint64_t GetAcknowledgedEnd(const Worker& aWorker);
@@ -346,6 +345,7 @@
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
+  void SuspectRestart(Worker& aWorker, TimePoint aNow);
   void ResetForNewIncarnation(Worker& aWorker, std::int64_t aBornMs, TimePoint aNow);
   void RecordCrash(Worker& aWorker, CrashEvidence aEvidence, TimePoint aNow);
   [[nodiscard]] bool OutlivedCrashes(const Worker& aWorker, const Run& aRun) const;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -93,8 +93,8 @@
 void Scheduler::OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow)
 {
   Worker* worker = FindWorker(aId);
-  if (!worker || worker->mEntry.mAddress != aAddress)
-    return;  // it started again under its id at another address meanwhile
+  if (!worker || worker->mEntry.mAddress != aAddress || !IsEntryCurrent(*worker))
+    return;  // its present incarnation may be at another address
   Log(LogPart::Task,
       LogLevel::Info,
       "another incarnation answers at the address of a worker; its tasks are lost",
@@ -117,9 +117,8 @@
   if (isNew) {
     worker.mAddedAt = aNow;
     worker.mLeaseSentAt = aNow;  // a previous holder may have renewed leases until now
-  } else if (worker.mBornMs != 0 && aEntry.mBornMs > worker.mBornMs &&
-             !worker.mEarlierBornMs.contains(aEntry.mBornMs)) {
-    ResetForNewIncarnation(worker, aEntry.mBornMs, aNow);
+  } else if (worker.mBornMs != 0 && aEntry.mBornMs != 0 && aEntry.mBornMs != worker.mBornMs) {
+    SuspectRestart(worker, aNow);
   }
   if (worker.mBornMs == 0)
     worker.mBornMs = aEntry.mBornMs;
@@ -155,11 +154,18 @@
     if (aWorker.mRuns[n].mReported)
       DropRun(aWorker, n);
   }
-  aWorker.mEarlierBornMs.insert(aWorker.mBornMs);
   aWorker.mBornMs = aBornMs;
   aWorker.mBornSeenAt = aNow;
   aWorker.mLastEnd = 0;
   aWorker.mStoredEnd = 0;
+  SuspectRestart(aWorker, aNow);
+}
+
+// Makes the worker wait for its next report, which tells its incarnation. The entry does not: it
+// may have been written late by one that has ended, and a machine's time of day may be set back.
+void Scheduler::SuspectRestart(Worker& aWorker, TimePoint aNow)
+{
+  aWorker.mMayHaveRestarted = true;
   // Orders sent until now were timed by the clock of the earlier incarnation. If that was ahead,
   // they have granted leases as long as workers allow. The next answer tells the new clock.
   aWorker.mLeaseSentAt =
@@ -194,12 +200,12 @@
         { "answered_ago_ms", aNow - worker->mAnsweredAt } });
 }
 
-void Scheduler::OnClockReset(const std::string& aId)
+void Scheduler::OnClockReset(const std::string& aId, TimePoint aNow)
 {
   Worker* worker = FindWorker(aId);
   if (!worker || worker->mMayHaveRestarted)
     return;
-  worker->mMayHaveRestarted = true;
+  SuspectRestart(*worker, aNow);
   Log(LogPart::Task,
       LogLevel::Info,
       "the clock of a worker went back; it may have restarted under its id",
--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -452,3 +452,20 @@
     "w0", MakeReport(2000), kStart + milliseconds(110), kStart + milliseconds(110));
   CHECK_FALSE(scheduler.IsStartWanted(orders.mStarts[0]));
 }
+
+TEST_CASE("fleet: a late entry of an unknown former incarnation ends the present one")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  WorkerEntry other = MakeEntry("w1", 1000);
+  other.mAddress = "10.0.0.8:80";
+  scheduler.ListWorker(MakeEntry("w0", 3000), true, kStart);
+  StartOn(scheduler, "w0", 3000);
+  scheduler.ListWorker(other, true, kStart);
+  scheduler.OnReport("w1", MakeReport(1000), kStart, kStart);
+  WorkerReport report = MakeReport(3000);
+  report.mRunning.push_back({ "a.0.0.0", scheduler.FindWorker("w0")->mRuns[0].mRun, "", 10 });
+  scheduler.OnReport("w0", report, kStart + seconds(1), kStart + seconds(1));
+  // Written before the machine's clock was set back and this holder was elected, listed only now.
+  scheduler.ListWorker(MakeEntry("w0", 5000), false, kStart + seconds(2));
+  CHECK(scheduler.Plan(kStart + seconds(2), 0, true, 0).mStarts.empty());
+}
--- a/tests/unit/test_fleet_poison.cpp
+++ b/tests/unit/test_fleet_poison.cpp
@@ -403,6 +403,9 @@
   scheduler.OnSilence("w", now + milliseconds(10));
   entry.mBornMs = 3000;  // now it crashed under the task
   scheduler.ListWorker(entry, true, now + seconds(3));
+  WorkerReport report;
+  report.mBornMs = entry.mBornMs;
+  scheduler.OnReport("w", report, now + seconds(3), now + seconds(3));
   const auto& crashes = scheduler.FindJob("a")->mOccurrences[0].mStages[0].mTasks[0].mCrashes;
   REQUIRE(crashes.size() == 1);
   CHECK(crashes[0].mSoon);
