--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -49,7 +49,7 @@
   mJobs[aSpec.mId] = aSpec;
   Duration lag{};
   for (HolderRef it = mHolder->mPrevious; it && !HasStopped(*it); it = it->mPrevious) {
-    it->mScheduler->AddJob(aSpec, {}, false, mNow);
+    it->mScheduler->AddJob(aSpec, {}, it->mPrevious && !it->mScheduler->AreAllResolved(), mNow);
     if (mFaults.mJobLag > Duration::zero())
       lag = Draw(Duration::zero(), mFaults.mJobLag);
   }
@@ -63,7 +63,9 @@
         holder->mScheduler->CancelJob(aSpec.mId, mNow);
     });
   } else {
-    mHolder->mScheduler->AddJob(std::move(aSpec), {}, false, mNow);
+    const bool mayBeStarted = mHolder->mPrevious && !HasStopped(*mHolder->mPrevious) &&
+                              !mHolder->mScheduler->AreAllResolved();
+    mHolder->mScheduler->AddJob(std::move(aSpec), {}, mayBeStarted, mNow);
   }
 }
 
@@ -348,6 +350,9 @@
                             ? Draw(Duration::zero(), mFaults.mPreviousHolder)
                             : Duration::zero();
   HolderRef holder = MakeHolder();
+  for (const auto& [id, node] : mNodes)
+    if (Happens(mFaults.mPreviousCut))
+      mHolder->mCutFrom.insert(id);
   mHolder->mReplacedAt = mNow;
   mHolder->mStopsAt = std::min(mHolder->mStopsAt, mNow + goesOn);
   mHolder = holder;
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -24,7 +24,8 @@
   double mCrashPerS = 0;     // crashes of a worker per second; it restarts 1 s later, with a new id
   // Restarts of a worker per second: within 1 s, under its id, with another capacity.
   double mRestartPerS = 0;
-  double mResizePerS = 0;  // changes of a running worker's capacity per second
+  bool mRestartsResized = true;  // otherwise with the same capacity
+  double mResizePerS = 0;        // changes of a running worker's capacity per second
   // Times per second that a worker answers nothing for 0.5 to 8 s, while its tasks go on.
   double mUnresponsivePerS = 0;
   double mUnlistPerS =
@@ -37,6 +38,7 @@
   Duration mDirectoryLag{};            // a change of a worker is listed up to this much later
   Duration mJobLag{};  // a new holder reads jobs accepted since its election this much later
   Duration mPreviousHolder{};  // goes on for up to this long after a takeover
+  double mPreviousCut = 0;     // share of workers that it does not reach from then on
   double mPartitioned =
     0;  // share of workers that a new holder reaches 0 to 6 s after its election
 };
@@ -116,6 +118,7 @@
     std::shared_ptr<HolderState> mPrevious{};
     std::multiset<TimePoint> mUnread{};             // acceptances of jobs that it has not read yet
     std::map<std::string, std::uint32_t> mLives{};  // of workers, as shown by their clocks
+    std::set<std::string> mCutFrom{};               // workers that it does not reach
   };
   using HolderRef = std::shared_ptr<HolderState>;
 
--- a/tests/unit/fleet_model_workers.cpp
+++ b/tests/unit/fleet_model_workers.cpp
@@ -44,7 +44,8 @@
 bool FleetModel::IsAnswering(const Node& aNode, const HolderState& aHolder) const
 {
   const bool isPartitioned = &aHolder == mHolder.get() && mNow < aNode.mPartitionedUntil;
-  return aNode.mUp && mNow >= aNode.mUnresponsiveUntil && !isPartitioned;
+  return aNode.mUp && mNow >= aNode.mUnresponsiveUntil && !isPartitioned &&
+         !aHolder.mCutFrom.contains(aNode.mEntry.mId);
 }
 
 std::string FleetModel::GetTicket(const std::string& aId) const
@@ -314,7 +315,9 @@
     it = Node{};
     it.mEntry = former.mEntry;
     it.mEntry.mBornMs = GetUnixMillis(mNow) - (Happens(0.15) ? 3000 : 0);  // its clock was set back
-    it.mEntry.mMilliCores = kSizes[mRandom() % std::size(kSizes)];
+    const std::uint32_t cores = kSizes[mRandom() % std::size(kSizes)];
+    if (mFaults.mRestartsResized)
+      it.mEntry.mMilliCores = cores;
     it.mLife = former.mLife + 1;
     it.mListedUntil = former.mListedUntil;
     it.mUnresponsiveUntil = former.mUnresponsiveUntil;
--- a/tests/unit/test_fleet_forgotten_runs.cpp
+++ b/tests/unit/test_fleet_forgotten_runs.cpp
@@ -179,6 +179,35 @@
   CheckRandomJobs(seed, faults, kAllEnds);
 }
 
+TEST_CASE("fleet: a worker that runs nothing restarts smaller between two polls and is overloaded")
+{
+  const auto seed = GENERATE(range(1U, 21U));
+  INFO("seed " << seed);
+  FleetFaults faults;
+  faults.mRestartPerS = 0.15;
+  faults.mRestartTime = milliseconds(100);
+  faults.mIdlePollInterval = seconds(3);
+  faults.mDirectoryLag = milliseconds(500);
+  CheckRandomJobs(seed, faults, kAllEnds);
+}
+
+TEST_CASE("fleet: a previous holder starts tasks on a worker that its successor reached before it "
+          "restarted")
+{
+  const auto seed = GENERATE(range(1U, 41U));
+  INFO("seed " << seed);
+  FleetFaults faults;
+  faults.mRestartPerS = 0.4;
+  faults.mRestartTime = milliseconds(500);
+  faults.mRestartsResized = false;
+  faults.mIdlePollInterval = seconds(3);
+  faults.mDirectoryLag = milliseconds(100);
+  faults.mTakeoverPerS = 0.3;
+  faults.mPreviousHolder = seconds(5);
+  faults.mPreviousCut = 0.85;
+  CheckRandomJobs(seed, faults, kAllEnds);
+}
+
 TEST_CASE("fleet: tasks of a worker whose entry is missing for a while run twice")
 {
   const auto seed = GENERATE(range(1U, 21U), values({ 299U }));
