Stand-in and soak: workers that are resized, restarted under their ids, cut off from the store, or late

The stand-in's workers now have incarnations with a start time, a clock, ticket lives and end numbers of their own. A test can resize a worker (its entry follows within a heartbeat), restart it under its id at another size, hide it from the store (its entry expires after three heartbeats) and have a share of the start orders carried out 2 to 12 s late. Reports list at most 500 ends. New checks: a start after a good end that is acknowledged later, unless the lease expired in between; and capacity as the worker has it now, where a smaller one counts 4.5 s later, and at once in a new incarnation. The soak injects these faults beside the former ones, which come as often as before.

Faults of the stand-in, fixed: a poll under way returned the report of a later incarnation; a start to an idle worker could shorten its lease; stops answered 1 as clock_ms, and a fenced call answered none; the soak's tasks were all short.

--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -1,60 +1,13 @@
-#include "standin/fleet.h"
-
+// The platform's stand-in: its start, its policy service and what it tells tests.
 #include <algorithm>
 
 #include "core/json.h"
+#include "standin/fleet_impl.h"
 
 namespace monsoon::standin {
 
 namespace json = boost::json;
 
-namespace {
-
-constexpr Duration kStep = milliseconds(10);       // of waits
-constexpr Duration kStopTime = milliseconds(100);  // until a stopped task has ended
-
-HttpResponse Answer(http::status aStatus, const json::value& aBody)
-{
-  return MakeJsonResponse(aStatus, json::serialize(aBody));
-}
-
-std::string GetJob(const std::string& aTask)
-{
-  return aTask.substr(0, aTask.find('.'));
-}
-
-}  // namespace
-
-struct FleetStandin::Running
-{
-  std::string mTask{};
-  std::uint64_t mRun = 0;
-  TimePoint mEndAt{};
-  std::string mHow = "done";
-};
-
-struct FleetStandin::WorkerState
-{
-  std::unique_ptr<HttpServer> mServer{};
-  std::uint16_t mPort = 0;
-  std::string mId{};
-  std::uint32_t mLife = 0;
-  bool mSilent = false;
-  std::uint64_t mToken = 0;
-  TimePoint mLeaseUntil{};
-  std::vector<Running> mRunning{};
-  struct Ended
-  {
-    std::uint64_t mNumber;
-    std::string mTask;
-    std::uint64_t mRun;
-    std::string mHow;
-  };
-  std::vector<Ended> mEnded{};
-  std::uint64_t mNextEnd = 1;
-  std::map<std::string, std::uint64_t> mClosed{};
-};
-
 FleetStandin::FleetStandin(asio::io_context& aContext, FleetStandinOptions aOptions)
   : mContext(aContext)
   , mOptions(aOptions)
@@ -93,6 +46,8 @@
       return port.error();
     worker->mPort = *port;
     worker->mId = "w" + std::to_string(n) + "-0";
+    worker->mBornMs = ReadWallMillis();
+    worker->mMilliCores = mOptions.mMilliCores;
     mWorkers.push_back(std::move(worker));
     Announce(n);
   }
@@ -154,48 +109,13 @@
   mJobs[aId] = std::move(aStages);
 }
 
-void FleetStandin::SetSilent(std::uint32_t aWorker, bool aSilent)
-{
-  const std::lock_guard lock(mLock);
-  mWorkers[aWorker]->mSilent = aSilent;
-}
+// Policy service
 
-void FleetStandin::CrashWorker(std::uint32_t aWorker)
+std::string FleetStandin::MakeTicket(const std::string& aStage, const WorkerState& aWorker)
 {
-  const std::lock_guard lock(mLock);
-  WorkerState& worker = *mWorkers[aWorker];
-  Advance(worker);
-  ++mRevision;
-  Remove("servers/" + worker.mId);
-  for (const Running& it : worker.mRunning)
-    ++mCrashes[it.mTask];
-  worker.mId = "w" + std::to_string(aWorker) + "-" + std::to_string(++worker.mLife);
-  worker.mRunning.clear();
-  worker.mEnded.clear();
-  worker.mClosed.clear();
-  worker.mNextEnd = 1;
-  worker.mToken = 0;
-  Announce(aWorker);
+  return "ticket-" + aStage + "-" + aWorker.mId + "-" + std::to_string(aWorker.mLife);
 }
 
-void FleetStandin::Announce(std::uint32_t aWorker)
-{
-  const WorkerState& worker = *mWorkers[aWorker];
-  const json::object entry{
-    { "service", "pool" },
-    { "address", "127.0.0.1:" + std::to_string(worker.mPort) },
-    { "zone", "zone-a" },
-    { "state", "ready" },
-    { "capacity",
-      json::object{ { "cpu", mOptions.mMilliCores }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
-    { "labels", json::array{ "a", "r1" } },
-    { "sequence", 1 }
-  };
-  PutText("servers/" + worker.mId, json::serialize(entry));
-}
-
-// Policy service
-
 Async<HttpResponse> FleetStandin::HandleAdvice(HttpRequest aRequest)
 {
   co_await Sleep(mOptions.mAdviceTime);
@@ -204,197 +124,18 @@
     co_return MakeJsonResponse(http::status::bad_request, "{}");
   const std::string stage = GetString(*body, "step");
   json::array admitted;
+  const std::lock_guard lock(mLock);
   for (const json::value& it : GetArray(*body, "workers")) {
     const std::string id(it.as_string());
     std::string pair = stage;
     pair.append("-").append(id);
-    if (std::hash<std::string>()(pair) % 1000 < 1000 * mOptions.mAdmitted)
-      admitted.push_back(json::array{ id, "ticket-" + pair });
-  }
-  co_return Answer(http::status::ok, json::object{ { "admitted", admitted } });
-}
-
-// Workers
-
-const StandinStage* FleetStandin::FindStage(const std::string& aTask) const
-{
-  auto job = mJobs.find(GetJob(aTask));
-  if (job == mJobs.end())
-    return nullptr;
-  const auto first = aTask.find('.');
-  const auto second = aTask.find('.', first + 1);
-  const std::size_t stage = std::strtoul(aTask.c_str() + second + 1, nullptr, 10);
-  return stage < job->second.size() ? &job->second[stage] : nullptr;
-}
-
-void FleetStandin::Advance(WorkerState& aWorker)
-{
-  const TimePoint now = BootClock::now();
-  for (std::size_t n = aWorker.mRunning.size(); n-- > 0;) {
-    Running& it = aWorker.mRunning[n];
-    const bool hasLapsed = aWorker.mLeaseUntil < now && aWorker.mLeaseUntil < it.mEndAt;
-    if (it.mEndAt > now && !hasLapsed)
-      continue;
-    if (hasLapsed)
-      it.mHow = "lapsed";
-    aWorker.mEnded.push_back({ aWorker.mNextEnd++, it.mTask, it.mRun, it.mHow });
-    auto& closed = aWorker.mClosed[it.mTask];
-    closed = std::max(closed, it.mRun);
-    if (it.mHow == "done")
-      mDone.insert(it.mTask);
-    aWorker.mRunning.erase(aWorker.mRunning.begin() + static_cast<std::ptrdiff_t>(n));
-  }
-}
-
-HttpResponse FleetStandin::StartTask(std::uint32_t aWorker, const json::value& aBody)
-{
-  WorkerState& worker = *mWorkers[aWorker];
-  const TimePoint now = BootClock::now();
-  const std::string task = GetString(aBody, "task");
-  const std::uint64_t run = GetUnsigned(aBody, "run");
-  const std::int64_t clock = now.time_since_epoch() / milliseconds(1);
-  const auto refuse = [&](const char* aReason) {
-    return Answer(http::status::conflict,
-                  json::object{ { "clock_ms", clock }, { "reason", aReason } });
-  };
-  if (GetSigned(aBody, "until_ms") <= clock)
-    return refuse("late");
-  const TimePoint until =
-    now +
-    std::min(mOptions.mLongestLease, Duration(milliseconds(GetSigned(aBody, "until_ms") - clock)));
-  worker.mLeaseUntil = worker.mRunning.empty() ? until : std::max(worker.mLeaseUntil, until);
-  if (auto closed = worker.mClosed.find(task);
-      closed != worker.mClosed.end() && run <= closed->second)
-    return refuse("old");
-  for (const Running& it : worker.mRunning)
-    if (it.mTask == task && it.mRun == run)
-      return Answer(http::status::ok, json::object{ { "clock_ms", clock } });
-  const std::string stageName = task.substr(0, task.rfind('.'));
-  if (GetString(aBody, "ticket") != "ticket-" + stageName + "-" + worker.mId)
-    return refuse("ticket");
-  const StandinStage* stage = FindStage(task);
-  if (!stage) {
-    Complain("a start of a task that nobody asked for: " + task);
-    return refuse("room");
-  }
-  std::uint64_t used = stage->mMilliCores;
-  for (const Running& it : worker.mRunning)
-    used += FindStage(it.mTask)->mMilliCores;
-  if (used > mOptions.mMilliCores)
-    Complain("over capacity: " + worker.mId + " with " + task);
-  for (const auto& other : mWorkers) {
-    Advance(*other);
-    for (const Running& it : other->mRunning)
-      if (it.mTask == task)
-        Complain("two runs at once: " + task + " on " + other->mId + " and " + worker.mId);
-  }
-  if (mNoted.contains(task))
-    Complain("a start after a good end: " + task);
-  for (const std::uint32_t before : stage->mAfter)
-    for (std::uint32_t n = 0; n < mJobs[GetJob(task)][before].mCount; ++n)
-      if (std::string earlier = GetJob(task); !mDone.contains(earlier.append(".0.")
-                                                                .append(std::to_string(before))
-                                                                .append(".")
-                                                                .append(std::to_string(n))))
-        Complain("a start before its predecessors: " + task);
-  // The payload says how long the tasks run, and in percent how many fail: "ms=200 fail=5".
-  const std::string payload = GetString(aBody, "spec");
-  long ms = 100;
-  int failing = 0;
-  std::sscanf(payload.c_str(), "ms=%ld fail=%d", &ms, &failing);
-  Running it;
-  it.mTask = task;
-  it.mRun = run;
-  it.mEndAt = now + milliseconds(ms);
-  it.mHow = Happens(failing / 100.0) ? "failed" : "done";
-  worker.mRunning.push_back(std::move(it));
-  ++mStarts;
-  return Answer(http::status::ok, json::object{ { "clock_ms", clock } });
-}
-
-HttpResponse FleetStandin::StopTask(std::uint32_t aWorker, const json::value& aBody)
-{
-  WorkerState& worker = *mWorkers[aWorker];
-  const std::string task = GetString(aBody, "task");
-  const std::uint64_t run = GetUnsigned(aBody, "run");
-  auto& closed = worker.mClosed[task];
-  closed = std::max(closed, run);
-  for (Running& it : worker.mRunning) {
-    if (it.mTask != task || it.mRun > run || it.mHow == "stopped")
+    if (std::hash<std::string>()(pair) % 1000 >= 1000 * mOptions.mAdmitted)
       continue;
-    it.mEndAt = std::min(it.mEndAt, BootClock::now() + kStopTime);
-    it.mHow = "stopped";
-  }
-  return Answer(http::status::ok, json::object{ { "clock_ms", 1 } });
-}
-
-Async<HttpResponse> FleetStandin::Hold(std::uint32_t aWorker, json::value aBody)
-{
-  const TimePoint deadline = BootClock::now() + GetMillis(aBody, "wait_ms");
-  for (bool isFirst = true;; isFirst = false) {
-    {
-      const std::lock_guard lock(mLock);
-      WorkerState& worker = *mWorkers[aWorker];
-      const TimePoint now = BootClock::now();
-      Advance(worker);
-      const std::uint64_t noted = GetUnsigned(aBody, "last_seen");
-      if (isFirst) {
-        for (const auto& it : worker.mEnded)
-          if (it.mNumber <= noted && it.mHow == "done")
-            mNoted.insert(it.mTask);
-        std::erase_if(worker.mEnded, [noted](const auto& aItem) { return aItem.mNumber <= noted; });
-        const std::int64_t clock = now.time_since_epoch() / milliseconds(1);
-        if (const auto until = GetSigned(aBody, "until_ms"); until > clock)
-          worker.mLeaseUntil =
-            std::max(worker.mLeaseUntil,
-                     now + std::min(mOptions.mLongestLease, Duration(milliseconds(until - clock))));
-      }
-      if (!worker.mEnded.empty() || now >= deadline) {
-        json::array running;
-        json::array ended;
-        for (const Running& it : worker.mRunning)
-          running.push_back(json::array{ it.mTask, it.mRun, "", 50, 0 });
-        for (const auto& it : worker.mEnded)
-          ended.push_back(json::array{ it.mNumber, it.mTask, it.mRun, it.mHow, "" });
-        co_return Answer(http::status::ok,
-                         json::object{ { "clock_ms", now.time_since_epoch() / milliseconds(1) },
-                                       { "running", running },
-                                       { "ended", ended } });
-      }
-    }
-    co_await Sleep(kStep);
+    for (const auto& worker : mWorkers)
+      if (worker->mId == id)
+        admitted.push_back(json::array{ id, MakeTicket(stage, *worker) });
   }
-}
-
-Async<HttpResponse> FleetStandin::HandleWorker(std::uint32_t aWorker, HttpRequest aRequest)
-{
-  const std::string path(aRequest.target());
-  auto body = ParseJson(aRequest.body());
-  if (!body)
-    co_return MakeJsonResponse(http::status::bad_request, "{}");
-  {
-    const std::lock_guard lock(mLock);
-    WorkerState& worker = *mWorkers[aWorker];
-    if (worker.mSilent)
-      co_return MakeJsonResponse(kCloseWithoutResponse, "");
-    if (std::string(aRequest["X-Expect-Instance"]) != worker.mId)
-      co_return MakeJsonResponse(http::status::misdirected_request, "{}");
-    const std::uint64_t token = GetUnsigned(*body, "fencing_token");
-    if (token < worker.mToken)
-      co_return Answer(http::status::conflict, json::object{ { "reason", "fence" } });
-    worker.mToken = token;
-    Advance(worker);
-    if (path == "/run-start" || path == "/run-stop") {
-      HttpResponse response =
-        path == "/run-start" ? StartTask(aWorker, *body) : StopTask(aWorker, *body);
-      if (Happens(mLostAnswers))
-        co_return MakeJsonResponse(kCloseWithoutResponse, "");
-      co_return response;
-    }
-  }
-  if (path == "/hold")
-    co_return co_await Hold(aWorker, *body);
-  co_return MakeJsonResponse(path == "/pace" ? http::status::ok : http::status::not_found, "{}");
+  co_return Answer(http::status::ok, json::object{ { "admitted", admitted } });
 }
 
 }  // namespace monsoon::standin
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -28,7 +28,8 @@
   std::uint32_t mMilliCores = 16'000;   // of each worker
   Duration mLongestLease = seconds(6);  // of a task
   Duration mAdviceTime = milliseconds(20);
-  double mAdmitted = 0.7;  // share of workers that may run a stage
+  double mAdmitted = 0.7;         // share of workers that may run a stage
+  std::size_t mEndsListed = 500;  // ends in one report of a worker, at most
   std::uint64_t mSeed = 1;
 };
 
@@ -63,10 +64,15 @@
   void SetStoreMode(StoreMode aMode) { mMode = aMode; }
   void SetLostAnswers(double aShare) { mLostAnswers = aShare; }  // of orders to workers
   void SetSilent(std::uint32_t aWorker, bool aSilent);           // it runs on and answers nothing
+  void SetLateOrders(double aShare) { mLateOrders = aShare; }    // of starts: seconds late
   void CrashWorker(std::uint32_t aWorker);  // what it runs is lost; it is back under another id
+  void RestartWorker(std::uint32_t aWorker, std::uint32_t aMilliCores);  // ... under the same id
+  void ResizeWorker(std::uint32_t aWorker, std::uint32_t aMilliCores);   // it runs on
+  void HideWorker(std::uint32_t aWorker, Duration aTime);  // it runs on and can't reach the store
 
   [[nodiscard]] std::vector<std::string> ReadViolations() const;
   [[nodiscard]] std::uint64_t CountStarts() const { return mStarts; }
+  [[nodiscard]] std::uint64_t CountLateStarts() const { return mLateStarts; }
   [[nodiscard]] std::uint64_t CountEnds(const std::string& aJob) const;  // tasks that ended well
   // Returns how many workers have crashed while they ran the same task, for the job's worst task.
   [[nodiscard]] std::uint64_t CountCrashes(const std::string& aJob) const;
@@ -86,6 +92,8 @@
     boost::json::object mBody{};
   };
   struct Running;
+  struct Ended;
+  struct Incarnation;
   struct WorkerState;
 
   Async<HttpResponse> HandleStore(HttpRequest aRequest);
@@ -98,6 +106,18 @@
   HttpResponse List(const std::string& aPrefix, const std::string& aAfter) const;
   HttpResponse StartTask(std::uint32_t aWorker, const boost::json::value& aBody);
   HttpResponse StopTask(std::uint32_t aWorker, const boost::json::value& aBody);
+  Async<void> StartLate(std::uint32_t aWorker, std::uint32_t aLife, boost::json::value aBody);
+  void CheckStart(const WorkerState& aWorker, const std::string& aTask, const StandinStage& aStage);
+  void Acknowledge(WorkerState& aWorker, std::uint64_t aNumber);
+  static bool AcceptToken(WorkerState& aWorker, const boost::json::value& aBody);
+  [[nodiscard]] HttpResponse MakeReport(const WorkerState& aWorker) const;
+  [[nodiscard]] static std::string MakeTicket(const std::string& aStage,
+                                              const WorkerState& aWorker);
+  [[nodiscard]] static std::uint32_t GetAllowedMilliCores(const WorkerState& aWorker);
+  void BeginLife(WorkerState& aWorker, std::uint32_t aMilliCores);
+  Async<void> FinishRestart(std::uint32_t aWorker, std::uint32_t aLife, std::uint32_t aMilliCores);
+  Async<void> Hide(std::uint32_t aWorker, std::uint32_t aHiding, Duration aTime);
+  Async<void> AnnounceLater(std::uint32_t aWorker, Duration aLag);
   Async<void> RunClock();
   void Advance(WorkerState& aWorker);
   void Write(const std::string& aKey, const std::string& aValue, std::uint64_t aLease);
@@ -111,6 +131,7 @@
                                                     const StoredItem& aItem);
   [[nodiscard]] const StandinStage* FindStage(const std::string& aTask) const;
   [[nodiscard]] bool Happens(double aShare);
+  [[nodiscard]] Duration Draw(Duration aLeast, Duration aMost);
 
   asio::io_context& mContext;
   FleetStandinOptions mOptions;
@@ -121,7 +142,9 @@
   std::uint16_t mAdvicePort = 0;
   std::atomic<StoreMode> mMode = StoreMode::Serving;
   std::atomic<double> mLostAnswers = 0;
+  std::atomic<double> mLateOrders = 0;
   std::atomic<std::uint64_t> mStarts = 0;
+  std::atomic<std::uint64_t> mLateStarts = 0;
 
   mutable std::recursive_mutex mLock{};  // guards all below
   std::uint64_t mRevision = 1;
@@ -135,6 +158,7 @@
   std::map<std::string, std::uint64_t> mCrashes{};  // task → workers that crashed while they ran it
   std::set<std::string> mDone{};                    // tasks with a good end
   std::set<std::string> mNoted{};                   // ... that was taken note of
+  std::map<std::string, TimePoint> mLastStarts{};  // of tasks
   std::vector<std::string> mViolations{};
 };
 
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -212,3 +212,47 @@
   }
   CHECK(elections <= 2);
 }
+
+TEST_CASE("workers that restart smaller under their ids are not overcommitted", "[entry]")
+{
+  constexpr std::uint32_t kWorkers = 6;
+  constexpr std::size_t kJobs = 40;
+  constexpr const char* kJob =
+    R"({"spec":"ms=700","steps":[{"count":4,"cpu":2000,"mem_mb":100,"estimate_ms":700}]})";
+  asio::io_context context{ 1 };
+  standin::FleetStandinOptions platform;
+  platform.mWorkers = kWorkers;
+  platform.mAdmitted = 1;
+  testing::EntryFleet fleet(context, platform, std::vector<double>(3, 1.0), "entry-smaller");
+  std::size_t completed = 0;
+  std::uint64_t before = 0;
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000e1", ListProcesses(fleet)))
+      co_return;
+    std::vector<std::string> ids;
+    for (std::size_t n = 0; n < kJobs; ++n) {
+      ids.push_back("00000000000001" + std::to_string(10 + n));
+      fleet.GetPlatform().RegisterJob(ids.back(), { standin::StandinStage{ 4, 2000, {} } });
+      auto response =
+        co_await fleet.Call(n % fleet.Count(), http::verb::post, "/q/" + ids.back(), kJob);
+      if (!response || response->result() != http::status::ok)
+        co_return;
+    }
+    before = fleet.GetPlatform().CountStarts();
+    for (std::uint32_t n = 0; n < kWorkers / 2; ++n) {
+      co_await Sleep(milliseconds(300));
+      fleet.GetPlatform().RestartWorker(n, 4000);
+    }
+    const TimePoint deadline = BootClock::now() + kMaxWait;
+    while (completed < ids.size() && BootClock::now() < deadline) {
+      auto response = co_await fleet.Call(0, http::verb::get, "/q/" + ids[completed], "");
+      if (response && response->body().find("completed") != std::string::npos)
+        ++completed;
+      else
+        co_await Sleep(milliseconds(50));
+    }
+  });
+  CHECK(before < 4 * kJobs);  // the restarts come before the last start
+  CHECK(completed == kJobs);
+  CHECK(fleet.GetPlatform().ReadViolations().empty());
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,11 +1,13 @@
 // Randomized soak: real entry processes against the platform's stand-in, with faults from outside:
 // kills, stops, pauses and restarts by signals; a store that is busy, silent or loses answers;
-// links that are delayed, cut or frozen by proxies; workers that crash, fall silent or lose
-// answers. What must always hold is checked from what callers and workers see.
+// links that are delayed, cut or frozen by proxies; workers that crash, restart under their ids,
+// change their capacity, fall silent, can't reach the store, lose answers or carry out orders late.
+// What must always hold is checked from what callers and workers see.
 //
 //   fleet_soak --seed 7 --seconds 20 --processes 5 --workers 8 --runs 10
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -27,6 +29,7 @@
 };
 
 constexpr Duration kSettle = seconds(90);  // for all accepted jobs to end once the faults are over
+constexpr std::uint32_t kSizes[] = { 4'000, 8'000, 12'000, 16'000, 24'000 };  // of workers
 constexpr std::uint64_t kCrashesThatMayEndAJob = 2;  // of workers, under the same task
 
 struct Submission
@@ -47,6 +50,7 @@
   Async<void> SubmitJobs();
   Async<void> InjectFaults();
   Async<void> InjectOne();
+  Async<void> InjectWorkerFaults();
   Async<void> CheckEnds();
   Async<Result<HttpResponse>> Call(http::verb aVerb, std::string aId, std::string aBody);
   std::uint64_t Draw(std::uint64_t aBound) { return mRandom() % aBound; }
@@ -94,6 +98,7 @@
     std::vector<standin::StandinStage> stages;
     boost::json::array steps;
     const std::uint64_t count = 1 + Draw(3);
+    const std::uint64_t millis = Draw(4) == 0 ? 2000 + Draw(2000) : 50 + Draw(800);
     for (std::uint64_t n = 0; n < count; ++n) {
       standin::StandinStage stage{ static_cast<std::uint32_t>(1 + Draw(4)),
                                    static_cast<std::uint32_t>(1000 + 1000 * Draw(3)),
@@ -101,7 +106,7 @@
       boost::json::object step{ { "count", stage.mCount },
                                 { "cpu", stage.mMilliCores },
                                 { "mem_mb", 100 },
-                                { "estimate_ms", 300 } };
+                                { "estimate_ms", std::max<std::uint64_t>(millis / 2, 300) } };
       if (n > 0) {
         stage.mAfter.push_back(static_cast<std::uint32_t>(n - 1));
         step["after"] = boost::json::array{ n - 1 };
@@ -111,7 +116,7 @@
       steps.push_back(step);
     }
     mFleet.GetPlatform().RegisterJob(id, stages);
-    const std::string payload = "ms=" + std::to_string(50 + Draw(800)) + " fail=3";
+    const std::string payload = "ms=" + std::to_string(millis) + " fail=3";
     const std::string body =
       boost::json::serialize(boost::json::object{ { "spec", payload }, { "steps", steps } });
     for (int n = 0; n < kTries && !submission.mAccepted; ++n) {
@@ -194,6 +199,35 @@
   }
 }
 
+// Faults that workers have in a healthy cluster as well, so they come more often than the others.
+Async<void> Soak::InjectWorkerFaults()
+{
+  standin::FleetStandin& platform = mFleet.GetPlatform();
+  while (!mOver) {
+    co_await Sleep(milliseconds(100 + Draw(500)));
+    const auto worker = static_cast<std::uint32_t>(Draw(mOptions.mWorkers));
+    const std::uint32_t size = kSizes[Draw(std::size(kSizes))];
+    switch (Draw(8)) {
+      case 0:
+      case 1:
+      case 2:
+        platform.ResizeWorker(worker, size);
+        break;
+      case 3:
+      case 4:
+        platform.RestartWorker(worker, size);
+        break;
+      case 5:
+        platform.HideWorker(worker, milliseconds(1000 + Draw(9000)));
+        break;
+      default:
+        platform.SetLateOrders(Draw(2) == 0 ? 0.01 : 0.1);
+        break;
+    }
+  }
+  platform.SetLateOrders(0);
+}
+
 Async<void> Soak::CheckEnds()
 {
   const TimePoint deadline = BootClock::now() + kSettle;
@@ -231,8 +265,10 @@
 bool Soak::Run()
 {
   asio::co_spawn(mContext, SubmitJobs(), asio::detached);
-  if (mOptions.mFaults)
+  if (mOptions.mFaults) {
     asio::co_spawn(mContext, InjectFaults(), asio::detached);
+    asio::co_spawn(mContext, InjectWorkerFaults(), asio::detached);
+  }
   asio::co_spawn(
     mContext,
     [this]() -> Async<void> {
@@ -250,7 +286,8 @@
     accepted += it.mAccepted ? 1 : 0;
   std::cout << "seed " << mOptions.mSeed << ": " << mSubmissions.size() << " jobs, " << accepted
             << " accepted, " << mFleet.GetPlatform().CountStarts() << " starts, "
-            << mFindings.size() << " findings\n";
+            << mFleet.GetPlatform().CountLateStarts() << " late, " << mFindings.size()
+            << " findings\n";
   for (const std::string& it : mFindings)
     std::cout << "  " << it << '\n';
   if (!mFindings.empty()) {
