--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -77,6 +77,7 @@
 
 bool FleetStandin::Happens(double aShare)
 {
+  const std::lock_guard lock(mLock);
   return aShare > 0 && std::uniform_real_distribution<>(0, 1)(mRandom) < aShare;
 }
 
--- a/standin/fleet_tasks.cpp
+++ b/standin/fleet_tasks.cpp
@@ -215,7 +215,8 @@
 // Carries out a start order long after it was sent.
 Async<void> FleetStandin::StartLate(std::uint32_t aWorker, std::uint32_t aLife, json::value aBody)
 {
-  co_await Sleep(Draw(seconds(2), seconds(12)));
+  const bool isSoon = Happens(0.5);  // within the time that orders are valid
+  co_await Sleep(isSoon ? Draw(milliseconds(50), seconds(2)) : Draw(seconds(2), seconds(12)));
   const std::lock_guard lock(mLock);
   WorkerState& worker = *mWorkers[aWorker];
   if (worker.mLife != aLife || !AcceptToken(worker, aBody))
