--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -254,5 +254,5 @@
   });
   CHECK(before < 4 * kJobs);  // the restarts come before the last start
   CHECK(completed == kJobs);
-  CHECK(fleet.GetPlatform().ReadViolations().empty());
+  CHECK(fleet.GetPlatform().ReadViolations() == std::vector<std::string>{});
 }
