--- a/standin/fleet_impl.h
+++ b/standin/fleet_impl.h
@@ -9,7 +9,9 @@
 {
   std::string mTask{};
   std::uint64_t mRun = 0;
+  TimePoint mStartedAt{};
   TimePoint mEndAt{};
+  Duration mLength{};  // of the whole task
   std::string mHow = "done";
 };
 
--- a/standin/fleet_tasks.cpp
+++ b/standin/fleet_tasks.cpp
@@ -116,7 +116,9 @@
   Running it;
   it.mTask = task;
   it.mRun = run;
-  it.mEndAt = now + milliseconds(ms);
+  it.mStartedAt = now;
+  it.mLength = milliseconds(std::max(ms, 1L));
+  it.mEndAt = now + it.mLength;
   it.mHow = Happens(failing / 100.0) ? "failed" : "done";
   worker.mRunning.push_back(std::move(it));
   mLastStarts[task] = now;
@@ -159,8 +161,11 @@
 {
   json::array running;
   json::array ended;
-  for (const Running& it : aWorker.mRunning)
-    running.push_back(json::array{ it.mTask, it.mRun, "", 50, 0 });
+  for (const Running& it : aWorker.mRunning) {
+    const auto percent = 100 * (BootClock::now() - it.mStartedAt) / it.mLength;
+    running.push_back(
+      json::array{ it.mTask, it.mRun, "", std::min<std::int64_t>(percent, 100), 0 });
+  }
   for (const Ended& it : aWorker.mEnded) {
     if (ended.size() == mOptions.mEndsListed)
       break;
