Suspect a restart when a worker has closed its connections

What callers saw, in the soak: LIMIT and TWICE, up to 0.6 s after a worker had restarted under its id, smaller: a start that was planned for the former incarnation went to the new one.

Cause: a holder learned of a restart from the directory or the next report. An order on a connection to the former process can't reach the new one, but the client opened a new connection in its place.

Change: before a start or a poll, idle connections that the worker has closed are dropped; if there were any, the start is withdrawn, nothing is acknowledged or renewed, and the worker is polled at once.

An order that is on its way while the worker restarts can still reach the new incarnation.

--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -104,6 +104,8 @@
   if (!target || !worker)
     co_return false;
   const std::string address = worker->mEntry.mAddress;
+  if (co_await mClient.DropClosed(target->mAddress))
+    mScheduler.OnConnectionsClosed(aId, BootClock::now());
   const TimePoint sentAt = BootClock::now();
   platform::ReportRequest order;
   order.mToken = GetEpoch();
@@ -254,6 +256,14 @@
     WakePlan();
     co_return;
   }
+  // A worker that has closed its connections may have restarted, as another kind.
+  if (co_await mClient.DropClosed(target->mAddress)) {
+    mScheduler.OnConnectionsClosed(aId, BootClock::now());
+    mScheduler.OnStart(aOrder, StartOutcome::Withdrawn, BootClock::now());
+    WakeWorker(aId);
+    WakePlan();
+    co_return;
+  }
   // The order counts as a renewal up to the last moment at which it may take effect.
   if (Worker* worker = mScheduler.FindWorker(aId))
     worker->mLeaseSentAt =
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -57,6 +57,19 @@
     idle.push_back(std::move(aStream));
 }
 
+Async<bool> HttpClient::DropClosed(HttpAddress aAddress)
+{
+  auto executor = co_await asio::this_coro::executor;
+  const PoolKey key{ &executor.context(), std::move(aAddress) };
+  std::lock_guard lock(mLock);
+  auto it = mIdle.find(key);
+  if (it == mIdle.end())
+    co_return false;
+  const std::size_t closed =
+    std::erase_if(it->second, [](const Stream& aItem) { return !IsStillOpen(aItem->socket()); });
+  co_return closed > 0;
+}
+
 Async<Result<HttpResponse>> HttpClient::Call(HttpAddress aAddress,
                                              HttpRequest aRequest,
                                              Duration aDeadline,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -29,6 +29,9 @@
                                    HttpRequest aRequest,
                                    Duration aDeadline,
                                    std::size_t aMaxBodyBytes = 8 * 1024 * 1024);
+  // Drops the idle connections of this execution context that the server has closed. Returns
+  // whether there were any, as after a restart of the server.
+  Async<bool> DropClosed(HttpAddress aAddress);
   // Closes the idle connections. Call this on shutdown, after the execution contexts have stopped.
   void Clear();
 
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -129,6 +129,15 @@
          aHolder.mScheduler->AreAllResolved() || mNow > aHolder.mElectedAt + kOutageGrace;
 }
 
+// Returns whether connections of the holder to a worker were closed, as the worker was restarted.
+bool FleetModel::HasClosedConnections(const HolderState& aHolder, const std::string& aId) const
+{
+  const auto node = mNodes.find(aId);
+  const auto known = aHolder.mLives.find(aId);
+  return node != mNodes.end() && node->second.mUp && known != aHolder.mLives.end() &&
+         known->second != node->second.mLife;
+}
+
 void FleetModel::SendStart(const HolderRef& aHolder, const StartOrder& aOrder)
 {
   const std::uint64_t epoch = aHolder->mEpoch;
@@ -148,6 +157,11 @@
     mForcedOutcome.reset();
     return;
   }
+  if (HasClosedConnections(*aHolder, aOrder.mWorker)) {
+    aHolder->mScheduler->OnConnectionsClosed(aOrder.mWorker, mNow);
+    report(Duration::zero(), StartOutcome::Withdrawn);
+    return;
+  }
   // Orders of this model are valid for as long as a lease, and renew it.
   if (Worker* worker = aHolder->mScheduler->FindWorker(aOrder.mWorker))
     worker->mLeaseSentAt = std::max(worker->mLeaseSentAt, mNow);
@@ -190,7 +204,7 @@
       report(milliseconds(3), isFenced ? StartOutcome::NotStarted : StartOutcome::Started);
     // The answer shows the worker's clock, which starts anew with each life.
     if (!isLost && it != mNodes.end() && it->second.mUp &&
-        it->second.mLife != aHolder->mLives[aOrder.mWorker])
+        HasClosedConnections(*aHolder, aOrder.mWorker))
       Schedule(milliseconds(3), [this, aHolder, id = aOrder.mWorker] {
         if (!HasStopped(*aHolder))
           aHolder->mScheduler->OnClockReset(id, mNow);
@@ -274,6 +288,8 @@
     return;
   }
   aNode.mToken = aHolder->mEpoch;
+  if (HasClosedConnections(*aHolder, aId))
+    scheduler.OnConnectionsClosed(aId, mNow);
   const Duration lease =
     scheduler.RenewTaskLeases(*worker, mNow, std::min(mNow, aHolder->mReplacedAt));
   if (lease > Duration::zero())
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -117,7 +117,7 @@
     TimePoint mStopsAt = TimePoint::max();
     std::shared_ptr<HolderState> mPrevious{};
     std::multiset<TimePoint> mUnread{};             // acceptances of jobs that it has not read yet
-    std::map<std::string, std::uint32_t> mLives{};  // of workers, as shown by their clocks
+    std::map<std::string, std::uint32_t> mLives{};  // of workers, when they last reported
     std::set<std::string> mCutFrom{};               // workers that it does not reach
   };
   using HolderRef = std::shared_ptr<HolderState>;
@@ -130,6 +130,7 @@
   void PlanFor(const HolderRef& aHolder);
   [[nodiscard]] bool HasStopped(const HolderState& aHolder) const;
   [[nodiscard]] bool MayStart(const HolderState& aHolder) const;
+  [[nodiscard]] bool HasClosedConnections(const HolderState& aHolder, const std::string& aId) const;
   void PollWorker(const std::string& aId);
   void Poll(const HolderRef& aHolder, const std::string& aId, Node& aNode);
   void SendStart(const HolderRef& aHolder, const StartOrder& aOrder);
