Stand-in: connections of a worker end when it restarts

They stayed open, so a restart could not be noticed by them as from a real process. Entry processes of tests close what they inherit: they kept the stand-in's sockets open, and its ports in use.

--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -37,14 +37,9 @@
   mAdvicePort = *advice;
   for (std::uint32_t n = 0; n < mOptions.mWorkers; ++n) {
     auto worker = std::make_unique<WorkerState>();
-    worker->mServer =
-      std::make_unique<HttpServer>(limits, [this, n](HttpRequest aRequest, std::string) {
-        return HandleWorker(n, std::move(aRequest));
-      });
-    auto port = worker->mServer->Listen("127.0.0.1", 0, contexts);
-    if (!port)
-      return port.error();
-    worker->mPort = *port;
+    auto listening = ListenAs(n, *worker);
+    if (!listening)
+      return listening;
     worker->mId = "w" + std::to_string(n) + "-0";
     worker->mBornMs = ReadWallMillis();
     worker->mMilliCores = mOptions.mMilliCores;
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -125,6 +125,7 @@
   void Remove(const std::string& aKey);
   void EndLease(std::uint64_t aLease);
   void Record(const std::string& aKey, boost::json::object aEvent);
+  Result<void> ListenAs(std::uint32_t aWorker, WorkerState& aState);  // at its port, if it has one
   void Announce(std::uint32_t aWorker);
   void Complain(std::string aWhat);
   [[nodiscard]] static boost::json::object MakeItem(const std::string& aKey,
--- a/standin/fleet_workers.cpp
+++ b/standin/fleet_workers.cpp
@@ -24,6 +24,19 @@
   return aLeast + milliseconds(mRandom() % (range + 1));
 }
 
+Result<void> FleetStandin::ListenAs(std::uint32_t aWorker, WorkerState& aState)
+{
+  aState.mServer =
+    std::make_unique<HttpServer>(HttpLimits{}, [this, aWorker](HttpRequest aRequest, std::string) {
+      return HandleWorker(aWorker, std::move(aRequest));
+    });
+  auto port = aState.mServer->Listen("127.0.0.1", aState.mPort, { &mContext });
+  if (!port)
+    return port.error();
+  aState.mPort = *port;
+  return {};
+}
+
 void FleetStandin::SetSilent(std::uint32_t aWorker, bool aSilent)
 {
   const std::lock_guard lock(mLock);
@@ -50,6 +63,9 @@
   ++mRevision;
   Remove("servers/" + worker.mId);
   BeginLife(worker, worker.mMilliCores);
+  if (!worker.mServer)  // it was about to restart
+    if (auto listening = ListenAs(aWorker, worker); !listening)
+      Complain("a worker can't listen after its restart: " + listening.error().mDetail);
   worker.mId = "w" + std::to_string(aWorker) + "-" + std::to_string(++worker.mLife);
   ++worker.mHidings;
   worker.mHidden = false;
@@ -62,6 +78,7 @@
   WorkerState& worker = *mWorkers[aWorker];
   BeginLife(worker, aMilliCores);
   worker.mUp = false;
+  worker.mServer.reset();  // its connections end with its process
   ++worker.mLife;
   asio::co_spawn(mContext, FinishRestart(aWorker, worker.mLife, aMilliCores), asio::detached);
 }
@@ -76,6 +93,8 @@
     if (mWorkers[aWorker]->mLife != aLife)
       co_return;
     BeginLife(*mWorkers[aWorker], aMilliCores);
+    if (auto listening = ListenAs(aWorker, *mWorkers[aWorker]); !listening)
+      Complain("a worker can't listen after its restart: " + listening.error().mDetail);
   }
   co_await AnnounceLater(aWorker, Draw(milliseconds(50), milliseconds(800)));
 }
--- a/tests/integration/entry_fleet.cpp
+++ b/tests/integration/entry_fleet.cpp
@@ -81,6 +81,7 @@
   if (process.mPid == 0) {
     dup2(log, 1);
     dup2(log, 2);
+    close_range(3, ~0U, 0);  // sockets of the stand-in, which would stay open otherwise
     execl(MONSOONSTAGE_BINARY,
           "monsoonstage",
           "entry",
