Do not take an answered start for the report of a worker that may have restarted

The answer to a start that was on its way while the restart was suspected made the worker count as reachable, with the entry of its former incarnation.

Evidence: found by reading. 'fleet: an answered start hides that its worker may have restarted' failed before.

--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -52,7 +52,8 @@
       run->mSentAt = aNow;
       run->mStarted = true;
       run->mProgressAt = aNow;
-      worker->mReachable = true;
+      // Not one that may have restarted: its incarnation is told by its next report.
+      worker->mReachable = !worker->mMayHaveRestarted;
       worker->mHasUnansweredStart = false;
       worker->mAnsweredAt = aNow;
       if (Job* job = FindJobMutable(ref.mJob); job && job->mState == JobState::Queued)
--- a/tests/unit/test_fleet_forgotten_runs.cpp
+++ b/tests/unit/test_fleet_forgotten_runs.cpp
@@ -367,3 +367,17 @@
   CHECK(scheduler.FindJob("a")->mOccurrences[0].mStages[0].mTasks[0].mCrashes.empty());
   CHECK(scheduler.FindWorker("w0")->mRuns.size() == 1);
 }
+
+TEST_CASE("fleet: an answered start hides that its worker may have restarted")
+{
+  Scheduler scheduler = MakeScheduler(1);
+  scheduler.OnReport("w0", {}, kStart, kStart);
+  JobSpec job = MakeJob("a", 2, 1);
+  job.mStages[0].mMilliCores = 1000;
+  scheduler.AddJob(job, {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 2);
+  scheduler.OnConnectionsClosed("w0", kStart);
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, kStart + milliseconds(1));
+  CHECK_FALSE(scheduler.IsStartWanted(orders.mStarts[1]));
+}
