--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -254,5 +254,5 @@
   });
   CHECK(before < 4 * kJobs);  // the restarts come before the last start
   CHECK(completed == kJobs);
-  CHECK(fleet.GetPlatform().ReadViolations() == std::vector<std::string>{});
+  CHECK_THAT(fleet.GetPlatform().ReadViolations(), Catch::Equals(std::vector<std::string>()));
 }
