--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -210,13 +210,7 @@
 Async<void> Holder::ReadRevisionOfTakeover()
 {
   auto self = shared_from_this();
-  const auto mayStartTasks = [this] {
-    const TimePoint now = BootClock::now();
-    if (!mSettings.mTokensChecked)
-      return now < mPredecessorQuietAt - kStartEffect;
-    return !mPreviousHolderStopped && now <= mElectedAt + GetStartGrace();
-  };
-  while (!mSteppedDown && mayStartTasks())
+  while (!mSteppedDown && BootClock::now() < mPredecessorQuietAt - kStartEffect)
     co_await Sleep(kPlanInterval);
   while (!mSteppedDown && !mTakeoverRevision) {
     auto page = co_await mStore.List(std::string(kHolderKey), platform::kStoreDeadline);
