--- a/review/standin.py
+++ b/review/standin.py
@@ -650,9 +650,13 @@
         finally:
             await fleet.close()
 
+    def stop(number, frame):
+        raise KeyboardInterrupt  # the processes are ended in body()
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         broken = asyncio.run(body())
-    except Exception as error:  # the case could not run
+    except (Exception, KeyboardInterrupt) as error:  # the case could not run
         record(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
