Let only the answer of an address end a worker, not a directory entry

Cause: ApplySuccession took any parsed entry with a later start time and creation revision for proof that the worker listed at its address had ended, and dropped its runs. Likewise an entry that counted as earlier was shut out until its start time rose, and a worker's own key overwritten with another address had its tasks ended by the answer from there.

Change: an entry changes nothing that is believed of a worker under another key. A new entry at the address of a known worker has both polled at once; the one for which the address answers "another incarnation" ends. A worker is polled where it answered or was recorded, and an entry with another address counts once the worker answers there. A refused entry is ignored while it stays the same and listed. Workers are recorded for the next holder once they have answered.

Why it works: an address answers for one id only, so a stranger can't pass, and a real successor is known after one round trip.

Two tests of incarnations expected that listing a successor ends its predecessor; they let the address answer first and check the same outcome. Tests of records let their workers answer first.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -111,6 +111,8 @@
   Async<void> CheckHolderKey();
   Async<void> WatchWorker(std::string aId);
   Async<bool> PollWorker(std::string aId, Duration aWait);
+  Async<void> PollListedAddress(std::string aId);
+  Async<bool> DropClosedConnections(HttpAddress aTarget, std::string aAddress);
   Async<void> ProbeWorker(std::string aId);
   Async<void> Execute(std::string aId);  // sends the queued orders to a worker
   Async<void> ExecuteStart(std::string aId, StartOrder aOrder);
@@ -124,6 +126,11 @@
   [[nodiscard]] bool MayBeStarted(const platform::StoreItem& aJob) const;
   Async<void> ReadRevisionOfTakeover();
   void ApplyWorkerItem(const platform::StoreItem& aItem, bool aIsRecent);
+  void VerifyAddress(const std::string& aId);  // polls all workers that may be where it is listed
+  void ApplyReport(const std::string& aId,
+                   const WorkerReport& aReport,
+                   std::string_view aAddress,
+                   TimePoint aSentAt);
   void EnsureWatched(const std::string& aId);  // runs WatchWorker unless it runs already
   void WakePlan();
   void WakeWorker(const std::string& aId);  // polls it without further pause
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -86,8 +86,11 @@
       { { "items", state.mItems.size() },
         { "workers", directory.mItems.size() },
         { "took_ms", BootClock::now() - startedAt } });
-  for (const auto& [id, worker] : mScheduler.GetWorkers())
+  for (const auto& [id, worker] : mScheduler.GetWorkers()) {
     EnsureWatched(id);
+    if (worker.mListed && worker.mEntry.mAddress != worker.mAddress)
+      Spawn(mContext, PollListedAddress(id));
+  }
   Spawn(mContext, WatchJobs(state.mRevision));
   Spawn(mContext, WatchWorkers(directory.mRevision));
   Spawn(mContext, RecordWorkers());
@@ -189,12 +192,30 @@
   entry->mJustWritten = aIsRecent;
   const Worker* known = mScheduler.FindWorker(id);
   const bool wasReachable = known && known->mReachable;
+  const std::string before = known ? known->mEntry.mAddress : std::string();
   mScheduler.ListWorker(std::move(*entry), false, now);
-  if (mLoaded)
-    EnsureWatched(id);
   known = mScheduler.FindWorker(id);
-  if (wasReachable && known && !known->mReachable)
+  if (!mLoaded || !known)
+    return;
+  EnsureWatched(id);
+  if (wasReachable && !known->mReachable)
     WakeWorker(id);  // it was restarted
+  if (known->mEntry.mAddress != before)
+    VerifyAddress(id);
+}
+
+// Only one worker answers at an address. The directory does not tell which one: it may show an
+// entry after its worker has ended, and entries of other writers.
+void Holder::VerifyAddress(const std::string& aId)
+{
+  const Worker* worker = mScheduler.FindWorker(aId);
+  if (!worker)
+    return;
+  for (std::string& it : mScheduler.ListWorkersAt(worker->mEntry.mAddress))
+    if (it != aId)
+      Spawn(mContext, ProbeWorker(std::move(it)));
+  if (worker->mEntry.mAddress != worker->mAddress)
+    Spawn(mContext, PollListedAddress(aId));
 }
 
 // Waits for changes below a prefix of the store. Logs an answer that was late and, in a series of
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -70,7 +70,7 @@
   Worker* worker = mScheduler.FindWorker(aId);
   if (!worker)
     return std::nullopt;
-  auto address = ParseAddress(worker->mEntry.mAddress);
+  auto address = ParseAddress(worker->mAddress);
   if (!address)
     return std::nullopt;
   return platform::WorkerTarget{ *address, aId, GetEpoch() };
@@ -94,6 +94,20 @@
     it->second.mWake->cancel();
 }
 
+// Closes connections to aTarget, formatted as aAddress, that were closed by the other side: what
+// answers there may have restarted. Returns whether there were any.
+Async<bool> Holder::DropClosedConnections(HttpAddress aTarget, std::string aAddress)
+{
+  auto self = shared_from_this();
+  if (!co_await mClient.DropClosed(aTarget))
+    co_return false;
+  for (const std::string& it : mScheduler.ListWorkersAt(aAddress)) {
+    mScheduler.OnConnectionsClosed(it, BootClock::now());
+    WakeWorker(it);
+  }
+  co_return true;
+}
+
 // Requests a report from a worker, which may delay its answer by aWait, and renews the leases of
 // its tasks. Returns false if the worker did not answer, is unknown, or this process stepped down.
 Async<bool> Holder::PollWorker(std::string aId, Duration aWait)
@@ -103,9 +117,8 @@
   Worker* worker = mScheduler.FindWorker(aId);
   if (!target || !worker)
     co_return false;
-  const std::string address = worker->mEntry.mAddress;
-  if (co_await mClient.DropClosed(target->mAddress))
-    mScheduler.OnConnectionsClosed(aId, BootClock::now());
+  const std::string address = worker->mAddress;
+  co_await DropClosedConnections(target->mAddress, address);
   const TimePoint sentAt = BootClock::now();
   platform::ReportRequest order;
   order.mToken = GetEpoch();
@@ -133,20 +146,65 @@
       WakePlan();
       co_return false;
     }
+    worker = mScheduler.FindWorker(aId);
+    if (worker && worker->mAddress != address)
+      co_return true;  // it has answered elsewhere since
     mMetrics.GetCounter("fleet_silent_reports_total").Add();
     mUnansweredAt.push_back(BootClock::now());
     mScheduler.OnSilence(aId, BootClock::now());
     co_return false;
   }
-  if (sentAt < channel.mReportSentAt)
-    co_return true;  // a poll sent later was answered first: this report is outdated
-  channel.mReportSentAt = sentAt;
-  RecordClock(channel, report->mClockMs, sentAt);
-  mScheduler.OnReport(aId, *report, sentAt, BootClock::now());
+  ApplyReport(aId, *report, address, sentAt);
+  co_return true;
+}
+
+// Requests a report where the directory lists a worker, if it is known at another address. What
+// answers there may be its next incarnation, so this renews no leases and acknowledges no ends, and
+// no answer says nothing about the one that is known.
+Async<void> Holder::PollListedAddress(std::string aId)
+{
+  auto self = shared_from_this();
+  const Worker* worker = mScheduler.FindWorker(aId);
+  if (!worker || !worker->mListed || worker->mEntry.mAddress == worker->mAddress)
+    co_return;
+  const std::string listed = worker->mEntry.mAddress;
+  auto address = ParseAddress(listed);
+  if (!address)
+    co_return;
+  co_await DropClosedConnections(*address, listed);
+  platform::WorkerTarget target{ *address, aId, GetEpoch() };
+  platform::ReportRequest order;
+  order.mToken = GetEpoch();
+  const TimePoint sentAt = BootClock::now();
+  auto report = co_await platform::RequestReport(mClient, std::move(target), order, kReportMargin);
+  if (mSteppedDown)
+    co_return;
+  if (!report) {
+    if (report.error().mKind == FailureKind::Fenced)
+      StepDown("a worker has seen a later epoch");
+    Log(LogPart::Task,
+        LogLevel::Debug,
+        "a worker does not answer where it is listed",
+        { { "worker", aId }, { "address", listed }, { "why", report.error().mDetail } });
+    co_return;
+  }
+  ApplyReport(aId, *report, listed, sentAt);
+}
+
+void Holder::ApplyReport(const std::string& aId,
+                         const WorkerReport& aReport,
+                         std::string_view aAddress,
+                         TimePoint aSentAt)
+{
+  Channel& channel = mChannels[aId];
+  if (aSentAt < channel.mReportSentAt)
+    return;  // a poll sent later was answered first: this report is outdated
+  channel.mReportSentAt = aSentAt;
+  RecordClock(channel, aReport.mClockMs, aSentAt);
+  mScheduler.OnReport(aId, aReport, aSentAt, BootClock::now(), aAddress);
   if (mScheduler.HasEndedJob())
     mStoreTimer.cancel();
   WakePlan();
-  co_return true;
 }
 
 // Chooses how long a worker may delay its report. Ends of tasks in a lost answer remain unknown
@@ -195,6 +253,8 @@
         wasReachable && worker->mFenced && !hasUnstoredEnds && !isUnsure && !isIdle;
       const bool isAnswered =
         co_await PollWorker(aId, mayWait ? ChooseReportWait(*worker) : Duration::zero());
+      if (!isAnswered)
+        co_await PollListedAddress(aId);
       if (mSteppedDown)
         break;
       worker = mScheduler.FindWorker(aId);
@@ -257,10 +317,9 @@
     co_return;
   }
   // A worker that has closed its connections may have restarted, as another kind.
-  if (co_await mClient.DropClosed(target->mAddress)) {
-    mScheduler.OnConnectionsClosed(aId, BootClock::now());
+  const std::string address = mScheduler.FindWorker(aId)->mAddress;
+  if (co_await DropClosedConnections(target->mAddress, address)) {
     mScheduler.OnStart(aOrder, StartOutcome::Withdrawn, BootClock::now());
-    WakeWorker(aId);
     WakePlan();
     co_return;
   }
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -131,6 +131,12 @@
   TimePoint mEndedAt{};
 };
 
+struct RefutedEntry  // another worker answered at its address
+{
+  std::string mAddress{};
+  std::int64_t mBornMs = 0;  // as in WorkerEntry
+};
+
 struct VanishedWorker
 {
   std::int64_t mBornMs = 0;  // as in WorkerEntry
@@ -147,6 +153,7 @@
 struct Worker
 {
   WorkerEntry mEntry{};      // as last listed; may be of another incarnation than mBornMs
+  std::string mAddress{};    // where it last answered; before that, as recorded or listed
   std::int64_t mBornMs = 0;  // of the incarnation that is known to be the latest; 0: unknown
   TimePoint mBornSeenAt{};   // when mBornMs was learned
   bool mListed = false;      // the directory lists it now
@@ -261,7 +268,10 @@
 
   // Workers
   // aRecorded: a previous holder has stored it; aNow is then the time of this holder's election.
+  // An entry tells nothing about other workers at its address: they are to be polled.
   void ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow);
+  // Lists the workers known at an address.
+  [[nodiscard]] std::vector<std::string> ListWorkersAt(std::string_view aAddress) const;
   // Sets the list, stored by a previous holder, of all tasks that an unresponsive worker may run.
   // aSuspects: as listed by ListSuspects.
   void SetFinalTasks(const std::string& aId,
@@ -273,11 +283,13 @@
   // Reports requested earlier do not tell what a worker will run: an order of a previous holder
   // may still take effect there.
   void SetFencedFrom(TimePoint aFrom) { mFencedFrom = aFrom; }
-  // Applies a worker's report, the answer to a poll that was sent at aSentAt.
+  // Applies a worker's report, the answer to a poll that was sent at aSentAt. aAddress: where it
+  // answered; empty: where it is known.
   void OnReport(const std::string& aId,
                 const WorkerReport& aReport,
                 TimePoint aSentAt,
-                TimePoint aNow);
+                TimePoint aNow,
+                std::string_view aAddress = {});
   void OnSilence(const std::string& aId, TimePoint aNow);  // a call was not answered
   // The answer to an order shows a clock that started anew: so did the worker, under its id.
   void OnClockReset(const std::string& aId, TimePoint aNow);
@@ -286,7 +298,7 @@
   // Returns up to which end a worker may forget what it reported. Ends of an incarnation that has
   // not reported yet are counted by the same numbers, so none while there may be one.
   [[nodiscard]] static std::uint64_t GetAcknowledgedEnd(const Worker& aWorker);
-  // Another worker answered at aAddress. If that is the worker's address, it has ended for good.
+  // Another worker answered at aAddress. If the worker is known there, that incarnation has ended.
   void OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow);
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
@@ -365,7 +377,6 @@
   void CountUnproven();
   [[nodiscard]] UnresolvedRuns GetUnresolved(const TaskRef& aRef) const;
   [[nodiscard]] bool IsSuspect(const Task& aTask, const TaskRef& aRef) const;
-  bool ApplySuccession(const WorkerEntry& aEntry, TimePoint aNow);
   void ReleaseTask(const Run& aRun, bool aNeverRan);
   void ProcessEnd(Worker& aWorker, const EndedTask& aRow, TimePoint aNow);
   void ApplyOrphanReports(Job& aJob, TimePoint aNow);
@@ -417,8 +428,7 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
   std::set<std::string> mActive{};  // jobs that have not ended
   std::map<std::string, Worker> mWorkers{};
-  std::map<std::string, std::int64_t>
-    mReplaced{};  // worker whose address has a successor → mBornMs
+  std::map<std::string, RefutedEntry> mRefuted{};  // by worker, until it is unlisted
   std::set<std::string> mDirtyJobs{};
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -193,7 +193,8 @@
 void Scheduler::OnReport(const std::string& aId,
                          const WorkerReport& aReport,
                          TimePoint aSentAt,
-                         TimePoint aNow)
+                         TimePoint aNow,
+                         std::string_view aAddress)
 {
   Worker* found = FindWorker(aId);
   if (!found)
@@ -201,6 +202,13 @@
   Worker& worker = *found;
   if (aReport.mBornMs < worker.mBornMs && aReport.mBornMs != 0 && aSentAt < worker.mBornSeenAt)
     return;  // of an earlier incarnation
+  if (!aAddress.empty() && aAddress != worker.mAddress) {
+    Log(LogPart::Task,
+        LogLevel::Info,
+        "a worker answers at another address",
+        { { "worker", aId }, { "address", aAddress }, { "before", worker.mAddress } });
+    worker.mAddress = aAddress;
+  }
   if (!worker.mReachable && worker.mFenced)
     Log(LogPart::Task, LogLevel::Info, "a worker answers again", { { "worker", aId } });
   // The start time is not compared: a machine's time of day may have been set back.
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -11,17 +11,6 @@
 constexpr Duration kHeartbeatJitter = milliseconds(300);
 constexpr Duration kIdleLease = seconds(4);  // a worker that runs nothing is polled each 3 s
 
-// Returns whether the first is certainly an earlier incarnation at the same address. The time of
-// day of a machine may jump, and the entry of an ended incarnation may be created again by a write
-// that was delayed, so both orders must agree where both are known.
-bool IsEarlierIncarnation(const WorkerEntry& aLeft, const WorkerEntry& aRight)
-{
-  const bool hasTimes = aLeft.mBornMs != 0 && aRight.mBornMs != 0;
-  const bool hasRevisions = aLeft.mCreatedRevision != 0 && aRight.mCreatedRevision != 0;
-  return (hasTimes || hasRevisions) && (!hasTimes || aLeft.mBornMs < aRight.mBornMs) &&
-         (!hasRevisions || aLeft.mCreatedRevision < aRight.mCreatedRevision);
-}
-
 void LogCapacityChange(const Worker& aWorker, const WorkerEntry& aEntry)
 {
   const WorkerEntry& known = aWorker.mEntry;
@@ -48,72 +37,56 @@
   return it == mWorkers.end() ? nullptr : &it->second;
 }
 
-// Applies what a directory entry says about the incarnations at its address: a worker that was
-// replaced there has lost its tasks. Returns false if the entry itself is the replaced one. The
-// directory may show the entry of an ended incarnation for seconds, also after that of its
-// successor, so the order in which entries are read decides nothing. While the order is unknown,
-// all are kept: the one that has ended is found when its address answers as another (OnReplaced).
-bool Scheduler::ApplySuccession(const WorkerEntry& aEntry, TimePoint aNow)
+std::vector<std::string> Scheduler::ListWorkersAt(std::string_view aAddress) const
 {
-  if (auto it = mReplaced.find(aEntry.mId); it != mReplaced.end()) {
-    if (aEntry.mBornMs <= it->second)
-      return false;
-    mReplaced.erase(it);  // the id started again
-  }
-  for (auto it = mWorkers.begin(); it != mWorkers.end();) {
-    Worker& other = it->second;
-    if (other.mEntry.mAddress != aEntry.mAddress || it->first == aEntry.mId) {
-      ++it;
-      continue;
-    }
-    if (IsEarlierIncarnation(aEntry, other.mEntry)) {
-      mReplaced[aEntry.mId] = aEntry.mBornMs;
-      return false;
-    }
-    if (!IsEarlierIncarnation(other.mEntry, aEntry)) {
-      ++it;
-      continue;
-    }
-    Log(LogPart::Task,
-        LogLevel::Info,
-        "a worker was replaced at its address; its tasks are lost",
-        { { "worker", it->first },
-          { "successor", aEntry.mId },
-          { "tasks", other.mRuns.size() },
-          { "just_started", FormatUnproven(other) } });
-    RecordCrash(other, CrashEvidence::Replaced, aNow);
-    while (!other.mRuns.empty())
-      DropRun(other, other.mRuns.size() - 1);
-    mReplaced[it->first] = other.mBornMs;
-    it = mWorkers.erase(it);
-  }
-  return true;
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : mWorkers)
+    if (worker.mAddress == aAddress)
+      ids.push_back(id);
+  return ids;
 }
 
 void Scheduler::OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow)
 {
   Worker* worker = FindWorker(aId);
-  if (!worker || worker->mEntry.mAddress != aAddress || !IsEntryCurrent(*worker))
-    return;  // its present incarnation may be at another address
+  if (!worker || worker->mAddress != aAddress)
+    return;  // it is not known to run there: its entry may be wrong
+  const bool isListedElsewhere = IsListedElsewhere(*worker);
+  if (!isListedElsewhere && !IsEntryCurrent(*worker))
+    return;  // its next incarnation may have started there since the poll was sent
   Log(LogPart::Task,
       LogLevel::Info,
       "another incarnation answers at the address of a worker; its tasks are lost",
       { { "worker", aId },
+        { "address", aAddress },
         { "tasks", worker->mRuns.size() },
         { "just_started", FormatUnproven(*worker) } });
-  mReplaced[aId] = worker->mBornMs;
   RecordCrash(*worker, CrashEvidence::Replaced, aNow);
   while (!worker->mRuns.empty())
     DropRun(*worker, worker->mRuns.size() - 1);
+  const Worker ended = std::move(*worker);
   mWorkers.erase(aId);
+  // Before an answer in this epoch, its address is only what a previous holder took it for.
+  const bool isUnresolved = IsUnresolved(ended);
+  if (isListedElsewhere)
+    ListWorker(ended.mEntry, isUnresolved, isUnresolved ? ended.mAddedAt : aNow);
+  else if (ended.mListed)
+    mRefuted[aId] = { ended.mEntry.mAddress, ended.mEntry.mBornMs };
 }
 
 void Scheduler::ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow)
 {
-  if (!ApplySuccession(aEntry, aNow))
-    return;
+  // The directory may show the entry of an ended worker for seconds.
+  if (const auto it = mRefuted.find(aEntry.mId); it != mRefuted.end()) {
+    if (it->second.mAddress == aEntry.mAddress && it->second.mBornMs == aEntry.mBornMs)
+      return;
+    mRefuted.erase(it);
+  }
   auto [it, isNew] = mWorkers.try_emplace(aEntry.mId);
   Worker& worker = it->second;
+  // What runs on a worker is asked for where it answered, or where a previous holder knew it.
+  if (isNew || (!worker.mInherited && worker.mAnsweredAt == TimePoint{}))
+    worker.mAddress = aEntry.mAddress;
   if (isNew) {
     worker.mAddedAt = aNow;
     worker.mLeaseSentAt = aNow;  // a previous holder may have renewed leases until now
@@ -125,6 +98,13 @@
     worker.mBornMs = aEntry.mBornMs;
   if (!isNew && worker.mListed)
     LogCapacityChange(worker, aEntry);
+  if (aEntry.mAddress != worker.mAddress && aEntry.mAddress != worker.mEntry.mAddress)
+    Log(LogPart::Task,
+        LogLevel::Info,
+        "a worker is listed at another address; it counts once the worker answers there",
+        { { "worker", aEntry.mId },
+          { "address", aEntry.mAddress },
+          { "known_at", worker.mAddress } });
   if (aEntry.mDraining && !worker.mEntry.mDraining)
     Log(LogPart::Drain, LogLevel::Info, "a worker is draining", { { "worker", aEntry.mId } });
   worker.mEntry = std::move(aEntry);
@@ -204,6 +184,7 @@
 
 void Scheduler::UnlistWorker(const std::string& aId, TimePoint aNow)
 {
+  mRefuted.erase(aId);
   Worker* worker = FindWorker(aId);
   if (!worker || !worker->mListed)
     return;
--- a/src/fleet/worker_records.cpp
+++ b/src/fleet/worker_records.cpp
@@ -19,10 +19,11 @@
     const bool isUnresponsive = worker.mFinalWanted && !worker.mReachable;
     const bool clearsFinal =
       (worker.mFinalTasks || worker.mFinalWanted) && worker.mReachable && worker.mFenced;
-    const bool isNew = !worker.mRecorded && worker.mListed;
+    // Nothing starts on a worker that has not answered, and there may be none behind its entry.
+    const bool isNew = !worker.mRecorded && worker.mListed && worker.mFenced;
     if ((!isNew && !isUnresponsive && !clearsFinal) || entries + 2 > aMaxEntries)
       continue;
-    WorkerRecord record{ worker.mEntry.mAddress, worker.mEntry.mService };
+    WorkerRecord record{ worker.mAddress, worker.mEntry.mService };
     record.mBornMs = worker.mBornMs;
     record.mCreatedRevision = worker.mEntry.mCreatedRevision;
     if (isUnresponsive) {
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -5,6 +5,7 @@
 // Index
 //   FleetStandinOptions   size and rates
 //   StoreMode             how the store (mis)behaves
+//   ForeignEntry          what other writers write into the directory
 //   FleetStandin          the stand-in
 #pragma once
 
@@ -42,6 +43,18 @@
   LosesWrites  // a third of the writes are done and not answered
 };
 
+// ForeignEntry
+enum class ForeignEntry : std::uint8_t
+{
+  AtAddress,  // under a key of its own, at the address of a worker; for up to 6 s
+  // In place of the entry of a worker, until its next heartbeat:
+  OtherAddress,  // of another worker
+  OtherService,  // one that is not configured
+  OtherState,    // one that is not known
+  NoCapacity,
+  Unreadable
+};
+
 struct StandinStage  // what the checks need to know of a job
 {
   std::uint32_t mCount = 0;
@@ -69,6 +82,7 @@
   void RestartWorker(std::uint32_t aWorker, std::uint32_t aMilliCores);  // ... under the same id
   void ResizeWorker(std::uint32_t aWorker, std::uint32_t aMilliCores);   // it runs on
   void HideWorker(std::uint32_t aWorker, Duration aTime);  // it runs on and can't reach the store
+  void WriteForeignEntry(std::uint32_t aWorker, ForeignEntry aKind);
 
   [[nodiscard]] std::vector<std::string> ReadViolations() const;
   [[nodiscard]] std::uint64_t CountStarts() const { return mStarts; }
@@ -118,6 +132,7 @@
   Async<void> FinishRestart(std::uint32_t aWorker, std::uint32_t aLife, std::uint32_t aMilliCores);
   Async<void> Hide(std::uint32_t aWorker, std::uint32_t aHiding, Duration aTime);
   Async<void> AnnounceLater(std::uint32_t aWorker, Duration aLag);
+  Async<void> RemoveLater(std::string aKey, Duration aLag);
   Async<void> RunClock();
   void Advance(WorkerState& aWorker);
   void Write(const std::string& aKey, const std::string& aValue, std::uint64_t aLease);
@@ -126,6 +141,7 @@
   void EndLease(std::uint64_t aLease);
   void Record(const std::string& aKey, boost::json::object aEvent);
   Result<void> ListenAs(std::uint32_t aWorker, WorkerState& aState);  // at its port, if it has one
+  [[nodiscard]] static boost::json::object MakeEntry(const WorkerState& aWorker);
   void Announce(std::uint32_t aWorker);
   void Complain(std::string aWhat);
   [[nodiscard]] static boost::json::object MakeItem(const std::string& aKey,
@@ -154,6 +170,7 @@
   std::uint64_t mFirstRevision = 0;  // watches from before it are told to list again
   std::map<std::uint64_t, std::pair<Duration, TimePoint>> mLeases{};  // lifetime, end
   std::uint64_t mNextLease = 1;
+  std::uint64_t mNextForeign = 0;
   std::vector<std::unique_ptr<WorkerState>> mWorkers{};
   std::map<std::string, std::vector<StandinStage>> mJobs{};
   std::map<std::string, std::uint64_t> mCrashes{};  // task → workers that crashed while they ran it
--- a/standin/fleet_workers.cpp
+++ b/standin/fleet_workers.cpp
@@ -153,21 +153,72 @@
     Announce(aWorker);
 }
 
+json::object FleetStandin::MakeEntry(const WorkerState& aWorker)
+{
+  return { { "service", "pool" },
+           { "address", "127.0.0.1:" + std::to_string(aWorker.mPort) },
+           { "zone", "zone-a" },
+           { "state", "ready" },
+           { "capacity",
+             json::object{ { "cpu", aWorker.mMilliCores }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
+           { "labels", json::array{ "a", "r1" } },
+           { "born", aWorker.mBornMs },
+           { "sequence", 1 } };
+}
+
 void FleetStandin::Announce(std::uint32_t aWorker)
 {
   const WorkerState& worker = *mWorkers[aWorker];
-  const json::object entry{
-    { "service", "pool" },
-    { "address", "127.0.0.1:" + std::to_string(worker.mPort) },
-    { "zone", "zone-a" },
-    { "state", "ready" },
-    { "capacity",
-      json::object{ { "cpu", worker.mMilliCores }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
-    { "labels", json::array{ "a", "r1" } },
-    { "born", worker.mBornMs },
-    { "sequence", 1 }
-  };
-  PutText("servers/" + worker.mId, json::serialize(entry));
+  PutText("servers/" + worker.mId, json::serialize(MakeEntry(worker)));
+}
+
+void FleetStandin::WriteForeignEntry(std::uint32_t aWorker, ForeignEntry aKind)
+{
+  const std::lock_guard lock(mLock);
+  const WorkerState& worker = *mWorkers[aWorker];
+  if (!worker.mUp || worker.mHidden)
+    return;
+  json::object entry = MakeEntry(worker);
+  if (aKind == ForeignEntry::AtAddress) {
+    const std::string key = "servers/x" + std::to_string(mNextForeign++);
+    entry["born"] = ReadWallMillis();
+    if (Happens(0.5))
+      entry["service"] = "other";
+    PutText(key, json::serialize(entry));
+    asio::co_spawn(mContext, RemoveLater(key, Draw(milliseconds(500), seconds(6))), asio::detached);
+    return;
+  }
+  const std::size_t other = (aWorker + 1) % mWorkers.size();
+  switch (aKind) {
+    case ForeignEntry::OtherAddress:
+      entry["address"] = "127.0.0.1:" + std::to_string(mWorkers[other]->mPort);
+      break;
+    case ForeignEntry::OtherService:
+      entry["service"] = "other";
+      break;
+    case ForeignEntry::OtherState:
+      entry["state"] = "gone";
+      break;
+    case ForeignEntry::NoCapacity:
+      entry.erase("capacity");
+      break;
+    default:
+      break;
+  }
+  std::string text = json::serialize(entry);
+  if (aKind == ForeignEntry::Unreadable)
+    text.resize(text.size() / 2);
+  PutText("servers/" + worker.mId, text);
+  asio::co_spawn(
+    mContext, AnnounceLater(aWorker, Draw(Duration::zero(), kHeartbeat)), asio::detached);
+}
+
+Async<void> FleetStandin::RemoveLater(std::string aKey, Duration aLag)
+{
+  co_await Sleep(aLag);
+  const std::lock_guard lock(mLock);
+  ++mRevision;
+  Remove(aKey);
 }
 
 // Returns the capacity that a start may use up.
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -256,3 +256,88 @@
   CHECK(completed == kJobs);
   CHECK_THAT(fleet.GetPlatform().ReadViolations(), Catch::Equals(std::vector<std::string>()));
 }
+
+TEST_CASE("entries of other writers make the tasks of running workers run twice", "[entry]")
+{
+  constexpr std::uint32_t kWorkers = 4;
+  constexpr std::uint64_t kTasks = 12;
+  constexpr const char* kId = "00000000000000f2";
+  constexpr const char* kJob =
+    R"({"spec":"ms=4000","steps":[{"count":12,"cpu":2000,"mem_mb":100,"estimate_ms":4000}]})";
+  asio::io_context context{ 1 };
+  standin::FleetStandinOptions platform;
+  platform.mWorkers = kWorkers;
+  platform.mAdmitted = 1;
+  testing::EntryFleet fleet(context, platform, std::vector<double>(3, 1.0), "entry-foreign");
+  standin::FleetStandin& workers = fleet.GetPlatform();
+  bool isDone = false;
+  std::uint64_t starts = 0;
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000f1", ListProcesses(fleet)))
+      co_return;
+    const std::uint64_t before = workers.CountStarts();
+    workers.RegisterJob(kId, { standin::StandinStage{ kTasks, 2000, {} } });
+    std::string target = "/q/";
+    target += kId;
+    auto accepted = co_await fleet.Call(0, http::verb::post, target, kJob);
+    const TimePoint deadline = BootClock::now() + kMaxWait;
+    while (workers.CountStarts() < before + kTasks && BootClock::now() < deadline)
+      co_await Sleep(milliseconds(20));
+    for (std::uint32_t n = 0; n < kWorkers; ++n) {
+      const auto kind = static_cast<standin::ForeignEntry>(n % 2);
+      workers.WriteForeignEntry(n, kind);
+      co_await Sleep(milliseconds(100));
+    }
+    while (!isDone && BootClock::now() < deadline) {
+      auto response = co_await fleet.Call(0, http::verb::get, target, "");
+      isDone = response && response->body().find("completed") != std::string::npos;
+      co_await Sleep(milliseconds(50));
+    }
+    starts = workers.CountStarts() - before;
+  });
+  CHECK(isDone);
+  CHECK(starts == kTasks);
+  CHECK_THAT(workers.ReadViolations(), Catch::Equals(std::vector<std::string>()));
+}
+
+TEST_CASE("the tasks of a worker that is back under another id wait for its leases", "[entry]")
+{
+  constexpr const char* kId = "00000000000000f3";
+  constexpr const char* kJob =
+    R"({"spec":"ms=60000","steps":[{"count":4,"cpu":2000,"mem_mb":100,"estimate_ms":60000}]})";
+  asio::io_context context{ 1 };
+  standin::FleetStandinOptions platform;
+  platform.mWorkers = 1;
+  platform.mAdmitted = 1;
+  testing::EntryFleet fleet(context, platform, std::vector<double>(3, 1.0), "entry-successor");
+  standin::FleetStandin& workers = fleet.GetPlatform();
+  std::uint64_t before = 0;
+  std::uint64_t after = 0;
+  Duration took{};
+  RunScript(context, [&]() -> Async<void> {
+    workers.RegisterJob(kId, { standin::StandinStage{ 4, 2000, {} } });
+    std::string target = "/q/";
+    target += kId;
+    const TimePoint deadline = BootClock::now() + kMaxWait;
+    for (bool isAccepted = false; !isAccepted && BootClock::now() < deadline;) {
+      auto response = co_await fleet.Call(0, http::verb::post, target, kJob);
+      isAccepted = response && response->result() == http::status::ok;
+      co_await Sleep(milliseconds(20));
+    }
+    while (workers.CountStarts() < 4 && BootClock::now() < deadline)
+      co_await Sleep(milliseconds(20));
+    co_await Sleep(milliseconds(500));  // its leases are renewed meanwhile
+    before = workers.CountStarts();
+    workers.CrashWorker(0);
+    const TimePoint crashedAt = BootClock::now();
+    while (workers.CountStarts() < before + 4 && BootClock::now() < crashedAt + seconds(10))
+      co_await Sleep(milliseconds(5));
+    took = BootClock::now() - crashedAt;
+    after = workers.CountStarts();
+  });
+  CAPTURE(took / milliseconds(1));
+  CHECK(before == 4);
+  CHECK(after == before + 4);
+  CHECK(took < platform.mLongestLease / 2);
+  CHECK(workers.ReadViolations().empty());
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,7 +1,8 @@
 // Randomized soak: real entry processes against the platform's stand-in, with faults from outside:
 // kills, stops, pauses and restarts by signals; a store that is busy, silent or loses answers;
 // links that are delayed, cut or frozen by proxies; workers that crash, restart under their ids,
-// change their capacity, fall silent, can't reach the store, lose answers or carry out orders late.
+// change their capacity, fall silent, can't reach the store, lose answers or carry out orders late;
+// other writers of the directory.
 // What must always hold is checked from what callers and workers see.
 //
 //   fleet_soak --seed 7 --seconds 20 --processes 5 --workers 8 --runs 10
@@ -207,7 +208,7 @@
     co_await Sleep(milliseconds(100 + Draw(500)));
     const auto worker = static_cast<std::uint32_t>(Draw(mOptions.mWorkers));
     const std::uint32_t size = kSizes[Draw(std::size(kSizes))];
-    switch (Draw(8)) {
+    switch (Draw(10)) {
       case 0:
       case 1:
       case 2:
@@ -220,6 +221,10 @@
       case 5:
         platform.HideWorker(worker, milliseconds(1000 + Draw(9000)));
         break;
+      case 6:
+      case 7:
+        platform.WriteForeignEntry(worker, static_cast<standin::ForeignEntry>(Draw(6)));
+        break;
       default:
         platform.SetLateOrders(Draw(2) == 0 ? 0.01 : 0.1);
         break;
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -256,61 +256,64 @@
 
 void FleetModel::PollWorker(const std::string& aId)
 {
-  if (!mNodes.contains(aId))
-    return;
   Schedule(kPollInterval, [this, aId] { PollWorker(aId); });
   for (HolderRef it = mHolder; it; it = it->mPrevious)
     if (!HasStopped(*it))
-      Poll(it, aId, mNodes.at(aId));
+      Poll(it, aId);
 }
 
-void FleetModel::Poll(const HolderRef& aHolder, const std::string& aId, Node& aNode)
+void FleetModel::Poll(const HolderRef& aHolder, const std::string& aId)
 {
   Scheduler& scheduler = *aHolder->mScheduler;
   Worker* worker = scheduler.FindWorker(aId);
   if (!worker)
     return;
-  if (aNode.mIsReplaced) {
-    scheduler.OnReplaced(aId, aNode.mEntry.mAddress, mNow);
+  Node* node = FindNodeAt(worker->mAddress);
+  if (node && node->mEntry.mId != aId && IsAnswering(*node, *aHolder)) {
+    scheduler.OnReplaced(aId, worker->mAddress, mNow);
+    return;
+  }
+  if (!node || node->mEntry.mId != aId) {
+    scheduler.OnSilence(aId, mNow);
     return;
   }
   const bool isIdle = worker->mRuns.empty() && worker->mFenced && worker->mReachable;
   if (isIdle && worker->mLastEnd <= worker->mStoredEnd &&
       mNow - worker->mAnsweredAt < mFaults.mIdlePollInterval)
     return;
-  Advance(aNode);
-  if (!IsAnswering(aNode, *aHolder)) {
+  Advance(*node);
+  if (!IsAnswering(*node, *aHolder)) {
     scheduler.OnSilence(aId, mNow);
     return;
   }
-  if (aHolder->mEpoch < aNode.mToken) {
+  if (aHolder->mEpoch < node->mToken) {
     aHolder->mStopsAt = mNow;
     return;
   }
-  aNode.mToken = aHolder->mEpoch;
+  node->mToken = aHolder->mEpoch;
   if (HasClosedConnections(*aHolder, aId))
     scheduler.OnConnectionsClosed(aId, mNow);
   const Duration lease =
     scheduler.RenewTaskLeases(*worker, mNow, std::min(mNow, aHolder->mReplacedAt));
   if (lease > Duration::zero())
-    aNode.mLeaseUntil = std::max(aNode.mLeaseUntil, mNow + lease);
-  Acknowledge(aNode, Scheduler::GetAcknowledgedEnd(*worker));
+    node->mLeaseUntil = std::max(node->mLeaseUntil, mNow + lease);
+  Acknowledge(*node, Scheduler::GetAcknowledgedEnd(*worker));
   if (Happens(mFaults.mLostReport)) {
     scheduler.OnSilence(aId, mNow);
     return;
   }
   WorkerReport report;
-  report.mBornMs = aNode.mEntry.mBornMs;
-  for (const Ended& it : aNode.mEnded) {
+  report.mBornMs = node->mEntry.mBornMs;
+  for (const Ended& it : node->mEnded) {
     report.mHasMoreEnds = report.mEnded.size() == mMaxListedEnds;
     if (report.mHasMoreEnds)
       break;
     report.mEnded.push_back(it.mRow);
     mAloneEnds += it.mRow.mKind == EndKind::Alone ? 1 : 0;
   }
-  for (const Running& it : aNode.mRunning)
+  for (const Running& it : node->mRunning)
     report.mRunning.push_back({ it.mOrder.mTask, it.mOrder.mRun, "", ComputePercent(it), 0 });
-  aHolder->mLives[aId] = aNode.mLife;
+  aHolder->mLives[aId] = node->mLife;
   scheduler.OnReport(aId, report, mNow, mNow);
 }
 
@@ -340,9 +343,10 @@
   });
   for (const auto& [id, listed] : scheduler.GetWorkers()) {
     Worker& worker = *scheduler.FindWorker(id);
-    if (!worker.mRecorded && worker.mListed) {
+    if (!worker.mRecorded && worker.mListed && worker.mFenced) {
       worker.mRecorded = true;
       mRecorded[id] = worker.mEntry;
+      mRecorded[id].mAddress = worker.mAddress;
     }
     if (worker.mFinalWanted && !worker.mReachable) {
       std::set<std::string> tasks;
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -30,6 +30,9 @@
   double mUnresponsivePerS = 0;
   double mUnlistPerS =
     0;  // times per second that a running worker's entry is missing for 0.5 to 6 s
+  // Entries of other writers per second: under new keys, at the address of a running worker, or in
+  // place of a running worker's entry until its next heartbeat.
+  double mForeignEntryPerS = 0;
   double mDrainPerS = 0;  // drains per second; the worker leaves 2 to 6 s later, another one joins
   double mStallPerS = 0;  // times per second that a worker's tasks make no progress for 0.5 to 6 s
   double mTakeoverPerS = 0;            // times per second that a new, empty scheduler takes over
@@ -91,8 +94,7 @@
   {
     WorkerEntry mEntry{};
     bool mUp = true;
-    bool mIsReplaced = false;  // another incarnation answers at its address
-    std::uint32_t mLife = 0;   // tickets are valid for one
+    std::uint32_t mLife = 0;  // tickets are valid for one
     TimePoint mUnresponsiveUntil{};
     TimePoint mPartitionedUntil{};  // from the current holder
     TimePoint mStalledUntil{};
@@ -132,7 +134,7 @@
   [[nodiscard]] bool MayStart(const HolderState& aHolder) const;
   [[nodiscard]] bool HasClosedConnections(const HolderState& aHolder, const std::string& aId) const;
   void PollWorker(const std::string& aId);
-  void Poll(const HolderRef& aHolder, const std::string& aId, Node& aNode);
+  void Poll(const HolderRef& aHolder, const std::string& aId);
   void SendStart(const HolderRef& aHolder, const StartOrder& aOrder);
   void SendStop(const HolderRef& aHolder, const StopOrder& aOrder);
   void SendAdvice(const HolderRef& aHolder, const AdviceOrder& aOrder);
@@ -159,10 +161,13 @@
   void ExpireEntry(const std::string& aId);
   void SendHeartbeat(const std::string& aId);
   void RemoveEntry(const std::string& aId);
+  void WriteEntry(const WorkerEntry& aEntry);
+  void WriteForeignEntry(const std::string& aId);
   void DrainNode(const std::string& aId);
   void LoseTasks(Node& aNode);
   [[nodiscard]] std::uint32_t GetAllowedCores(const Node& aNode) const;
   [[nodiscard]] std::string GetTicket(const std::string& aId) const;
+  [[nodiscard]] Node* FindNodeAt(const std::string& aAddress);
   [[nodiscard]] bool IsAnswering(const Node& aNode, const HolderState& aHolder) const;
   void ReportViolation(std::string aWhat);
   [[nodiscard]] const StageSpec* FindStage(const std::string& aTask, const JobSpec** aJob) const;
@@ -174,6 +179,7 @@
   std::map<std::string, Node> mNodes{};
   std::map<std::string, WorkerEntry> mDirectory{};
   std::size_t mNextNode = 0;
+  std::size_t mNextForeign = 0;
   std::size_t mMaxListedEnds = std::numeric_limits<std::size_t>::max();
   HolderRef mHolder{};
   FleetConfig mConfig{};
--- a/tests/unit/fleet_model_workers.cpp
+++ b/tests/unit/fleet_model_workers.cpp
@@ -41,6 +41,15 @@
   return stage < job->second.mStages.size() ? &job->second.mStages[stage] : nullptr;
 }
 
+// Returns the worker that runs at an address; null: none.
+FleetModel::Node* FleetModel::FindNodeAt(const std::string& aAddress)
+{
+  for (auto& [id, node] : mNodes)
+    if (node.mUp && node.mEntry.mAddress == aAddress)
+      return &node;
+  return nullptr;
+}
+
 bool FleetModel::IsAnswering(const Node& aNode, const HolderState& aHolder) const
 {
   const bool isPartitioned = &aHolder == mHolder.get() && mNow < aNode.mPartitionedUntil;
@@ -89,12 +98,51 @@
   node.mListedUntil =
     std::max({ node.mListedUntil + milliseconds(1), mNow + aLag, node.mCutUntil });
   Schedule(node.mListedUntil - mNow, [this, aId, entry = node.mEntry] {
-    mDirectory[aId] = entry;
     mNodes.at(aId).mWrittenAt = mNow;
-    WorkerEntry change = entry;
-    change.mJustWritten = true;
-    ForEachHolder(
-      [&](HolderState& aHolder) { aHolder.mScheduler->ListWorker(change, false, mNow); });
+    WriteEntry(entry);
+  });
+}
+
+void FleetModel::WriteEntry(const WorkerEntry& aEntry)
+{
+  mDirectory[aEntry.mId] = aEntry;
+  WorkerEntry change = aEntry;
+  change.mJustWritten = true;
+  ForEachHolder([&](HolderState& aHolder) { aHolder.mScheduler->ListWorker(change, false, mNow); });
+}
+
+// Writes an entry that no worker has written, near the one of aId.
+void FleetModel::WriteForeignEntry(const std::string& aId)
+{
+  WorkerEntry entry = mNodes.at(aId).mEntry;
+  const auto other =
+    std::next(mNodes.begin(), static_cast<std::ptrdiff_t>(mRandom() % mNodes.size()));
+  if (Happens(0.5))
+    entry.mService = "other";
+  if (Happens(0.7))
+    entry.mBornMs = Happens(0.3) ? 0 : GetUnixMillis(mNow) + (Happens(0.5) ? 0 : 100'000);
+  if (Happens(0.5)) {  // under a key of its own
+    entry.mId = "x" + std::to_string(mNextForeign++);
+    WriteEntry(entry);
+    Schedule(kPollInterval, [this, id = entry.mId] { PollWorker(id); });
+    Schedule(Draw(milliseconds(500), seconds(6)), [this, id = entry.mId] { RemoveEntry(id); });
+    return;
+  }
+  switch (mRandom() % 3) {
+    case 0:
+      entry.mAddress = other->second.mEntry.mAddress;
+      break;
+    case 1:
+      entry.mAddress = "10.9.9.9:80";  // nothing answers there
+      break;
+    default:
+      entry.mMilliCores = 0;
+      break;
+  }
+  WriteEntry(entry);
+  Schedule(Draw(Duration::zero(), kHeartbeat), [this, aId] {
+    if (mNodes.at(aId).mUp)
+      Announce(aId, Duration::zero());
   });
 }
 
@@ -296,10 +344,7 @@
   found->second.mRunning.clear();
   mDirectory.erase(aId);
   const std::string address = found->second.mEntry.mAddress;
-  Schedule(seconds(3), [this, aId, address] {
-    mNodes[aId].mIsReplaced = true;
-    AddNode("w" + std::to_string(mNextNode++), address);
-  });
+  Schedule(seconds(3), [this, address] { AddNode("w" + std::to_string(mNextNode++), address); });
 }
 
 // Restarts a worker under its id: it knows nothing of before, its counts start anew, and it may be
@@ -407,6 +452,8 @@
       ResizeNode(mNodes[id]);
     if (Happens(mFaults.mUnlistPerS * tick))
       CutFromStore(id);
+    if (Happens(mFaults.mForeignEntryPerS * tick))
+      WriteForeignEntry(id);
     if (Happens(mFaults.mDrainPerS * tick) && !mNodes[id].mEntry.mDraining &&
         mNodes[id].mEntry.mAddress != "10.0.0.0:80")
       DrainNode(id);
--- a/tests/unit/test_fleet_forgotten_runs.cpp
+++ b/tests/unit/test_fleet_forgotten_runs.cpp
@@ -232,6 +232,21 @@
   CheckRandomJobs(seed, faults, 3);
 }
 
+TEST_CASE("fleet: tasks run twice while other writers write entries into the directory")
+{
+  const auto seed = GENERATE(range(1U, 41U));
+  INFO("seed " << seed);
+  FleetFaults faults;
+  faults.mForeignEntryPerS = 0.1;
+  faults.mCrashPerS = 0.02;
+  faults.mRestartPerS = seed % 2 == 0 ? 0.03 : 0;
+  faults.mDirectoryLag = milliseconds(500);
+  faults.mUnresponsivePerS = 0.03;
+  faults.mLostAnswer = 0.02;
+  faults.mTakeoverPerS = 0.1;
+  CheckRandomJobs(seed, faults, kAllEnds);
+}
+
 TEST_CASE("fleet: a run whose end is not listed yet starts again")
 {
   WorkerReport cut;
--- a/tests/unit/test_fleet_incarnations.cpp
+++ b/tests/unit/test_fleet_incarnations.cpp
@@ -89,6 +89,7 @@
   Scheduler scheduler = MakeScheduler();
   scheduler.ListWorker(MakeEntry("old", 1000), true, kStart);
   scheduler.ListWorker(MakeEntry("new", 2000), true, kStart);
+  scheduler.OnReplaced("old", MakeEntry("old", 1000).mAddress, kStart);
   CHECK(!scheduler.FindWorker("old"));
   StartOn(scheduler, "new", 2000);
   scheduler.ListWorker(MakeEntry("old", 1000), false, kStart + seconds(1));
@@ -103,6 +104,8 @@
   Scheduler scheduler = MakeScheduler(2);
   scheduler.ListWorker(MakeEntry("new", 2000), false, kStart);
   scheduler.ListWorker(MakeEntry("old", 1000), false, kStart);
+  scheduler.OnReport("new", MakeReport(2000), kStart, kStart);
+  scheduler.OnReplaced("old", MakeEntry("old", 1000).mAddress, kStart);
   CHECK(scheduler.FindWorker("new"));
   CHECK(!scheduler.FindWorker("old"));
 }
@@ -358,6 +361,7 @@
   WorkerEntry moved = MakeEntry("w0", 2000);
   moved.mAddress = "10.0.0.9:80";
   scheduler.ListWorker(moved, false, kStart + seconds(1));
+  scheduler.OnReport("w0", MakeReport(2000), kStart, kStart, moved.mAddress);
   StartOn(scheduler, "w0", 2000);
   scheduler.OnReplaced("w0", polled, kStart + seconds(2));
   REQUIRE(scheduler.FindWorker("w0"));
--- a/tests/unit/test_fleet_records.cpp
+++ b/tests/unit/test_fleet_records.cpp
@@ -22,13 +22,19 @@
   return entry;
 }
 
+void ListAnsweringWorker(Scheduler& aScheduler, const WorkerEntry& aEntry, TimePoint aAt)
+{
+  aScheduler.ListWorker(aEntry, false, aAt);
+  aScheduler.OnReport(aEntry.mId, {}, aAt, aAt);
+}
+
 }  // namespace
 
 TEST_CASE("fleet: a delete that the store applies late removes the record of a worker that is back")
 {
   Scheduler scheduler({ .mEpoch = 1 });
   WorkerRecords records;
-  scheduler.ListWorker(MakeEntry(), false, kStart);
+  ListAnsweringWorker(scheduler, MakeEntry(), kStart);
   const RecordPlan first = records.Plan(scheduler, kManyEntries);
   REQUIRE(first.mWrites.contains("w0"));
   CHECK(first.mConditions == Revisions{ { "w0", 0 } });
@@ -36,6 +42,7 @@
   CHECK(records.Plan(scheduler, kManyEntries).IsEmpty());
 
   // It is gone for good, and the answer to the delete is lost.
+  scheduler.OnSilence("w0", kStart + seconds(1));
   scheduler.UnlistWorker("w0", kStart + seconds(1));
   scheduler.DropLapsed(kStart + seconds(60));
   const RecordPlan removal = records.Plan(scheduler, kManyEntries);
@@ -43,7 +50,7 @@
   CHECK(removal.mConditions == Revisions{ { "w0", 5 } });
 
   // It is listed again, and its record is written anew: the delete fails from then on.
-  scheduler.ListWorker(MakeEntry(), false, kStart + seconds(61));
+  ListAnsweringWorker(scheduler, MakeEntry(), kStart + seconds(61));
   const RecordPlan second = records.Plan(scheduler, kManyEntries);
   REQUIRE(second.mWrites.contains("w0"));
   CHECK(second.mConditions == Revisions{ { "w0", 5 } });
@@ -63,7 +70,7 @@
 {
   Scheduler scheduler({ .mEpoch = 1 });
   WorkerRecords records;
-  scheduler.ListWorker(MakeEntry(), false, kStart);
+  ListAnsweringWorker(scheduler, MakeEntry(), kStart);
   const RecordPlan plan = records.Plan(scheduler, kManyEntries);
   records.OnConflict(plan, { { "w0", 9 } });
   CHECK_FALSE(scheduler.FindWorker("w0")->mRecorded);
@@ -78,7 +85,7 @@
     WorkerEntry entry = MakeEntry();
     entry.mId = "w" + std::to_string(n);
     entry.mAddress = "10.0.0." + std::to_string(n) + ":80";
-    scheduler.ListWorker(entry, false, kStart);
+    ListAnsweringWorker(scheduler, entry, kStart);
     records.SetRevision("gone" + std::to_string(n), 3);
   }
   const RecordPlan plan = records.Plan(scheduler, kManyEntries);
