Store what a job's queue was configured to with the job

Cause: a job was stored with the name of its queue; all that it is scheduled by was looked up by that name in what the holder had read. Removed queues were kept in the memory of that process only. Without a takeover, a holder that had read a newer version never knew the queue of a job that another process accepted under an older one.

FindQueue returned nothing in CollectReady, and also in IsStartWanted, PlanMoves, ProcessEnd (no limit of attempts) and OnAdvice (tickets without validity).

Change: the accepting process stores QueueTerms behind the earlier fields of the job, and the scheduler takes all from there; the service is the accepted one while it has workers. Jobs stored without terms have those of their queue, or of one of the same service, and ask for tickets once a worker demands one.

Why it works: a job needs nothing that a holder has read. Builds before and after read the records of each other.

--- a/src/fleet/entry_callers.cpp
+++ b/src/fleet/entry_callers.cpp
@@ -103,6 +103,7 @@
   spec->mId = aId;
   spec->mQueue = aQueue.mName;
   spec->mService = aQueue.mService;
+  spec->mTerms = aQueue;  // a later configuration may not have this queue
   spec->mAcceptedMs = ReadWallMillis();
   const std::string value = EncodeMessage(*spec);
   bool mayBeStored = false;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,25 @@
   }
 };
 
+struct QueueTerms  // what a job is scheduled by, as configured for its queue
+{
+  std::uint32_t mPriority = 0;     // 0 is the most urgent
+  std::uint32_t mMaxAttempts = 1;  // failed runs of one task until its job fails
+  double mStretch = 1;             // a job is due after mStretch * (its longest chain) + mSlack
+  Duration mSlack{};               // see mStretch
+  bool mNeedsAdvice = false;       // the policy service decides which workers may run a stage
+  Duration mAdviceBase{};          // duration of a policy call, without the part for its workers
+  Duration mAdvicePerWorker{};     // added for each worker that the call names
+  Duration mAdviceValid{};         // validity of the tickets, unless the response states one
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mPriority, mMaxAttempts, mStretch, mSlack, mNeedsAdvice);
+    aArchive(mAdviceBase, mAdvicePerWorker, mAdviceValid);
+  }
+};
+
 struct JobSpec
 {
   std::string mId{};
@@ -53,10 +73,11 @@
   std::string mService{};  // pool of workers; taken from the queue when the job was accepted
   std::string mPayload{};  // passed to every task as it is
   std::vector<StageSpec> mStages{};
-  std::int64_t mFirstMs = 0;       // time of day of the first occurrence, Unix ms
-  std::int64_t mIntervalMs = 0;    // between occurrences
-  std::uint32_t mOccurrences = 0;  // 0: the job runs once, immediately
-  std::int64_t mAcceptedMs = 0;    // time of day at acceptance, Unix ms
+  std::int64_t mFirstMs = 0;           // time of day of the first occurrence, Unix ms
+  std::int64_t mIntervalMs = 0;        // between occurrences
+  std::uint32_t mOccurrences = 0;      // 0: the job runs once, immediately
+  std::int64_t mAcceptedMs = 0;        // time of day at acceptance, Unix ms
+  std::optional<QueueTerms> mTerms{};  // at acceptance; earlier builds stored none
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -64,6 +85,8 @@
     aArchive(mId, mQueue, mService, mPayload, mStages);
     aArchive(mFirstMs, mIntervalMs, mOccurrences, mAcceptedMs);
   }
+  void SerializeAdded(auto& aArchive) { aArchive(mTerms); }
+  void SerializeAdded(auto& aArchive) const { aArchive(mTerms); }
 };
 
 enum class JobState : std::uint8_t
@@ -81,21 +104,13 @@
 }
 
 // Queues
-struct QueueConfig
+struct QueueConfig : QueueTerms
 {
   std::string mName{};
-  std::string mHost{};             // Host header of callers' requests
-  std::string mPrefix{};           // path prefix of callers' requests
-  std::string mService{};          // pool of workers
-  std::uint32_t mPriority = 0;     // 0 is the most urgent
-  std::uint32_t mMaxAttempts = 1;  // failed runs of one task until its job fails
-  double mStretch = 1;             // a job is due after mStretch * (its longest chain) + mSlack
-  Duration mSlack{};               // see mStretch
-  Duration mCallTimeout{};         // of one request of a caller
-  bool mNeedsAdvice = false;       // the policy service decides which workers may run a stage
-  Duration mAdviceBase{};          // duration of a policy call, without the part for its workers
-  Duration mAdvicePerWorker{};     // added for each worker that the call names
-  Duration mAdviceValid{};         // validity of the tickets, unless the response states one
+  std::string mHost{};      // Host header of callers' requests
+  std::string mPrefix{};    // path prefix of callers' requests
+  std::string mService{};   // pool of workers
+  Duration mCallTimeout{};  // of one request of a caller
 };
 
 struct FleetConfig
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -9,7 +9,9 @@
 #pragma once
 
 #include <cereal/archives/binary.hpp>
+#include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -8,6 +8,12 @@
 
 namespace monsoon::fleet {
 
+namespace {
+
+constexpr std::uint32_t kGuessedMaxAttempts = 3;  // of jobs whose terms are not known
+
+}  // namespace
+
 std::string FormatStage(const TaskRef& aRef)
 {
   return aRef.mJob + "." + std::to_string(aRef.mOccurrence) + "." + std::to_string(aRef.mStage);
@@ -39,13 +45,11 @@
   job->mOccurrences.resize(std::max<std::uint32_t>(job->mSpec.mOccurrences, 1));
   if (job->mSpec.mOccurrences == 0)
     MakeOccurrence(*job, 0, aNow);
-  if (const QueueConfig* queue = FindQueue(job->mSpec.mQueue)) {
-    const Duration chain = EstimateChain(job->mSpec.mStages, *queue);
-    job->mDueAt =
-      aNow - aAge + queue->mSlack + std::chrono::duration_cast<Duration>(queue->mStretch * chain);
-  } else {
-    job->mDueAt = aNow - aAge + seconds(5);
-  }
+  job->mHasStoredTerms = job->mSpec.mTerms.has_value();
+  SetTerms(*job);
+  const std::optional<QueueTerms>& terms = job->mSpec.mTerms;
+  job->mDueAt =
+    aNow - aAge + (terms ? EstimateTarget(job->mSpec.mStages, *terms) : Duration(seconds(5)));
   if (!aProgress.empty())
     DecodeProgress(*job, aProgress, aNow);
   job->mStoredState = job->mState;
@@ -167,8 +171,54 @@
 
 void Scheduler::SetQueues(const FleetConfig& aConfig)
 {
+  mQueues.clear();
   for (const QueueConfig& it : aConfig.mQueues)
     mQueues[it.mName] = it;
+  mIsConfigured = mIsConfigured || aConfig.mVersion != 0 || !mQueues.empty();
+  for (const std::string& id : mActive)
+    SetTerms(*mJobs.at(id));
+}
+
+// Sets the terms of a job that was stored without them. Those of its queue are kept when the queue
+// is removed. Another holder that takes over after that finds only queues of the same service,
+// which are the best guess: the job must go on.
+void Scheduler::SetTerms(Job& aJob) const
+{
+  if (aJob.mHasStoredTerms || !mIsConfigured)
+    return;
+  if (const QueueConfig* queue = FindQueue(aJob.mSpec.mQueue)) {
+    aJob.mSpec.mTerms = *queue;
+    return;
+  }
+  if (aJob.mSpec.mTerms)
+    return;
+  const auto similar = std::find_if(mQueues.begin(), mQueues.end(), [&aJob](const auto& aItem) {
+    return aItem.second.mService == aJob.mSpec.mService;
+  });
+  if (similar == mQueues.end())
+    aJob.mSpec.mTerms = QueueTerms{ .mMaxAttempts = kGuessedMaxAttempts };
+  else
+    aJob.mSpec.mTerms = similar->second;
+  Log(LogPart::Job,
+      LogLevel::Warn,
+      "the queue of a job is not configured any more, and its terms were not stored",
+      { { "job", aJob.mSpec.mId },
+        { "queue", aJob.mSpec.mQueue },
+        { "like", similar == mQueues.end() ? std::string() : similar->first } });
+}
+
+// Returns the service that runs a job: the one that it was accepted for. If that has no workers
+// left, and the queue was given another one, the job follows its queue.
+const std::string& Scheduler::ChooseService(const Job& aJob) const
+{
+  const std::string& accepted = aJob.mSpec.mService;
+  const QueueConfig* queue = FindQueue(aJob.mSpec.mQueue);
+  if (!queue || queue->mService == accepted)
+    return accepted;
+  const bool hasWorkers = std::any_of(mWorkers.begin(), mWorkers.end(), [&](const auto& aItem) {
+    return aItem.second.mListed && aItem.second.mEntry.mService == accepted;
+  });
+  return hasWorkers ? accepted : queue->mService;
 }
 
 const QueueConfig* Scheduler::FindQueue(const std::string& aName) const
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -123,6 +123,7 @@
   JobSpec mSpec{};
   JobState mState = JobState::Queued;
   JobState mStoredState = JobState::Queued;  // as last written to the store
+  bool mHasStoredTerms = false;              // otherwise mSpec.mTerms is set by SetQueues
   std::vector<Occurrence> mOccurrences{};
   bool mInherited = false;  // a previous holder may have started its tasks
   bool mDirty = false;      // has progress that CollectProgress did not return yet
@@ -264,6 +265,8 @@
   std::vector<std::string> ForgetEnded(TimePoint aNow, Duration aAge);
 
   // Configuration
+  // Jobs go on with the terms that they were accepted with, whether their queue exists or not. Jobs
+  // that were stored without terms have those of their queue.
   void SetQueues(const FleetConfig& aConfig);
 
   // Workers
@@ -354,6 +357,8 @@
   Task* FindTask(const TaskRef& aRef);
   StageRun* FindStage(const TaskRef& aRef);
   [[nodiscard]] const QueueConfig* FindQueue(const std::string& aName) const;
+  void SetTerms(Job& aJob) const;
+  [[nodiscard]] const std::string& ChooseService(const Job& aJob) const;
   bool ParseTask(std::string_view aName, TaskRef& aRef) const;
   void EnsureOccurrence(const TaskRef& aRef, TimePoint aNow);
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
@@ -424,7 +429,8 @@
 
   SchedulerSettings mSettings{};
   Duration mTaskLease{};  // a worker kills tasks whose lease is not renewed in time
-  std::map<std::string, QueueConfig> mQueues{};  // removed queues are kept for their remaining jobs
+  std::map<std::string, QueueConfig> mQueues{};  // as configured now, by name
+  bool mIsConfigured = false;                    // a configuration was read
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
   std::set<std::string> mActive{};  // jobs that have not ended
   std::map<std::string, Worker> mWorkers{};
--- a/src/fleet/scheduler_advice.cpp
+++ b/src/fleet/scheduler_advice.cpp
@@ -12,6 +12,7 @@
 // Workers named by a policy call that is not the first of its stage.
 constexpr std::size_t kMaxRenewedTickets = 16;
 constexpr Duration kAdviceRetryDelay = milliseconds(150);  // after a policy call that failed
+constexpr Duration kDefaultAdviceValid = seconds(1);       // if nothing states the validity
 
 // Returns whether an idle worker of this size has the capacity for a task.
 bool IsLargeEnough(const Worker& aWorker, const StageSpec& aSpec)
@@ -35,7 +36,7 @@
   StageRun& stage = *aReady.mStage;
   if (stage.mAdviceNumber != 0 || aNow < stage.mAdviceRetryAt || aFree == 0)
     return true;
-  const bool isSlow = aReady.mQueue->mAdviceBase >= kMinSlowAdvice;
+  const bool isSlow = aReady.mTerms->mAdviceBase >= kMinSlowAdvice;
   if (isSlow && aFreeSlow == 0)
     return true;
   // -(free cores), worker; a slow worker counts as full.
@@ -78,7 +79,7 @@
   for (auto& [left, id] : candidates)
     order.mWorkers.push_back(std::move(id));
   const Duration expected =
-    aReady.mQueue->mAdviceBase + order.mWorkers.size() * aReady.mQueue->mAdvicePerWorker;
+    aReady.mTerms->mAdviceBase + order.mWorkers.size() * aReady.mTerms->mAdvicePerWorker;
   order.mExpectedMs = std::chrono::duration_cast<milliseconds>(expected).count();
   stage.mAdviceNumber = order.mNumber;
   mAdviceInFlight[order.mNumber] = isSlow;
@@ -109,9 +110,9 @@
     stage->mAdviceRetryAt = aNow + kAdviceRetryDelay;
     return;
   }
-  if (aValid <= Duration::zero())  // the answer states no validity
-    if (const QueueConfig* queue = FindQueue(FindJob(ref.mJob)->mSpec.mQueue))
-      aValid = queue->mAdviceValid;
+  const std::optional<QueueTerms>& terms = FindJob(ref.mJob)->mSpec.mTerms;
+  if (aValid <= Duration::zero() && terms)  // the answer states no validity
+    aValid = terms->mAdviceValid > Duration::zero() ? terms->mAdviceValid : kDefaultAdviceValid;
   for (const std::string& id : aOrder.mWorkers)
     stage->mExcluded.insert(id);
   for (const AdmittedWorker& it : *aAdmitted) {
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -10,7 +10,7 @@
 namespace monsoon::fleet {
 
 // Returns the estimated duration of the longest chain of dependent stages, policy calls included.
-inline Duration EstimateChain(const std::vector<StageSpec>& aStages, const QueueConfig& aQueue)
+inline Duration EstimateChain(const std::vector<StageSpec>& aStages, const QueueTerms& aTerms)
 {
   std::vector<Duration> ends(aStages.size(), Duration::zero());
   Duration longest{};
@@ -20,13 +20,20 @@
       if (before < n)
         start = std::max(start, ends[before]);
     ends[n] = start + milliseconds(aStages[n].mEstimateMs);
-    if (aQueue.mNeedsAdvice)
-      ends[n] += aQueue.mAdviceBase + 30 * aQueue.mAdvicePerWorker;  // as if it named 30 workers
+    if (aTerms.mNeedsAdvice)
+      ends[n] += aTerms.mAdviceBase + 30 * aTerms.mAdvicePerWorker;  // as if it named 30 workers
     longest = std::max(longest, ends[n]);
   }
   return longest;
 }
 
+// Returns how long after its acceptance, or after its due time, a job is to be completed.
+inline Duration EstimateTarget(const std::vector<StageSpec>& aStages, const QueueTerms& aTerms)
+{
+  return aTerms.mSlack +
+         std::chrono::duration_cast<Duration>(aTerms.mStretch * EstimateChain(aStages, aTerms));
+}
+
 // Shorter estimates are too often wrong.
 inline constexpr Duration kMinEstimate = milliseconds(150);
 
@@ -118,7 +125,8 @@
 struct Scheduler::Ready  // a stage with tasks that may be placed now
 {
   Job* mJob = nullptr;
-  const QueueConfig* mQueue = nullptr;
+  const QueueTerms* mTerms = nullptr;
+  std::string_view mService{};  // pool of workers
   const StageSpec* mSpec = nullptr;
   StageRun* mStage = nullptr;
   TaskRef mRef{};           // mIndex is not used
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -26,9 +26,8 @@
     return false;
   const Job* job = FindJob(run->mRef.mJob);
   const Task* task = FindTask(run->mRef);
-  const QueueConfig* queue = job ? FindQueue(job->mSpec.mQueue) : nullptr;
-  if (!queue || !task ||
-      !IsSuitable(*worker, queue->mService, job->mSpec.mStages[run->mRef.mStage]))
+  if (!job || !task ||
+      !IsSuitable(*worker, ChooseService(*job), job->mSpec.mStages[run->mRef.mStage]))
     return false;
   return !IsOver(job->mState) && !task->mDone && task->mRun == aOrder.mRun &&
          task->mWorker == aOrder.mWorker;
@@ -77,6 +76,9 @@
     case StartOutcome::BadTicket:
       if (StageRun* stage = FindStage(ref))
         stage->mTickets.erase(aOrder.mWorker);
+      // The terms of a job that was stored without them are a guess.
+      if (Job* job = FindJobMutable(ref.mJob); job && job->mSpec.mTerms && aOrder.mTicket.empty())
+        job->mSpec.mTerms->mNeedsAdvice = true;
       break;
     case StartOutcome::NotStarted:
       worker->mFullUntil = aNow + kFullDuration;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -103,18 +103,17 @@
     const bool isHeld = job.mInherited && !isResolved;
     if (isHeld && heldUntil - aNow > kTicketLead)
       continue;
-    const QueueConfig* queue = FindQueue(job.mSpec.mQueue);
-    if (!queue)
-      continue;
+    if (!job.mSpec.mTerms)
+      continue;  // until a configuration is read
+    const QueueTerms& terms = *job.mSpec.mTerms;
+    const std::string_view service = ChooseService(job);
     for (std::uint32_t k = 0; k < job.mOccurrences.size(); ++k) {
       Occurrence& occurrence = job.mOccurrences[k];
       if (!occurrence.mStarted) {
         if (isHeld || aWallMs < job.mSpec.mFirstMs + std::int64_t{ k } * job.mSpec.mIntervalMs)
           break;
         MakeOccurrence(job, k, aNow);
-        job.mDueAt = aNow + queue->mSlack +
-                     std::chrono::duration_cast<Duration>(queue->mStretch *
-                                                          EstimateChain(job.mSpec.mStages, *queue));
+        job.mDueAt = aNow + EstimateTarget(job.mSpec.mStages, terms);
       }
       for (std::uint32_t n = 0; n < occurrence.mStages.size(); ++n) {
         if (!IsStageReady(job, occurrence, n))
@@ -122,7 +121,8 @@
         const StageSpec& spec = job.mSpec.mStages[n];
         if (isHeld && !spec.mLongRunning)
           continue;
-        ready.push_back({ &job, queue, &spec, &occurrence.mStages[n], TaskRef{ id, k, n, 0 } });
+        ready.push_back(
+          { &job, &terms, service, &spec, &occurrence.mStages[n], TaskRef{ id, k, n, 0 } });
         ready.back().mIsRestart =
           spec.mLongRunning && (job.mInherited || HasRunBefore(occurrence.mStages[n]));
         ready.back().mIsHeld = isHeld;
@@ -134,8 +134,8 @@
   std::sort(ready.begin(), ready.end(), [](const Ready& aLeft, const Ready& aRight) {
     if (aLeft.mIsRestart != aRight.mIsRestart)
       return aLeft.mIsRestart;
-    if (aLeft.mQueue->mPriority != aRight.mQueue->mPriority)
-      return aLeft.mQueue->mPriority < aRight.mQueue->mPriority;
+    if (aLeft.mTerms->mPriority != aRight.mTerms->mPriority)
+      return aLeft.mTerms->mPriority < aRight.mTerms->mPriority;
     return aLeft.mJob->mDueAt < aRight.mJob->mDueAt;
   });
   return ready;
@@ -149,7 +149,7 @@
     return false;
   if (aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mFullUntil)
     return false;
-  return IsSuitable(aWorker, aReady.mQueue->mService, *aReady.mSpec);
+  return IsSuitable(aWorker, aReady.mService, *aReady.mSpec);
 }
 
 bool Scheduler::HasCapacity(const Worker& aWorker, const StageSpec& aSpec)
@@ -199,7 +199,7 @@
       bestScore = score;
     }
   };
-  if (!aReady.mQueue->mNeedsAdvice) {
+  if (!aReady.mTerms->mNeedsAdvice) {
     for (auto& [id, worker] : mWorkers)
       consider(id, worker);
     return best;
@@ -391,7 +391,7 @@
   for (const Ready& ready : CollectReady(aNow, aWallMs)) {
     if (!ready.mIsHeld)
       PlaceReady(ready, aNow, orders);
-    if (ready.mStage->mWaiting > 0 && ready.mQueue->mNeedsAdvice &&
+    if (ready.mStage->mWaiting > 0 && ready.mTerms->mNeedsAdvice &&
         !RequestAdvice(ready, aNow, true, aFreeAdvisors, freeSlow, orders))
       yielding.push_back(ready);
   }
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -144,7 +144,6 @@
     return;
   StageRun& stage = *FindStage(ref);
   const StageSpec& spec = job->mSpec.mStages[ref.mStage];
-  const QueueConfig* queue = FindQueue(job->mSpec.mQueue);
   if (!aRow.mCheckpoint.empty() && spec.mCheckpointed && aRow.mRun >= task->mRun) {
     task->mCheckpoint = aRow.mCheckpoint;
     stage.mGangCheckpoint = aRow.mCheckpoint;
@@ -181,7 +180,7 @@
     failures = static_cast<std::uint32_t>(task->mFailedRuns.size());
   }
   MarkDirty(*job);
-  if (queue && failures >= queue->mMaxAttempts) {
+  if (job->mSpec.mTerms && failures >= job->mSpec.mTerms->mMaxAttempts) {
     Log(LogPart::Job,
         LogLevel::Info,
         "failed: a task failed as often as its queue allows",
--- a/src/fleet/scheduler_running.cpp
+++ b/src/fleet/scheduler_running.cpp
@@ -148,17 +148,18 @@
         (stage.mSlow >= kMinSlowStageStragglers && stage.mSlow > stage.mNormal))
       continue;
     worker->mSlowUntil = aNow + kSlowDuration;
-    const QueueConfig* queue = FindQueue(job->mSpec.mQueue);
+    const std::optional<QueueTerms>& terms = job->mSpec.mTerms;
     const StageSpec& spec = job->mSpec.mStages[run.mRef.mStage];
-    if (!queue)
+    if (!terms)
       continue;
-    const Ready ready{ FindJobMutable(run.mRef.mJob), queue, &spec, FindStage(run.mRef), run.mRef };
+    const Ready ready{ FindJobMutable(run.mRef.mJob), &*terms, ChooseService(*job), &spec,
+                       FindStage(run.mRef),           run.mRef };
     const Worker* target = PickWorker(ready, *task, aNow);
     const bool hasTarget = target && target != worker && aNow >= target->mSlowUntil;
-    if (!hasTarget && !queue->mNeedsAdvice)
+    if (!hasTarget && !terms->mNeedsAdvice)
       continue;
     const Duration overhead =
-      hasTarget ? kMoveOverhead : kMoveOverhead + queue->mAdviceBase + 30 * queue->mAdvicePerWorker;
+      hasTarget ? kMoveOverhead : kMoveOverhead + terms->mAdviceBase + 30 * terms->mAdvicePerWorker;
     const double saved = spec.mCheckpointed && !spec.mSpeculative ? run.mProgress.mPercent : 0;
     if (IsRestartSooner(run.mProgress, run.mEstimate, saved, overhead))
       MoveTask(*worker, run, *task, aNow);
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -46,8 +46,17 @@
     mWorkers.push_back(std::move(worker));
     Announce(n);
   }
+  WriteConfig();
+  asio::co_spawn(mContext, RunClock(), asio::detached);
+  return {};
+}
+
+// Writes the next version of the configuration.
+void FleetStandin::WriteConfig()
+{
+  ++mConfigVersion;
   const json::object queue{
-    { "name", "q" },
+    { "name", "q" + std::to_string(mConfigVersion) },
     { "host", "127.0.0.1" },
     { "prefix", "/q/" },
     { "service", "pool" },
@@ -56,12 +65,16 @@
     { "target_latency_ms", 500 },
     { "advice", json::object{ { "decide_ms", 20 }, { "each_ms", 0.1 }, { "valid_ms", 2000 } } }
   };
-  const json::object config{ { "version", 1 },
+  const json::object config{ { "version", mConfigVersion },
                              { "routes", json::array{ queue } },
                              { "services", json::array{ json::object{ { "name", "pool" } } } } };
   PutText("op/config", json::serialize(config));
-  asio::co_spawn(mContext, RunClock(), asio::detached);
-  return {};
+}
+
+void FleetStandin::ReplaceQueue()
+{
+  const std::lock_guard lock(mLock);
+  WriteConfig();
 }
 
 void FleetStandin::Complain(std::string aWhat)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -83,6 +83,7 @@
   void ResizeWorker(std::uint32_t aWorker, std::uint32_t aMilliCores);   // it runs on
   void HideWorker(std::uint32_t aWorker, Duration aTime);  // it runs on and can't reach the store
   void WriteForeignEntry(std::uint32_t aWorker, ForeignEntry aKind);
+  void ReplaceQueue();  // by one of another name that serves the same requests
 
   [[nodiscard]] std::vector<std::string> ReadViolations() const;
   [[nodiscard]] std::uint64_t CountStarts() const { return mStarts; }
@@ -143,6 +144,7 @@
   Result<void> ListenAs(std::uint32_t aWorker, WorkerState& aState);  // at its port, if it has one
   [[nodiscard]] static boost::json::object MakeEntry(const WorkerState& aWorker);
   void Announce(std::uint32_t aWorker);
+  void WriteConfig();
   void Complain(std::string aWhat);
   [[nodiscard]] static boost::json::object MakeItem(const std::string& aKey,
                                                     const StoredItem& aItem);
@@ -171,6 +173,7 @@
   std::map<std::uint64_t, std::pair<Duration, TimePoint>> mLeases{};  // lifetime, end
   std::uint64_t mNextLease = 1;
   std::uint64_t mNextForeign = 0;
+  std::uint64_t mConfigVersion = 0;
   std::vector<std::unique_ptr<WorkerState>> mWorkers{};
   std::map<std::string, std::vector<StandinStage>> mJobs{};
   std::map<std::string, std::uint64_t> mCrashes{};  // task → workers that crashed while they ran it
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -341,3 +341,46 @@
   CHECK(took < platform.mLongestLease / 2);
   CHECK(workers.ReadViolations().empty());
 }
+
+TEST_CASE("jobs of a replaced queue have nothing running once another process schedules", "[entry]")
+{
+  constexpr const char* kId = "00000000000000f4";
+  constexpr const char* kJob =
+    R"({"spec":"ms=1500","steps":[{"count":2,"cpu":2000,"mem_mb":100,"estimate_ms":1500},)"
+    R"({"count":2,"cpu":2000,"mem_mb":100,"estimate_ms":1500,"after":[0]}]})";
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(context, {}, std::vector<double>(3, 1.0), "entry-queue");
+  standin::FleetStandin& workers = fleet.GetPlatform();
+  bool isAccepted = false;
+  bool isDone = false;
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000f0", ListProcesses(fleet)))
+      co_return;
+    const std::uint64_t before = workers.CountStarts();
+    workers.RegisterJob(kId,
+                        { standin::StandinStage{ 2, 2000, {} },
+                          standin::StandinStage{ 2, 2000, std::vector<std::uint32_t>{ 0 } } });
+    std::string target = "/q/";
+    target += kId;
+    auto accepted = co_await fleet.Call(0, http::verb::post, target, kJob);
+    isAccepted = accepted && accepted->result() == http::status::ok;
+    const TimePoint deadline = BootClock::now() + kMaxWait;
+    while (workers.CountStarts() < before + 2 && BootClock::now() < deadline)
+      co_await Sleep(milliseconds(20));
+    workers.ReplaceQueue();
+    co_await Sleep(milliseconds(300));
+    const std::size_t holder = FindHolder(fleet);
+    if (holder == fleet.Count())
+      co_return;
+    fleet.End(holder, SIGKILL);
+    fleet.Start(holder);
+    while (!isDone && BootClock::now() < deadline) {
+      auto response = co_await fleet.Call((holder + 1) % 3, http::verb::get, target, "");
+      isDone = response && response->body().find("completed") != std::string::npos;
+      co_await Sleep(milliseconds(50));
+    }
+  });
+  CHECK(isAccepted);
+  CHECK(isDone);
+  CHECK_THAT(workers.ReadViolations(), Catch::Equals(std::vector<std::string>()));
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,7 +2,7 @@
 // kills, stops, pauses and restarts by signals; a store that is busy, silent or loses answers;
 // links that are delayed, cut or frozen by proxies; workers that crash, restart under their ids,
 // change their capacity, fall silent, can't reach the store, lose answers or carry out orders late;
-// other writers of the directory.
+// other writers of the directory; configurations that replace the queue while it has jobs.
 // What must always hold is checked from what callers and workers see.
 //
 //   fleet_soak --seed 7 --seconds 20 --processes 5 --workers 8 --runs 10
@@ -139,7 +139,7 @@
   testing::EntryProcess& process = mFleet.Get(index);
   const Duration time = milliseconds(300 + Draw(3500));
   const auto worker = static_cast<std::uint32_t>(Draw(mOptions.mWorkers));
-  switch (Draw(10)) {
+  switch (Draw(11)) {
     case 0:
     case 1:
       mFleet.End(index, SIGKILL);
@@ -183,6 +183,9 @@
       co_await Sleep(2 * time);
       mFleet.GetPlatform().SetSilent(worker, false);
       break;
+    case 9:
+      mFleet.GetPlatform().ReplaceQueue();
+      break;
     default:
       mFleet.GetPlatform().SetLostAnswers(0.1);
       co_await Sleep(time);
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kTick = milliseconds(10);
+constexpr Duration kConfigLag = seconds(1);  // until all processes have read a configuration
 constexpr Duration kPollInterval = milliseconds(100);
 constexpr Duration kAdviceTime = milliseconds(40);
 constexpr Duration kOutageGrace = seconds(5);  // a holder that was replaced starts tasks until then
@@ -43,9 +44,25 @@
   mHolder->mScheduler->SetQueues(mConfig);
 }
 
+void FleetModel::ReplaceQueue()
+{
+  mFormerQueue = mConfig.mQueues.front();
+  mQueueReplacedAt = mNow;
+  mConfig.mQueues.front().mName += '+';
+  for (HolderRef it = mHolder; it; it = it->mPrevious)
+    Schedule(Draw(Duration::zero(), kConfigLag),
+             [it, config = mConfig] { it->mScheduler->SetQueues(config); });
+}
+
 // While a previous holder goes on, it is told of the job, and the current one reads it later.
 void FleetModel::Submit(JobSpec aSpec)
 {
+  if (!mConfig.mQueues.empty()) {
+    const bool isLate = mFormerQueue && mNow < mQueueReplacedAt + kConfigLag && Happens(0.5);
+    const QueueConfig& queue = isLate ? *mFormerQueue : mConfig.mQueues.front();
+    aSpec.mQueue = queue.mName;
+    aSpec.mTerms = queue;
+  }
   mJobs[aSpec.mId] = aSpec;
   Duration lag{};
   for (HolderRef it = mHolder->mPrevious; it && !HasStopped(*it); it = it->mPrevious) {
@@ -420,6 +437,8 @@
 void FleetModel::Tick()
 {
   InjectFaults();
+  if (Happens(mFaults.mQueueChangePerS * std::chrono::duration<double>(kTick).count()))
+    ReplaceQueue();
   for (HolderRef it = mHolder; it; it = it->mPrevious)
     if (!HasStopped(*it))
       PlanFor(it);
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -33,6 +33,9 @@
   // Entries of other writers per second: under new keys, at the address of a running worker, or in
   // place of a running worker's entry until its next heartbeat.
   double mForeignEntryPerS = 0;
+  // Times per second that the queue is replaced by one of another name. Holders read it within 1 s,
+  // and jobs are accepted for the former queue meanwhile.
+  double mQueueChangePerS = 0;
   double mDrainPerS = 0;  // drains per second; the worker leaves 2 to 6 s later, another one joins
   double mStallPerS = 0;  // times per second that a worker's tasks make no progress for 0.5 to 6 s
   double mTakeoverPerS = 0;            // times per second that a new, empty scheduler takes over
@@ -141,6 +144,7 @@
   void StoreProgress();
   void RecordWorkers();
   [[nodiscard]] HolderRef MakeHolder();
+  void ReplaceQueue();
   void ForEachHolder(const std::function<void(HolderState&)>& aAction);
 
   // Workers (fleet_model_workers.cpp)
@@ -183,6 +187,8 @@
   std::size_t mMaxListedEnds = std::numeric_limits<std::size_t>::max();
   HolderRef mHolder{};
   FleetConfig mConfig{};
+  std::optional<QueueConfig> mFormerQueue{};
+  TimePoint mQueueReplacedAt{};
   std::map<std::string, JobSpec> mJobs{};
   std::map<std::string, std::string> mProgress{};
   std::set<std::string> mCancelled{};
--- a/tests/unit/test_fleet_forgotten_runs.cpp
+++ b/tests/unit/test_fleet_forgotten_runs.cpp
@@ -247,6 +247,18 @@
   CheckRandomJobs(seed, faults, kAllEnds);
 }
 
+TEST_CASE("fleet: jobs of replaced queues do not end, as another process schedules")
+{
+  const auto seed = GENERATE(range(1U, 41U));
+  INFO("seed " << seed);
+  FleetFaults faults;
+  faults.mQueueChangePerS = 0.2;
+  faults.mTakeoverPerS = 0.1;
+  faults.mFailure = 0.03;
+  faults.mLostReport = 0.02;
+  CheckRandomJobs(seed, faults, kAllEnds);
+}
+
 TEST_CASE("fleet: a run whose end is not listed yet starts again")
 {
   WorkerReport cut;
