--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -115,8 +115,12 @@
   auto self = shared_from_this();
   auto target = MakeTarget(aId);
   Worker* worker = mScheduler.FindWorker(aId);
-  if (!target || !worker)
+  if (!worker)
+    co_return false;
+  if (!target) {  // unreachable, or its loop would go round without a pause
+    mScheduler.OnSilence(aId, BootClock::now());
     co_return false;
+  }
   const std::string address = worker->mAddress;
   co_await DropClosedConnections(target->mAddress, address);
   const TimePoint sentAt = BootClock::now();
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -49,6 +49,7 @@
   AtAddress,  // under a key of its own, at the address of a worker; for up to 6 s
   // In place of the entry of a worker, until its next heartbeat:
   OtherAddress,  // of another worker
+  NoPort,        // an address that can't be read
   OtherService,  // one that is not configured
   OtherState,    // one that is not known
   NoCapacity,
--- a/standin/fleet_workers.cpp
+++ b/standin/fleet_workers.cpp
@@ -193,6 +193,9 @@
     case ForeignEntry::OtherAddress:
       entry["address"] = "127.0.0.1:" + std::to_string(mWorkers[other]->mPort);
       break;
+    case ForeignEntry::NoPort:
+      entry["address"] = "127.0.0.1";
+      break;
     case ForeignEntry::OtherService:
       entry["service"] = "other";
       break;
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -384,3 +384,46 @@
   CHECK(isDone);
   CHECK_THAT(workers.ReadViolations(), Catch::Equals(std::vector<std::string>()));
 }
+
+TEST_CASE("a directory entry with an address that can't be read stops the holder", "[entry]")
+{
+  constexpr const char* kId = "00000000000000f5";
+  constexpr const char* kJob =
+    R"({"spec":"ms=4000","steps":[{"count":8,"cpu":2000,"mem_mb":100,"estimate_ms":4000}]})";
+  asio::io_context context{ 1 };
+  standin::FleetStandinOptions platform;
+  platform.mWorkers = 2;
+  platform.mAdmitted = 1;
+  testing::EntryFleet fleet(context, platform, std::vector<double>(3, 1.0), "entry-no-port");
+  standin::FleetStandin& workers = fleet.GetPlatform();
+  std::size_t holder = fleet.Count();
+  bool isDone = false;
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000f6", ListProcesses(fleet)))
+      co_return;
+    holder = FindHolder(fleet);
+    if (holder == fleet.Count())
+      co_return;
+    const std::uint64_t before = workers.CountStarts();
+    workers.RegisterJob(kId, { standin::StandinStage{ 8, 2000, {} } });
+    std::string target = "/q/";
+    target += kId;
+    auto accepted = co_await fleet.Call(holder, http::verb::post, target, kJob);
+    const TimePoint deadline = BootClock::now() + kMaxWait;
+    while (workers.CountStarts() < before + 8 && BootClock::now() < deadline)
+      co_await Sleep(milliseconds(20));
+    // Again and again, so that a poll of the worker begins before its next heartbeat.
+    for (int n = 0; n < 20; ++n) {
+      workers.WriteForeignEntry(0, standin::ForeignEntry::NoPort);
+      co_await Sleep(milliseconds(100));
+    }
+    while (!isDone && BootClock::now() < deadline) {
+      auto response = co_await fleet.Call(holder, http::verb::get, target, "");
+      isDone = response && response->body().find("completed") != std::string::npos;
+      co_await Sleep(milliseconds(50));
+    }
+  });
+  CHECK(isDone);
+  CHECK(FindHolder(fleet) == holder);
+  CHECK_THAT(workers.ReadViolations(), Catch::Equals(std::vector<std::string>()));
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -226,7 +226,7 @@
         break;
       case 6:
       case 7:
-        platform.WriteForeignEntry(worker, static_cast<standin::ForeignEntry>(Draw(6)));
+        platform.WriteForeignEntry(worker, static_cast<standin::ForeignEntry>(Draw(7)));
         break;
       default:
         platform.SetLateOrders(Draw(2) == 0 ? 0.01 : 0.1);
--- a/tests/unit/test_fleet_directory.cpp
+++ b/tests/unit/test_fleet_directory.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "fleet/worker_records.h"
+#include "platform/wire.h"
 
 using namespace monsoon;
 using namespace monsoon::fleet;
@@ -236,3 +237,21 @@
   REQUIRE(plan.mWrites.contains("w0"));
   CHECK(plan.mWrites.at("w0").mAddress == kFirst.mAddress);
 }
+
+TEST_CASE("platform: a directory entry with an address that can't be read is taken for a worker")
+{
+  const auto parse = [](const std::string& aAddress) {
+    return platform::ParseWorkerEntry(
+      "w0",
+      R"({"service":"pool","state":"ready","capacity":{"cpu":1,"mem_mb":1},"address":")" +
+        aAddress + "\"}");
+  };
+  CHECK(parse("10.0.0.1:80").has_value());
+  for (const char* it :
+       { "10.0.0.1", "10.0.0.1:", "10.0.0.1:http", "10.0.0.1:70000", "worker:80" }) {
+    INFO(it);
+    const auto entry = parse(it);
+    REQUIRE_FALSE(entry.has_value());
+    CHECK(entry.error().mKind == FailureKind::BadInput);
+  }
+}
