--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -88,7 +88,7 @@
         { "took_ms", BootClock::now() - startedAt } });
   for (const auto& [id, worker] : mScheduler.GetWorkers()) {
     EnsureWatched(id);
-    if (worker.mListed && worker.mEntry.mAddress != worker.mAddress)
+    if (IsListedElsewhere(worker))
       Spawn(mContext, PollListedAddress(id));
   }
   Spawn(mContext, WatchJobs(state.mRevision));
@@ -214,7 +214,7 @@
   for (std::string& it : mScheduler.ListWorkersAt(worker->mEntry.mAddress))
     if (it != aId)
       Spawn(mContext, ProbeWorker(std::move(it)));
-  if (worker->mEntry.mAddress != worker->mAddress)
+  if (IsListedElsewhere(*worker))
     Spawn(mContext, PollListedAddress(aId));
 }
 
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -197,6 +197,12 @@
   std::uint32_t mUnsizedCount = 0;  // runs of unknown size; counted by each plan
 };
 
+// Returns whether the directory lists the worker at an address where it has not answered.
+[[nodiscard]] inline bool IsListedElsewhere(const Worker& aWorker)
+{
+  return aWorker.mListed && aWorker.mEntry.mAddress != aWorker.mAddress;
+}
+
 // Results
 struct Orders
 {
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -80,12 +80,6 @@
   return aWorker.mAnsweredAt < aRun.mSentAt + kProvenAfter;
 }
 
-// Returns whether the directory lists the worker at an address where it has not answered.
-inline bool IsListedElsewhere(const Worker& aWorker)
-{
-  return aWorker.mListed && aWorker.mEntry.mAddress != aWorker.mAddress;
-}
-
 // Returns whether the entry describes the present incarnation. One that restarted under its id may
 // be of another size, and its entry is listed later than it answers.
 inline bool IsEntryCurrent(const Worker& aWorker)
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -76,7 +76,7 @@
     case StartOutcome::BadTicket:
       if (StageRun* stage = FindStage(ref))
         stage->mTickets.erase(aOrder.mWorker);
-      // The terms of a job that was stored without them are a guess.
+      // The terms of a job that was stored without them are a guess, and a queue may change.
       if (Job* job = FindJobMutable(ref.mJob); job && job->mSpec.mTerms && aOrder.mTicket.empty())
         job->mSpec.mTerms->mNeedsAdvice = true;
       break;
