Log the load of the scheduling process, and how far it is behind

Cause: the logs of a holder that is late do not tell whether it has too much to do, does it in the wrong order, or does more and more for the same work.

Change: a line every 2 s with reports, rows listed in them, starts, plans, stored jobs, ends and jobs that are not stored, and the longest delay of the event loop. No decision changes.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -79,6 +79,16 @@
     bool mLoopRuns = false;     // of WatchWorker
     std::unique_ptr<asio::steady_timer> mWake{};  // cancelled to end the pause between polls
   };
+  struct Stats  // counted since they were last logged
+  {
+    std::size_t mReports = 0;  // of workers
+    std::size_t mListedRunning = 0;
+    std::size_t mListedEnds = 0;  // each time that an end is listed
+    std::size_t mStarts = 0;
+    std::size_t mPlans = 0;
+    std::size_t mBatches = 0;  // writes of progress that were stored
+    std::size_t mStoredJobs = 0;
+  };
   struct Member  // another entry process, as described by its polls
   {
     std::unique_ptr<asio::steady_timer> mWaiting{};  // of its pending poll; null: none
@@ -119,6 +129,7 @@
   Async<void> ExecuteStop(std::string aId, StopOrder aOrder);
   Async<void> ExecutePace(std::string aId, PaceOrder aOrder);
   Async<void> CallPolicyServiceLocally(AdviceCall aCall);
+  Async<void> LogStats();
   Async<void> ForgetEndedJobs();  // deletes jobs from the store some time after their end
   Async<void> YieldToLarger();
 
@@ -179,6 +190,7 @@
   std::map<std::string, Member> mMembers{};            // by process name
   std::map<std::uint64_t, AdviceCall> mAdviceCalls{};  // in progress, by number
   bool mLocalAdviceBusy = false;
+  Stats mStats{};
   std::mt19937_64 mRandom{ std::random_device{}() };
   WorkerRecords mRecords{};
   std::map<std::string, std::uint64_t> mProgressRevisions{};  // by job, in the store
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -97,6 +97,7 @@
   Spawn(mContext, RunPlan());
   Spawn(mContext, StoreProgress());
   Spawn(mContext, ForgetEndedJobs());
+  Spawn(mContext, LogStats());
   Spawn(mContext, YieldToLarger());
 }
 
--- a/src/fleet/holder_polls.cpp
+++ b/src/fleet/holder_polls.cpp
@@ -131,6 +131,9 @@
     return;  // a poll sent later was answered first: this report is outdated
   channel.mReportSentAt = aSentAt;
   RecordClock(channel, aReport.mClockMs, aSentAt);
+  ++mStats.mReports;
+  mStats.mListedRunning += aReport.mRunning.size();
+  mStats.mListedEnds += aReport.mEnded.size();
   mScheduler.OnReport(aId, aReport, aSentAt, BootClock::now(), aAddress);
   if (mScheduler.HasEndedJob())
     mStoreTimer.cancel();
--- /dev/null
+++ b/src/fleet/holder_stats.cpp
@@ -0,0 +1,46 @@
+// Logs how much the holder does, and how far it is behind.
+#include "fleet/holder_impl.h"
+
+namespace monsoon::fleet {
+
+namespace {
+
+constexpr Duration kLogInterval = seconds(2);
+constexpr Duration kDelaySampleInterval = milliseconds(100);
+
+}  // namespace
+
+Async<void> Holder::LogStats()
+{
+  auto self = shared_from_this();
+  TimePoint loggedAt = BootClock::now();
+  Duration maxDelay{};
+  while (!mSteppedDown) {
+    const TimePoint before = BootClock::now();
+    co_await Sleep(kDelaySampleInterval);
+    const TimePoint now = BootClock::now();
+    maxDelay = std::max(maxDelay, now - before - kDelaySampleInterval);
+    if (mSteppedDown || now - loggedAt < kLogInterval)
+      continue;
+    const SchedulerBacklog backlog = mScheduler.GetBacklog();
+    Log(LogPart::Ownership,
+        LogLevel::Info,
+        "load of the scheduling process",
+        { { "ms", now - loggedAt },
+          { "reports", mStats.mReports },
+          { "listed_running", mStats.mListedRunning },
+          { "listed_ends", mStats.mListedEnds },
+          { "starts", mStats.mStarts },
+          { "plans", mStats.mPlans },
+          { "batches", mStats.mBatches },
+          { "stored_jobs", mStats.mStoredJobs },
+          { "unstored_ends", backlog.mUnstoredEnds },
+          { "unstored_jobs", backlog.mUnstoredJobs },
+          { "max_loop_delay_ms", maxDelay } });
+    mStats = {};
+    maxDelay = {};
+    loggedAt = now;
+  }
+}
+
+}  // namespace monsoon::fleet
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -111,6 +111,8 @@
   for (const StoredProgress& it : batch.mJobs)
     mProgressRevisions[it.mJob] = outcome->mRevision;
   mScheduler.OnProgressStored(batch);
+  ++mStats.mBatches;
+  mStats.mStoredJobs += batch.mJobs.size();
   co_return true;
 }
 
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -139,6 +139,7 @@
   std::erase_if(mUnsettledStarts,
                 [&](const auto& aItem) { return sentAt - aItem.second > kStartEffect; });
   const std::uint64_t number = ++mNextStart;
+  ++mStats.mStarts;
   mUnsettledStarts.emplace(number, sentAt);
   const auto answer =
     co_await platform::StartTask(mClient, std::move(*target), aOrder, until, kOrderDeadline);
@@ -280,6 +281,7 @@
     if (mSteppedDown)
       co_return;
     ExpireAdvice();
+    ++mStats.mPlans;
     const TimePoint now = BootClock::now();
     if (MayRenewTaskLeases())
       mScheduler.DropLapsed(now);
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -198,6 +198,14 @@
   return batch;
 }
 
+SchedulerBacklog Scheduler::GetBacklog() const
+{
+  SchedulerBacklog backlog{ .mUnstoredJobs = mDirtyJobs.size() };
+  for (const auto& [id, worker] : mWorkers)
+    backlog.mUnstoredEnds += static_cast<std::size_t>(worker.mLastEnd - worker.mStoredEnd);
+  return backlog;
+}
+
 void Scheduler::OnProgressStored(const ProgressBatch& aBatch)
 {
   --mBatchesInFlight;
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -232,6 +232,12 @@
   std::vector<StoredEnds> mEnds{};
 };
 
+struct SchedulerBacklog  // what is not stored yet
+{
+  std::size_t mUnstoredJobs = 0;  // jobs whose progress has changed
+  std::size_t mUnstoredEnds = 0;  // ends that workers have to list again
+};
+
 enum class StartOutcome : std::uint8_t
 {
   Started,
@@ -346,6 +352,7 @@
 
   // Stored progress
   [[nodiscard]] bool HasProgress() const { return !mDirtyJobs.empty() || mHasNewEnds; }
+  [[nodiscard]] SchedulerBacklog GetBacklog() const;
   [[nodiscard]] bool HasEndedJob() const { return mHasEndedJob; }
   // Returns the progress to be written in one transaction of at most aMaxEntries entries: a job
   // that has ended takes one entry, any other job two. The caller answers each batch with
