Acknowledge an end once the progress of its own job is stored

Cause: CollectProgress acknowledged ends only in a round that left no job of the whole fleet unstored. With some 750 ends a second that round does not come. Workers list each end until it is acknowledged, so reports grow from 1 to 44 ends, reading them takes the time in which the rest would be stored, and the round comes later still.

Change: each end that was read is kept with the change of its job that holds its effect. It is acknowledged when that change, and those of all ends of its worker before it, are in a stored batch. As before nothing is acknowledged while another batch is in flight, of an unknown job, or after a lost batch until the job is stored anew. Ends without an effect wait for the job, too: they may be duplicates of one that is not stored.

Tests: 'no end is acknowledged while any job of the fleet has progress to store' failed before (307,500 rows for 3,030 ends; 5 an end allowed), as did 'an end is acknowledged before the job that it belongs to is stored'. An assertion of 'ended jobs are stored before the progress of running jobs' expected no acknowledgement at all from a batch that leaves jobs; it now compares with the ends whose jobs are in the batch.

--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -159,6 +159,30 @@
   return static_cast<JobState>(record->mState);
 }
 
+void Scheduler::AddUnstoredEnd(Worker& aWorker, const EndedTask& aRow)
+{
+  UnstoredEnd end{ .mNumber = aRow.mNumber };
+  if (TaskRef ref; ParseTask(aRow.mTask, ref)) {
+    const Job* job = FindJob(ref.mJob);
+    end.mChange = job ? job->mChanges : 0;
+    end.mJob = std::move(ref.mJob);
+  }
+  aWorker.mUnstoredEnds.push_back(std::move(end));
+}
+
+// Returns whether the effect of an end is in a batch that was not lost, or it has none.
+bool Scheduler::IsCollected(const Worker& aWorker, const UnstoredEnd& aEnd) const
+{
+  const bool isOrphan =
+    std::any_of(aWorker.mOrphanEnds.begin(), aWorker.mOrphanEnds.end(), [&](const auto& aItem) {
+      return aItem.second.mNumber == aEnd.mNumber;
+    });
+  if (isOrphan)
+    return false;
+  const Job* job = FindJob(aEnd.mJob);
+  return !job || job->mCollectedChanges >= aEnd.mChange;
+}
+
 ProgressBatch Scheduler::CollectProgress(std::size_t aMaxEntries, TimePoint aNow)
 {
   ProgressBatch batch;
@@ -177,21 +201,27 @@
       if (job) {
         entries += cost;
         job->mDirty = false;
+        job->mCollectedChanges = job->mChanges;
         batch.mJobs.push_back({ *it, EncodeProgress(*job), job->mState });
       }
       it = mDirtyJobs.erase(it);
     }
   }
-  // An end may be acknowledged only when the effects of all ends up to it are stored.
-  if (mDirtyJobs.empty() && mBatchesInFlight == 0) {
-    mHasEndedJob = false;
+  mHasEndedJob = mHasEndedJob && !mDirtyJobs.empty();
+  // An end may be acknowledged only when the effects of all ends up to it are stored. Nothing else
+  // is in flight, so what was collected is either stored or in this batch.
+  if (mBatchesInFlight == 0) {
     mHasNewEnds = false;
     for (auto& [id, worker] : mWorkers) {
       std::erase_if(worker.mOrphanEnds,
                     [&](const auto& aItem) { return IsOrphan(aItem.first, aNow); });
-      if (worker.mLastEnd > worker.mStoredEnd && worker.mOrphanEnds.empty())
-        batch.mEnds.push_back({ id, worker.mBornMs, worker.mLastEnd });
-      mHasNewEnds = mHasNewEnds || !worker.mOrphanEnds.empty();
+      const auto first =
+        std::find_if_not(worker.mUnstoredEnds.begin(),
+                         worker.mUnstoredEnds.end(),
+                         [&](const UnstoredEnd& aItem) { return IsCollected(worker, aItem); });
+      if (first != worker.mUnstoredEnds.begin())
+        batch.mEnds.push_back({ id, worker.mBornMs, std::prev(first)->mNumber });
+      mHasNewEnds = mHasNewEnds || first != worker.mUnstoredEnds.end();
     }
   }
   ++mBatchesInFlight;
@@ -213,16 +243,21 @@
     if (Job* job = FindJobMutable(it.mJob))
       job->mStoredState = it.mState;
   for (const StoredEnds& it : aBatch.mEnds)
-    if (Worker* worker = FindWorker(it.mWorker); worker && worker->mBornMs == it.mBornMs)
+    if (Worker* worker = FindWorker(it.mWorker); worker && worker->mBornMs == it.mBornMs) {
       worker->mStoredEnd = std::max(worker->mStoredEnd, it.mLast);
+      std::erase_if(worker->mUnstoredEnds,
+                    [&it](const UnstoredEnd& aItem) { return aItem.mNumber <= it.mLast; });
+    }
 }
 
 void Scheduler::OnProgressLost(const ProgressBatch& aBatch)
 {
   --mBatchesInFlight;
   for (const StoredProgress& it : aBatch.mJobs)
-    if (Job* job = FindJobMutable(it.mJob))
+    if (Job* job = FindJobMutable(it.mJob)) {
+      job->mCollectedChanges = 0;
       MarkDirty(*job);
+    }
   mHasNewEnds = true;
 }
 
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -137,6 +137,7 @@
 void Scheduler::MarkDirty(Job& aJob)
 {
   aJob.mDirty = true;
+  ++aJob.mChanges;
   mDirtyJobs.insert(aJob.mSpec.mId);
 }
 
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -125,10 +125,12 @@
   JobState mStoredState = JobState::Queued;  // as last written to the store
   bool mHasStoredTerms = false;              // otherwise mSpec.mTerms is set by SetQueues
   std::vector<Occurrence> mOccurrences{};
-  bool mInherited = false;  // a previous holder may have started its tasks
-  bool mDirty = false;      // has progress that CollectProgress did not return yet
-  TimePoint mSeenAt{};      // when this holder added it
-  TimePoint mDueAt{};       // estimated end of a job that is on time; orders the jobs
+  bool mInherited = false;              // a previous holder may have started its tasks
+  bool mDirty = false;                  // has progress that CollectProgress did not return yet
+  std::uint64_t mChanges = 0;           // of its progress
+  std::uint64_t mCollectedChanges = 0;  // those in the last batch that was not lost
+  TimePoint mSeenAt{};                  // when this holder added it
+  TimePoint mDueAt{};                   // estimated end of a job that is on time; orders the jobs
   TimePoint mEndedAt{};
 };
 
@@ -151,6 +153,13 @@
   Vanished   // unlisted until the leases of its tasks expired; it may be partitioned instead
 };
 
+struct UnstoredEnd  // of a task; the worker lists it until it is acknowledged
+{
+  std::uint64_t mNumber = 0;  // EndedTask::mNumber
+  std::string mJob{};
+  std::uint64_t mChange = 0;  // Job::mChanges that includes its effect
+};
+
 struct Worker
 {
   WorkerEntry mEntry{};      // as last listed; may be of another incarnation than mBornMs
@@ -176,7 +185,8 @@
   TimePoint mUnlistedAt{};       // when its directory entry was last removed
   TimePoint mWrittenAt{};        // when its directory entry was last seen to change; zero: never
   std::uint64_t mLastEnd = 0;    // highest EndedTask::mNumber that was processed
-  std::uint64_t mStoredEnd = 0;  // highest EndedTask::mNumber whose effect is stored
+  std::uint64_t mStoredEnd = 0;  // the effects of all ends up to this EndedTask::mNumber are stored
+  std::deque<UnstoredEnd> mUnstoredEnds{};  // later ones, by number
   std::uint32_t mUsedMilliCores = 0;
   std::uint32_t mUsedMemoryMiB = 0;
   std::uint32_t mUsedAccelerators = 0;
@@ -376,6 +386,8 @@
   void EnsureOccurrence(const TaskRef& aRef, TimePoint aNow);
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
+  void AddUnstoredEnd(Worker& aWorker, const EndedTask& aRow);
+  [[nodiscard]] bool IsCollected(const Worker& aWorker, const UnstoredEnd& aEnd) const;
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   static void SuspectRestart(Worker& aWorker, TimePoint aNow);
   void ExtendLeases(Worker& aWorker, TimePoint aNow) const;
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -29,10 +29,14 @@
     std::vector<std::pair<TimePoint, EndedTask>> orphans = std::move(worker.mOrphanEnds);
     worker.mOrphanEnds.clear();
     for (auto& [seenAt, row] : orphans) {
-      if (row.mTask.starts_with(prefix))
+      if (row.mTask.starts_with(prefix)) {
         ProcessEnd(worker, row, aNow);
-      else
+        for (UnstoredEnd& it : worker.mUnstoredEnds)
+          if (it.mNumber == row.mNumber)
+            it.mChange = aJob.mChanges;
+      } else {
         worker.mOrphanEnds.emplace_back(seenAt, std::move(row));
+      }
     }
     // Also one that is being stopped: its task has to wait until it is gone.
     for (Run& run : worker.mRuns)
@@ -232,6 +236,7 @@
     if (row.mNumber <= worker.mLastEnd)
       continue;
     ProcessEnd(worker, row, aNow);
+    AddUnstoredEnd(worker, row);
     worker.mLastEnd = row.mNumber;
     mHasNewEnds = true;
   }
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -160,6 +160,7 @@
   aWorker.mBornSeenAt = aNow;
   aWorker.mLastEnd = 0;
   aWorker.mStoredEnd = 0;
+  aWorker.mUnstoredEnds.clear();
   SuspectRestart(aWorker, aNow);
   ExtendLeases(aWorker, aNow);
 }
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -43,8 +43,11 @@
   Duration mIdlePollInterval{};        // of workers that run nothing; zero: like all others
   Duration mDirectoryLag{};            // a change of a worker is listed up to this much later
   Duration mJobLag{};  // a new holder reads jobs accepted since its election this much later
-  Duration mPreviousHolder{};  // goes on for up to this long after a takeover
-  double mPreviousCut = 0;     // share of workers that it does not reach from then on
+  Duration mPreviousHolder{};      // goes on for up to this long after a takeover
+  double mPreviousCut = 0;         // share of workers that it does not reach from then on
+  Duration mWriteTime{};           // a write of progress takes up to this long
+  double mLostWrite = 0;           // share of these without an answer: carried out, late, or never
+  std::size_t mBatchEntries = 31;  // of a write of progress, at most
   double mPartitioned =
     0;  // share of workers that a new holder reaches 0 to 6 s after its election
 };
@@ -124,6 +127,8 @@
     std::multiset<TimePoint> mUnread{};             // acceptances of jobs that it has not read yet
     std::map<std::string, std::uint32_t> mLives{};  // of workers, when they last reported
     std::set<std::string> mCutFrom{};               // workers that it does not reach
+    bool mStoring = false;                          // a write of progress has no answer yet
+    std::map<std::string, std::uint64_t> mRevisions{};  // of progress, by job, as last seen
   };
   using HolderRef = std::shared_ptr<HolderState>;
 
@@ -142,6 +147,10 @@
   void SendStop(const HolderRef& aHolder, const StopOrder& aOrder);
   void SendAdvice(const HolderRef& aHolder, const AdviceOrder& aOrder);
   void StoreProgress();
+  void WriteProgress(const HolderRef& aHolder, const ProgressBatch& aBatch);
+  [[nodiscard]] bool CommitProgress(const HolderRef& aHolder,
+                                    const ProgressBatch& aBatch,
+                                    std::map<std::string, std::uint64_t> aRevisions);
   void RecordWorkers();
   [[nodiscard]] HolderRef MakeHolder();
   void ReplaceQueue();
@@ -191,6 +200,7 @@
   TimePoint mQueueReplacedAt{};
   std::map<std::string, JobSpec> mJobs{};
   std::map<std::string, std::string> mProgress{};
+  std::map<std::string, std::uint64_t> mProgressRevisions{};
   std::set<std::string> mCancelled{};
   std::map<std::string, WorkerEntry> mRecorded{};  // as stored: no capacity
   // Tasks that unresponsive workers may run, as stored.
