Store the progress of jobs in the order in which it changed

Cause: unstored jobs were taken in the order of their ids, so one that changes again went before one that had waited, and running jobs waited behind all ended ones. Ends of the jobs left behind are listed in each report.

Change: two queues in the order of changes, ended jobs first as before, with a third of each batch kept for running jobs.

Tests: 'a job that changes all the time is stored before one that has waited for longer' and 'the progress of running jobs is never stored while enough others end' failed before.

--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kEntriesPerEndedJob = 1;  // in a transaction; it is the last write of the job
 constexpr std::size_t kEntriesPerRunningJob = 2;  // the write and its precondition
+constexpr std::size_t kRunningShare = 3;          // a third of a batch is kept for running jobs
 
 struct StageRecord
 {
@@ -183,31 +184,35 @@
   return !job || job->mCollectedChanges >= aEnd.mChange;
 }
 
+// Adds jobs that have ended, or others, to a batch until it takes aMaxEntries.
+void Scheduler::CollectDirty(bool aEnded, std::size_t aMaxEntries, ProgressBatch& aBatch)
+{
+  const std::size_t cost = aEnded ? kEntriesPerEndedJob : kEntriesPerRunningJob;
+  std::deque<std::string>& dirty = aEnded ? mDirtyEnded : mDirtyRunning;
+  for (; !dirty.empty(); dirty.pop_front()) {
+    Job* job = FindJobMutable(dirty.front());
+    if (!job || !job->mDirty || IsOver(job->mState) != aEnded)
+      continue;
+    if (aBatch.mEntries + cost > aMaxEntries)
+      return;
+    aBatch.mEntries += cost;
+    job->mDirty = false;
+    job->mCollectedChanges = job->mChanges;
+    --mDirtyCount;
+    aBatch.mJobs.push_back({ dirty.front(), EncodeProgress(*job), job->mState });
+  }
+}
+
 ProgressBatch Scheduler::CollectProgress(std::size_t aMaxEntries, TimePoint aNow)
 {
   ProgressBatch batch;
-  std::size_t entries = 0;
   // Ended jobs come first, because callers wait for them and one transaction may not hold them all.
-  for (const bool takesEnded : { true, false }) {
-    for (auto it = mDirtyJobs.begin(); it != mDirtyJobs.end();) {
-      Job* job = FindJobMutable(*it);
-      if (job && IsOver(job->mState) != takesEnded) {
-        ++it;
-        continue;
-      }
-      const std::size_t cost = takesEnded ? kEntriesPerEndedJob : kEntriesPerRunningJob;
-      if (entries + cost > aMaxEntries)
-        break;
-      if (job) {
-        entries += cost;
-        job->mDirty = false;
-        job->mCollectedChanges = job->mChanges;
-        batch.mJobs.push_back({ *it, EncodeProgress(*job), job->mState });
-      }
-      it = mDirtyJobs.erase(it);
-    }
-  }
-  mHasEndedJob = mHasEndedJob && !mDirtyJobs.empty();
+  // A part is left to the others: until they are stored, workers list their ends in each report.
+  const std::size_t reserved = mDirtyRunning.empty() ? 0 : aMaxEntries / kRunningShare;
+  CollectDirty(true, aMaxEntries - reserved, batch);
+  CollectDirty(false, aMaxEntries, batch);
+  CollectDirty(true, aMaxEntries, batch);
+  mHasEndedJob = !mDirtyEnded.empty();
   // An end may be acknowledged only when the effects of all ends up to it are stored. Nothing else
   // is in flight, so what was collected is either stored or in this batch.
   if (mBatchesInFlight == 0) {
@@ -230,7 +235,7 @@
 
 SchedulerBacklog Scheduler::GetBacklog() const
 {
-  SchedulerBacklog backlog{ .mUnstoredJobs = mDirtyJobs.size() };
+  SchedulerBacklog backlog{ .mUnstoredJobs = mDirtyCount };
   for (const auto& [id, worker] : mWorkers)
     backlog.mUnstoredEnds += static_cast<std::size_t>(worker.mLastEnd - worker.mStoredEnd);
   return backlog;
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -136,9 +136,12 @@
 
 void Scheduler::MarkDirty(Job& aJob)
 {
+  const bool isEnded = IsOver(aJob.mState);
+  if (!aJob.mDirty || isEnded)
+    (isEnded ? mDirtyEnded : mDirtyRunning).push_back(aJob.mSpec.mId);
+  mDirtyCount += aJob.mDirty ? 0 : 1;
   aJob.mDirty = true;
   ++aJob.mChanges;
-  mDirtyJobs.insert(aJob.mSpec.mId);
 }
 
 void Scheduler::EndJob(Job& aJob, JobState aState, TimePoint aNow)
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -238,6 +238,7 @@
 
 struct ProgressBatch
 {
+  std::size_t mEntries = 0;  // of a transaction
   std::vector<StoredProgress> mJobs{};
   std::vector<StoredEnds> mEnds{};
 };
@@ -361,7 +362,7 @@
   void DropLapsed(TimePoint aNow);
 
   // Stored progress
-  [[nodiscard]] bool HasProgress() const { return !mDirtyJobs.empty() || mHasNewEnds; }
+  [[nodiscard]] bool HasProgress() const { return mDirtyCount > 0 || mHasNewEnds; }
   [[nodiscard]] SchedulerBacklog GetBacklog() const;
   [[nodiscard]] bool HasEndedJob() const { return mHasEndedJob; }
   // Returns the progress to be written in one transaction of at most aMaxEntries entries: a job
@@ -386,6 +387,7 @@
   void EnsureOccurrence(const TaskRef& aRef, TimePoint aNow);
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
+  void CollectDirty(bool aEnded, std::size_t aMaxEntries, ProgressBatch& aBatch);
   void AddUnstoredEnd(Worker& aWorker, const EndedTask& aRow);
   [[nodiscard]] bool IsCollected(const Worker& aWorker, const UnstoredEnd& aEnd) const;
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
@@ -460,7 +462,11 @@
   std::set<std::string> mActive{};  // jobs that have not ended
   std::map<std::string, Worker> mWorkers{};
   std::map<std::string, RefutedEntry> mRefuted{};  // by worker, until it is unlisted
-  std::set<std::string> mDirtyJobs{};
+  // Dirty jobs in the order in which they became dirty; others among them are skipped. A job that
+  // ends while it waits is in both.
+  std::deque<std::string> mDirtyEnded{};
+  std::deque<std::string> mDirtyRunning{};
+  std::size_t mDirtyCount = 0;
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
   TimePoint mJobsReadUntil = TimePoint::max();
--- a/tests/unit/test_fleet_acknowledged_ends.cpp
+++ b/tests/unit/test_fleet_acknowledged_ends.cpp
@@ -102,6 +102,43 @@
   CHECK(workers.mListed <= kMaxListings * ends);
 }
 
+TEST_CASE("fleet: a job that changes all the time is stored before one that has waited for longer")
+{
+  constexpr int kJobsPerBatch = 15;
+  Scheduler scheduler({});
+  EndingWorkers workers(scheduler, 1);
+  scheduler.AddJob(MakeJob("z", 2), {}, false, kStart);
+  workers.End(0, "z.0.0.0");
+  for (int n = 0; n < kJobsPerBatch; ++n)
+    scheduler.AddJob(MakeJob("a" + std::to_string(n), 100), {}, false, kStart);
+  for (int round = 0; round < 3; ++round) {
+    for (int n = 0; n < kJobsPerBatch; ++n)
+      workers.End(0, "a" + std::to_string(n) + ".0.0." + std::to_string(round));
+    workers.Report(0, kStart);
+    scheduler.OnProgressStored(scheduler.CollectProgress(kBatchEntries, kStart));
+  }
+  CHECK(scheduler.FindWorker("w0")->mStoredEnd > 1);
+}
+
+TEST_CASE("fleet: the progress of running jobs is never stored while enough others end")
+{
+  constexpr int kRounds = 3;
+  Scheduler scheduler({});
+  EndingWorkers workers(scheduler, 1);
+  scheduler.AddJob(MakeJob("running", 2), {}, false, kStart);
+  workers.End(0, "running.0.0.0");
+  for (int round = 0; round < kRounds; ++round) {
+    for (std::size_t n = 0; n < kBatchEntries; ++n) {
+      const std::string id = std::to_string(round) + "-" + std::to_string(n);
+      scheduler.AddJob(MakeJob(id, 1), {}, false, kStart);
+      workers.End(0, id + ".0.0.0");
+    }
+    workers.Report(0, kStart);
+    scheduler.OnProgressStored(scheduler.CollectProgress(kBatchEntries, kStart));
+  }
+  CHECK(scheduler.FindWorker("w0")->mStoredEnd > 0);
+}
+
 TEST_CASE("fleet: an end is acknowledged before the job that it belongs to is stored")
 {
   Scheduler scheduler({});
