Wake only the workers whose ends a batch has stored

Cause: after each stored batch, 30 times a second, the holder cancelled the timer of each worker without unstored ends, 540 of them. Their loops woke, found nothing to do, and set a timer again.

Change: only workers whose last end this batch has stored are woken.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -117,6 +117,7 @@
   Async<void> StoreProgress();
   Async<bool> StoreProgressOnce();  // false: failed, or a write is already in progress
   Async<bool> StoreBatch();
+  void OnBatchStored(const ProgressBatch& aBatch);
   Async<void> RecordWorkers();
   Async<void> CheckHolderKey();
   Async<void> WatchWorker(std::string aId);
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -9,7 +9,7 @@
 constexpr Duration kRecordInterval = milliseconds(60);  // checks for workers to record
 constexpr Duration kStoreInterval = milliseconds(40);   // collects ends of tasks into one write
 constexpr std::size_t kProgressEntries =
-  platform::kMaxTransactionEntries - 1;  // and the holder's key
+  platform::kMaxTransactionEntries - 1;                       // and the holder's key
 constexpr Duration kForgetInterval = seconds(15);
 
 }  // namespace
@@ -74,7 +74,7 @@
   auto self = shared_from_this();
   ProgressBatch batch = mScheduler.CollectProgress(kProgressEntries, BootClock::now());
   if (batch.mJobs.empty()) {
-    mScheduler.OnProgressStored(batch);
+    OnBatchStored(batch);
     co_return true;
   }
   StoreTransaction transaction;
@@ -110,12 +110,22 @@
   }
   for (const StoredProgress& it : batch.mJobs)
     mProgressRevisions[it.mJob] = outcome->mRevision;
-  mScheduler.OnProgressStored(batch);
+  OnBatchStored(batch);
   ++mStats.mBatches;
   mStats.mStoredJobs += batch.mJobs.size();
   co_return true;
 }
 
+// Acknowledges ends at once to the workers whose ends are all stored.
+void Holder::OnBatchStored(const ProgressBatch& aBatch)
+{
+  mScheduler.OnProgressStored(aBatch);
+  for (const StoredEnds& it : aBatch.mEnds)
+    if (const Worker* worker = mScheduler.FindWorker(it.mWorker);
+        worker && worker->mLastEnd == worker->mStoredEnd)
+      WakeWorker(it.mWorker);
+}
+
 Async<void> Holder::StoreProgress()
 {
   auto self = shared_from_this();
@@ -132,9 +142,6 @@
       co_await Sleep(kRetryStore);
       continue;
     }
-    for (const auto& [id, worker] : mScheduler.GetWorkers())
-      if (worker.mLastEnd == worker.mStoredEnd)
-        WakeWorker(id);
     mStoreTimer.expires_after(kStoreInterval);
     co_await mStoreTimer.async_wait(kNoThrow);
   }
