Store the next batch at once while as much as a batch can hold waits

Cause: between two writes of progress lay 40 ms, also when the next batch was full already: some 300 running jobs a second with a batch of 15, and fewer the later the loop ran.

Change: the pause collects changes into one write only while less than a full batch waits.

--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -10,6 +10,7 @@
 constexpr Duration kStoreInterval = milliseconds(40);   // collects ends of tasks into one write
 constexpr std::size_t kProgressEntries =
   platform::kMaxTransactionEntries - 1;                       // and the holder's key
+constexpr std::size_t kFullBatchJobs = kProgressEntries / 2;  // of running jobs
 constexpr Duration kForgetInterval = seconds(15);
 
 }  // namespace
@@ -142,6 +143,8 @@
       co_await Sleep(kRetryStore);
       continue;
     }
+    if (mScheduler.CountUnstoredJobs() >= kFullBatchJobs)
+      continue;
     mStoreTimer.expires_after(kStoreInterval);
     co_await mStoreTimer.async_wait(kNoThrow);
   }
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -235,7 +235,7 @@
 
 SchedulerBacklog Scheduler::GetBacklog() const
 {
-  SchedulerBacklog backlog{ .mUnstoredJobs = mDirtyCount };
+  SchedulerBacklog backlog{ .mUnstoredJobs = CountUnstoredJobs() };
   for (const auto& [id, worker] : mWorkers)
     backlog.mUnstoredEnds += static_cast<std::size_t>(worker.mLastEnd - worker.mStoredEnd);
   return backlog;
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -363,6 +363,7 @@
 
   // Stored progress
   [[nodiscard]] bool HasProgress() const { return mDirtyCount > 0 || mHasNewEnds; }
+  [[nodiscard]] std::size_t CountUnstoredJobs() const { return mDirtyCount; }
   [[nodiscard]] SchedulerBacklog GetBacklog() const;
   [[nodiscard]] bool HasEndedJob() const { return mHasEndedJob; }
   // Returns the progress to be written in one transaction of at most aMaxEntries entries: a job
