HTTP client: one timer for all calls, and no turn of the event loop for writing

Cause: a call of the holder took two peeks at its idle connections, a timer started and cancelled for each of three operations, and composed operations of Beast around each read and write.

Change: connections use a plain socket. The deadlines of all calls of an execution context share a timer, which is set again only for an earlier deadline. A request is written at once if the socket takes it. Idle connections are checked by one poll, and not again by the call that follows. What is read and when a connection is reused did not change.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -123,7 +123,7 @@
   Async<void> WatchWorker(std::string aId);
   Async<bool> PollWorker(std::string aId, Duration aWait);
   Async<void> PollListedAddress(std::string aId);
-  Async<bool> DropClosedConnections(HttpAddress aTarget, std::string aAddress);
+  bool DropClosedConnections(const HttpAddress& aTarget, const std::string& aAddress);
   Async<void> ProbeWorker(std::string aId);
   Async<void> Execute(std::string aId);  // sends the queued orders to a worker
   Async<void> ExecuteStart(std::string aId, StartOrder aOrder);
--- a/src/fleet/holder_polls.cpp
+++ b/src/fleet/holder_polls.cpp
@@ -22,16 +22,15 @@
 
 // Closes connections to aTarget, formatted as aAddress, that were closed by the other side: what
 // answers there may have restarted. Returns whether there were any.
-Async<bool> Holder::DropClosedConnections(HttpAddress aTarget, std::string aAddress)
+bool Holder::DropClosedConnections(const HttpAddress& aTarget, const std::string& aAddress)
 {
-  auto self = shared_from_this();
-  if (!co_await mClient.DropClosed(aTarget))
-    co_return false;
+  if (!mClient.DropClosed(mContext, aTarget))
+    return false;
   for (const std::string& it : mScheduler.ListWorkersAt(aAddress)) {
     mScheduler.OnConnectionsClosed(it, BootClock::now());
     WakeWorker(it);
   }
-  co_return true;
+  return true;
 }
 
 // Requests a report from a worker, which may delay its answer by aWait, and renews the leases of
@@ -48,7 +47,7 @@
     co_return false;
   }
   const std::string address = worker->mAddress;
-  co_await DropClosedConnections(target->mAddress, address);
+  DropClosedConnections(target->mAddress, address);
   const TimePoint sentAt = BootClock::now();
   platform::ReportRequest order;
   order.mToken = GetEpoch();
@@ -101,7 +100,7 @@
   auto address = ParseAddress(listed);
   if (!address)
     co_return;
-  co_await DropClosedConnections(*address, listed);
+  DropClosedConnections(*address, listed);
   platform::WorkerTarget target{ *address, aId, GetEpoch() };
   platform::ReportRequest order;
   order.mToken = GetEpoch();
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -124,7 +124,7 @@
   }
   // A worker that has closed its connections may have restarted, as another kind.
   const std::string address = mScheduler.FindWorker(aId)->mAddress;
-  if (co_await DropClosedConnections(target->mAddress, address)) {
+  if (DropClosedConnections(target->mAddress, address)) {
     mScheduler.OnStart(aOrder, StartOutcome::Withdrawn, BootClock::now());
     WakePlan();
     co_return;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,12 +1,22 @@
 #include "http/client.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <poll.h>
+
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <optional>
 #include <tuple>
 
+#include "http/message_text.h"
+
 namespace monsoon {
 
 namespace beast = boost::beast;
@@ -20,54 +30,235 @@
 // Bytes of a response that are read in one turn of the event loop.
 constexpr std::size_t kFirstReadBytes = 4096;
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
+// A call that follows DropClosed at once need not check its connection again.
+constexpr Duration kCheckValidity = milliseconds(1);
 
-// Returns whether an idle connection can still be used. A connection that the server closed is
-// readable; a request sent on it would be lost.
-bool IsStillOpen(tcp::socket& aSocket)
+using Executor = asio::io_context::executor_type;
+std::string FormatRequest(HttpRequest aRequest, const HttpAddress& aAddress)
 {
-  boost::system::error_code ec;
-  aSocket.non_blocking(true, ec);
-  char byte = 0;
-  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-  return ec == asio::error::would_block;
+  aRequest.set(http::field::host, aAddress.mHost);
+  aRequest.keep_alive(true);
+  aRequest.prepare_payload();
+  return FormatMessage(
+    { MakeView(aRequest.method_string()), " ", MakeView(aRequest.target()), " HTTP/1.1" },
+    aRequest);
 }
 
 }  // namespace
 
-HttpClient::Stream HttpClient::TakeIdle(const PoolKey& aKey)
+struct HttpClient::Connection
+{
+  explicit Connection(asio::io_context& aContext)
+    : mSocket(aContext)
+  {
+  }
+
+  asio::basic_stream_socket<tcp, Executor> mSocket;
+  beast::flat_buffer mBuf{};
+  TimePoint mCheckedAt{};  // when the server was last seen to keep it open
+  bool mIsLate = false;    // the deadline of the present operation has passed
+};
+
+// Cancels the operations of connections whose deadlines have passed. One timer serves all calls of
+// an execution context: a call that is answered in time neither starts nor cancels one.
+class HttpClient::Deadlines : public std::enable_shared_from_this<Deadlines>
+{
+public:
+  // Limits the operations of a connection during its own life.
+  class Scope
+  {
+  public:
+    Scope(std::shared_ptr<Deadlines> aDeadlines, TimePoint aDeadline, Connection& aConnection)
+      : mDeadlines(std::move(aDeadlines))
+    {
+      aConnection.mIsLate = false;
+      mEntry = mDeadlines->mPending.emplace(aDeadline, &aConnection);
+      if (!mDeadlines->mWakesAt || aDeadline < *mDeadlines->mWakesAt)
+        mDeadlines->WakeAt(aDeadline);
+    }
+    ~Scope()
+    {
+      mDeadlines->mPending.erase(mEntry);
+      if (mDeadlines->mPending.empty())
+        mDeadlines->Rest();
+    }
+    Scope(const Scope&) = delete;
+    Scope& operator=(const Scope&) = delete;
+
+  private:
+    std::shared_ptr<Deadlines> mDeadlines;
+    std::multimap<TimePoint, Connection*>::iterator mEntry{};
+  };
+
+  explicit Deadlines(asio::io_context& aContext)
+    : mTimer(aContext)
+  {
+  }
+
+private:
+  void WakeAt(TimePoint aTime)
+  {
+    mWakesAt = aTime;
+    mTimer.expires_after(std::max<Duration>(aTime - BootClock::now(), Duration::zero()));
+    mTimer.async_wait([weak = weak_from_this(), number = ++mWaits](boost::system::error_code) {
+      if (const auto self = weak.lock(); self && self->mWaits == number)
+        self->CancelLate();
+    });
+  }
+
+  // The execution context can end while no call is in progress.
+  void Rest()
+  {
+    mWakesAt.reset();
+    ++mWaits;
+    mTimer.cancel();
+  }
+
+  void CancelLate()
+  {
+    mWakesAt.reset();
+    const auto later = mPending.upper_bound(BootClock::now());
+    for (auto it = mPending.begin(); it != later; ++it) {
+      boost::system::error_code ignored;
+      it->second->mIsLate = true;
+      it->second->mSocket.cancel(ignored);
+    }
+    if (later != mPending.end())
+      WakeAt(later->first);
+  }
+
+  std::multimap<TimePoint, Connection*> mPending{};
+  asio::basic_waitable_timer<std::chrono::steady_clock,
+                             asio::wait_traits<std::chrono::steady_clock>,
+                             Executor>
+    mTimer;
+  std::optional<TimePoint> mWakesAt{};  // empty: no wait is in progress
+  std::uint64_t mWaits = 0;
+};
+
+// Drops connections that the server has closed. These are readable; a request sent on one would be
+// lost. Returns whether there were any.
+bool HttpClient::EraseClosed(std::vector<ConnectionPtr>& aConnections)
+{
+  std::array<pollfd, kMaxIdlePerAddress> states{};
+  for (std::size_t n = 0; n < aConnections.size(); ++n)
+    states[n] = { aConnections[n]->mSocket.native_handle(), POLLIN, 0 };
+  const int ready = ::poll(states.data(), aConnections.size(), 0);
+  const TimePoint now = BootClock::now();
+  for (std::size_t n = aConnections.size(); n-- > 0;) {
+    // A failed poll tells nothing of any of them, so none is used.
+    if (ready < 0 || states[n].revents != 0)
+      aConnections.erase(aConnections.begin() + static_cast<std::ptrdiff_t>(n));
+    else
+      aConnections[n]->mCheckedAt = now;
+  }
+  return ready != 0;
+}
+
+HttpClient::ConnectionPtr HttpClient::TakeIdle(const PoolKey& aKey)
 {
   std::lock_guard lock(mLock);
   auto it = mIdle.find(aKey);
-  if (it == mIdle.end())
+  if (it == mIdle.end() || it->second.empty())
     return nullptr;
-  while (!it->second.empty()) {
-    Stream stream = std::move(it->second.back());
-    it->second.pop_back();
-    if (IsStillOpen(stream->socket()))
-      return stream;
-  }
-  return nullptr;
+  if (BootClock::now() - it->second.back()->mCheckedAt > kCheckValidity)
+    EraseClosed(it->second);
+  if (it->second.empty())
+    return nullptr;
+  ConnectionPtr connection = std::move(it->second.back());
+  it->second.pop_back();
+  return connection;
 }
 
-void HttpClient::PutIdle(const PoolKey& aKey, Stream aStream)
+void HttpClient::PutIdle(const PoolKey& aKey, ConnectionPtr aConnection)
 {
+  if (aConnection->mBuf.capacity() > kFirstReadBytes)
+    aConnection->mBuf = {};
   std::lock_guard lock(mLock);
   auto& idle = mIdle[aKey];
   if (idle.size() < kMaxIdlePerAddress)
-    idle.push_back(std::move(aStream));
+    idle.push_back(std::move(aConnection));
 }
 
-Async<bool> HttpClient::DropClosed(HttpAddress aAddress)
+std::shared_ptr<HttpClient::Deadlines> HttpClient::GetDeadlines(asio::io_context& aContext)
 {
-  auto executor = co_await asio::this_coro::executor;
-  const PoolKey key{ &executor.context(), std::move(aAddress) };
   std::lock_guard lock(mLock);
-  auto it = mIdle.find(key);
-  if (it == mIdle.end())
-    co_return false;
-  const std::size_t closed =
-    std::erase_if(it->second, [](const Stream& aItem) { return !IsStillOpen(aItem->socket()); });
-  co_return closed > 0;
+  std::weak_ptr<Deadlines>& known = mDeadlines[&aContext];
+  std::shared_ptr<Deadlines> deadlines = known.lock();
+  if (!deadlines) {
+    deadlines = std::make_shared<Deadlines>(aContext);
+    known = deadlines;
+  }
+  return deadlines;
+}
+
+bool HttpClient::DropClosed(asio::io_context& aContext, const HttpAddress& aAddress)
+{
+  std::lock_guard lock(mLock);
+  auto it = mIdle.find({ &aContext, aAddress });
+  return it != mIdle.end() && !it->second.empty() && EraseClosed(it->second);
+}
+
+Async<Result<HttpClient::ConnectionPtr>> HttpClient::Connect(std::shared_ptr<Deadlines> aDeadlines,
+                                                             HttpAddress aAddress,
+                                                             TimePoint aDeadline)
+{
+  auto executor = co_await asio::this_coro::executor;
+  boost::system::error_code ec;
+  const auto host = asio::ip::make_address(aAddress.mHost, ec);
+  if (ec)
+    co_return MakeFailure(FailureKind::BadInput, "not an IP address: " + aAddress.mHost);
+  const tcp::endpoint endpoint(host, aAddress.mPort);
+  for (;;) {
+    const TimePoint now = BootClock::now();
+    auto connection =
+      std::make_unique<Connection>(static_cast<asio::io_context&>(executor.context()));
+    {
+      const Deadlines::Scope scope(
+        aDeadlines, std::min(aDeadline, now + kConnectAttemptTimeout), *connection);
+      std::tie(ec) = co_await connection->mSocket.async_connect(endpoint, kNoThrow);
+    }
+    if (!ec) {
+      connection->mSocket.set_option(tcp::no_delay(true), ec);
+      connection->mSocket.non_blocking(true, ec);
+      co_return std::move(connection);
+    }
+    if (!connection->mIsLate || aDeadline - now <= kConnectAttemptTimeout)
+      co_return MakeFailure(FailureKind::EndpointUnreachable, ec.message());
+  }
+}
+
+// Reads a response up to its end. Fails if the deadline passes before the next read.
+Async<boost::system::error_code> HttpClient::Read(Connection& aConnection, ResponseParser& aParser)
+{
+  aParser.eager(true);
+  for (;;) {
+    boost::system::error_code ec;
+    if (aConnection.mBuf.size() > 0) {
+      aConnection.mBuf.consume(aParser.put(aConnection.mBuf.data(), ec));
+      if (ec == http::error::need_more)
+        ec = {};
+      if (ec || aParser.is_done())
+        co_return ec;
+    }
+    if (aConnection.mIsLate)
+      co_return beast::error::timeout;
+    // Each turn of the event loop reads what the buffer has room for.
+    std::size_t room = kFirstReadBytes;
+    if (aParser.is_header_done())
+      room = static_cast<std::size_t>(
+        std::clamp<std::uint64_t>(aParser.content_length_remaining().value_or(kMaxReadBytes),
+                                  kFirstReadBytes,
+                                  kMaxReadBytes));
+    std::size_t n = 0;
+    std::tie(ec, n) =
+      co_await aConnection.mSocket.async_read_some(aConnection.mBuf.prepare(room), kNoThrow);
+    aConnection.mBuf.commit(n);
+    if (ec == asio::error::eof && aParser.got_some())
+      aParser.put_eof(ec);
+    if (ec || aParser.is_done())
+      co_return aConnection.mIsLate ? beast::error::timeout : ec;
+  }
 }
 
 Async<Result<HttpResponse>> HttpClient::Call(HttpAddress aAddress,
@@ -76,71 +267,52 @@
                                              std::size_t aMaxBodyBytes)
 {
   auto executor = co_await asio::this_coro::executor;
-  const PoolKey key{ &executor.context(), aAddress };
+  auto& context = static_cast<asio::io_context&>(executor.context());
   const TimePoint deadline = BootClock::now() + aDeadline;
+  const std::shared_ptr<Deadlines> deadlines = GetDeadlines(context);
+  const std::string text = FormatRequest(std::move(aRequest), aAddress);
+  const PoolKey key{ &context, std::move(aAddress) };
 
-  Stream stream = TakeIdle(key);
-  if (!stream) {
-    boost::system::error_code ec;
-    const auto address = asio::ip::make_address(aAddress.mHost, ec);
-    if (ec)
-      co_return MakeFailure(FailureKind::BadInput, "not an IP address: " + aAddress.mHost);
-    for (;;) {
-      const Duration left = deadline - BootClock::now();
-      stream = std::make_unique<beast::tcp_stream>(executor);
-      stream->expires_after(std::clamp<Duration>(left, Duration::zero(), kConnectAttemptTimeout));
-      auto [connectError] =
-        co_await stream->async_connect(tcp::endpoint(address, aAddress.mPort), kNoThrow);
-      if (!connectError)
-        break;
-      if (connectError != beast::error::timeout || left <= kConnectAttemptTimeout)
-        co_return MakeFailure(FailureKind::EndpointUnreachable, connectError.message());
-    }
-    stream->socket().set_option(tcp::no_delay(true), ec);
+  ConnectionPtr connection = TakeIdle(key);
+  if (!connection) {
+    auto connected = co_await Connect(deadlines, key.second, deadline);
+    if (!connected)
+      co_return connected.error();
+    connection = std::move(*connected);
   }
+  std::optional<Deadlines::Scope> scope(std::in_place, deadlines, deadline, *connection);
 
-  aRequest.set(http::field::host, aAddress.mHost);
-  aRequest.keep_alive(true);
-  aRequest.prepare_payload();
-  stream->expires_after(std::max<Duration>(deadline - BootClock::now(), Duration::zero()));
-  auto [writeError, written] = co_await http::async_write(*stream, aRequest, kNoThrow);
-  if (writeError) {
-    const bool nothingSent = written == 0 && writeError != beast::error::timeout;
-    co_return MakeFailure(nothingSent ? FailureKind::EndpointUnreachable
-                                      : FailureKind::EndpointUnknown,
-                          writeError.message());
+  // A request mostly fits into the socket's buffer, and then needs no turn of the event loop.
+  boost::system::error_code ec;
+  std::size_t written = connection->mSocket.write_some(asio::buffer(text), ec);
+  if (ec == asio::error::would_block)
+    ec = {};
+  if (!ec && written < text.size()) {
+    auto [writeError, n] =
+      co_await asio::async_write(connection->mSocket, asio::buffer(text) + written, kNoThrow);
+    ec = writeError;
+    written += n;
+  }
+  if (ec) {
+    const bool nothingSent = written == 0 && !connection->mIsLate;
+    co_return MakeFailure(
+      nothingSent ? FailureKind::EndpointUnreachable : FailureKind::EndpointUnknown, ec.message());
   }
 
-  // Each turn of the event loop reads what the buffer has room for, by default 512 bytes.
-  beast::flat_buffer buf;
-  buf.reserve(kFirstReadBytes);
-  http::response_parser<http::string_body> parser;
+  ResponseParser parser;
   parser.body_limit(aMaxBodyBytes);
-  auto [readError, read] = co_await http::async_read_header(*stream, buf, parser, kNoThrow);
-  if (!readError && !parser.is_done() && buf.size() > 0) {
-    // async_read would take a further turn to parse the part of the body that has been read.
-    parser.eager(true);
-    buf.consume(parser.put(buf.data(), readError));
-    if (readError == http::error::need_more)
-      readError = {};
-  }
-  if (!readError && !parser.is_done()) {
-    buf.reserve(static_cast<std::size_t>(
-      std::min<std::uint64_t>(kMaxReadBytes, parser.content_length().value_or(kMaxReadBytes))));
-    std::tie(readError, read) = co_await http::async_read(*stream, buf, parser, kNoThrow);
-  }
-  if (readError == beast::error::timeout)
+  ec = co_await Read(*connection, parser);
+  if (ec == beast::error::timeout)
     co_return MakeFailure(FailureKind::Timeout, "no complete response before the deadline");
-  if (readError)
-    co_return MakeFailure(FailureKind::EndpointUnknown, readError.message());
+  if (ec)
+    co_return MakeFailure(FailureKind::EndpointUnknown, ec.message());
 
   HttpResponse response = parser.release();
   // Unexpected bytes after the response mean that the stream is out of sync, so the connection is
   // not reused.
-  if (response.keep_alive() && buf.size() == 0) {
-    stream->expires_never();
-    PutIdle(key, std::move(stream));
-  }
+  scope.reset();
+  if (response.keep_alive() && connection->mBuf.size() == 0)
+    PutIdle(key, std::move(connection));
   co_return response;
 }
 
@@ -157,6 +329,10 @@
   co_return connectError == asio::error::connection_refused;
 }
 
+HttpClient::HttpClient() = default;
+
+HttpClient::~HttpClient() = default;
+
 void HttpClient::Clear()
 {
   std::lock_guard lock(mLock);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,9 +1,11 @@
 // HTTP/1.1 client on Beast. Keeps idle connections alive per execution context and address.
 #pragma once
 
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -22,6 +24,11 @@
 class HttpClient
 {
 public:
+  HttpClient();
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
   // Sends a request and returns its response. EndpointUnreachable: no byte was written.
   // EndpointUnknown or Timeout: the request may have arrived. A connection that failed or timed out
   // is closed and never reused.
@@ -29,21 +36,31 @@
                                    HttpRequest aRequest,
                                    Duration aDeadline,
                                    std::size_t aMaxBodyBytes = 8 * 1024 * 1024);
-  // Drops the idle connections of this execution context that the server has closed. Returns
-  // whether there were any, as after a restart of the server.
-  Async<bool> DropClosed(HttpAddress aAddress);
+  // Drops the idle connections of an execution context that the server has closed. Returns whether
+  // there were any, as after a restart of the server.
+  bool DropClosed(asio::io_context& aContext, const HttpAddress& aAddress);
   // Closes the idle connections. Call this on shutdown, after the execution contexts have stopped.
   void Clear();
 
 private:
-  using Stream = std::unique_ptr<boost::beast::tcp_stream>;
+  struct Connection;
+  class Deadlines;
+  using ConnectionPtr = std::unique_ptr<Connection>;
   using PoolKey = std::pair<const void*, HttpAddress>;  // execution context, address
+  using ResponseParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
-  Stream TakeIdle(const PoolKey& aKey);
-  void PutIdle(const PoolKey& aKey, Stream aStream);
+  ConnectionPtr TakeIdle(const PoolKey& aKey);
+  void PutIdle(const PoolKey& aKey, ConnectionPtr aConnection);
+  static bool EraseClosed(std::vector<ConnectionPtr>& aConnections);
+  std::shared_ptr<Deadlines> GetDeadlines(asio::io_context& aContext);
+  Async<Result<ConnectionPtr>> Connect(std::shared_ptr<Deadlines> aDeadlines,
+                                       HttpAddress aAddress,
+                                       TimePoint aDeadline);
+  static Async<boost::system::error_code> Read(Connection& aConnection, ResponseParser& aParser);
 
   std::mutex mLock{};
-  std::map<PoolKey, std::vector<Stream>> mIdle{};
+  std::map<PoolKey, std::vector<ConnectionPtr>> mIdle;
+  std::map<const void*, std::weak_ptr<Deadlines>> mDeadlines{};  // of calls in progress, by context
 };
 
 // Returns true when the host refuses the connection because nothing listens on the port: the
