--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -7,12 +7,12 @@
 
 namespace json = boost::json;
 
-Result<json::value> ParseJson(std::string_view aText)
+Result<json::value> ParseJson(std::string_view aText, json::storage_ptr aStorage)
 {
   json::error_code ec;
   json::parse_options options;
   options.max_depth = 32;
-  json::value value = json::parse(aText, ec, {}, options);
+  json::value value = json::parse(aText, ec, std::move(aStorage), options);
   if (ec)
     return MakeFailure(FailureKind::BadInput, "not JSON: " + ec.message());
   return value;
--- a/src/core/json.h
+++ b/src/core/json.h
@@ -14,7 +14,8 @@
 namespace monsoon {
 
 [[nodiscard]] Result<boost::json::value> ParseJson(
-  std::string_view aText);  // BadInput; depth at most 32
+  std::string_view aText,
+  boost::json::storage_ptr aStorage = {});  // BadInput; depth at most 32
 
 [[nodiscard]] std::string GetString(const boost::json::value& aValue,
                                     std::string_view aKey,
