Poll a worker at once after a start only if it was idle

Cause: each confirmed start ended the pause of its worker's loop, also the pause in which ends are stored; the poll that followed listed the same ends again.

Change: only the pause of an idle worker ends.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -77,6 +77,7 @@
     TimePoint mClockAt{};       // when mClockMs was received
     TimePoint mReportSentAt{};  // when the newest applied report was requested
     bool mLoopRuns = false;     // of WatchWorker
+    bool mIsIdle = false;       // WatchWorker pauses because nothing runs there
     std::unique_ptr<asio::steady_timer> mWake{};  // cancelled to end the pause between polls
   };
   struct Stats  // counted since they were last logged
--- a/src/fleet/holder_polls.cpp
+++ b/src/fleet/holder_polls.cpp
@@ -171,6 +171,7 @@
     if (!worker)
       break;
     Duration pause{};
+    bool isPausedAsIdle = false;
     const bool wasReachable = worker->mReachable;
     const bool hasUnstoredEnds = worker->mLastEnd > worker->mStoredEnd;
     const bool isUnsure =
@@ -180,6 +181,7 @@
     const bool isIdle = worker->mRuns.empty() && worker->mFenced && wasReachable;
     if (isIdle && !hasUnstoredEnds && BootClock::now() - worker->mAnsweredAt < kIdlePollInterval) {
       pause = kIdlePollInterval - (BootClock::now() - worker->mAnsweredAt);
+      isPausedAsIdle = true;
     } else {
       const bool mayWait =
         wasReachable && worker->mFenced && !hasUnstoredEnds && !isUnsure && !isIdle;
@@ -202,8 +204,10 @@
     }
     if (pause > Duration::zero()) {
       Channel& channel = mChannels[aId];
+      channel.mIsIdle = isPausedAsIdle;
       channel.mWake->expires_after(pause);
       co_await channel.mWake->async_wait(kNoThrow);
+      channel.mIsIdle = false;
     }
   }
   mChannels[aId].mLoopRuns = false;
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -170,7 +170,7 @@
     Spawn(mContext, ProbeWorker(aId));
   if (answer.mOutcome != StartOutcome::Started)
     WakePlan();
-  else
+  else if (mChannels[aId].mIsIdle)
     WakeWorker(aId);
 }
 
