Plan with fewer lookups and scans

Cause: planning takes at most a fifth of the holder's time, so a plan of 60 ms comes round each 300 ms. The profile of a play shows what it is spent on: scans of all jobs and workers, each with a lookup by text, names of stages formatted for each run, and names of all workers copied and sorted for each policy call.

Change: active jobs are kept with their pointers, workers are found by hash; stages and workers are counted by pointer; a policy call sorts pointers, and only as many as it names; a job that no report has named yet is not looked for on all workers; a sample of members copies four addresses instead of 96. No decision changes.

--- a/src/fleet/holder_advice.cpp
+++ b/src/fleet/holder_advice.cpp
@@ -100,13 +100,17 @@
 // Returns a random sample of members. A member probes them when the holder does not answer.
 std::vector<HttpAddress> Holder::SampleMembers(const std::string& aExcept)
 {
-  std::vector<HttpAddress> all;
+  const TimePoint now = BootClock::now();
+  std::vector<const Member*> all;
   for (const auto& [name, it] : mMembers)
-    if (name != aExcept && BootClock::now() - it.mPolledAt < kMemberAge)
-      all.push_back(it.mAddress);
-  std::vector<HttpAddress> drawn;
+    if (name != aExcept && now - it.mPolledAt < kMemberAge)
+      all.push_back(&it);
+  std::vector<const Member*> drawn;
   std::sample(all.begin(), all.end(), std::back_inserter(drawn), kMembersPerReply, mRandom);
-  return drawn;
+  std::vector<HttpAddress> addresses;
+  for (const Member* it : drawn)
+    addresses.push_back(it->mAddress);
+  return addresses;
 }
 
 Async<PollReply> Holder::Poll(PollRequest aRequest)
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -54,7 +54,7 @@
     DecodeProgress(*job, aProgress, aNow);
   job->mStoredState = job->mState;
   if (!IsOver(job->mState))
-    mActive.insert(job->mSpec.mId);
+    mActive.emplace(job->mSpec.mId, job.get());
   else
     job->mEndedAt = aNow;
   const std::string id = job->mSpec.mId;
@@ -93,10 +93,8 @@
 std::size_t Scheduler::CountPending(std::string_view aQueue) const
 {
   std::size_t n = 0;
-  for (const std::string& id : mActive) {
-    const Job& job = *mJobs.at(id);
-    n += job.mState == JobState::Queued && job.mSpec.mQueue == aQueue ? 1 : 0;
-  }
+  for (const auto& [id, job] : mActive)
+    n += job->mState == JobState::Queued && job->mSpec.mQueue == aQueue ? 1 : 0;
   return n;
 }
 
@@ -179,8 +177,8 @@
   for (const QueueConfig& it : aConfig.mQueues)
     mQueues[it.mName] = it;
   mIsConfigured = mIsConfigured || aConfig.mVersion != 0 || !mQueues.empty();
-  for (const std::string& id : mActive)
-    SetTerms(*mJobs.at(id));
+  for (const auto& [id, job] : mActive)
+    SetTerms(*job);
 }
 
 // Sets the terms of a job that was stored without them. Those of its queue are kept when the queue
@@ -257,6 +255,16 @@
   return aRef.mStage < occurrence.mStages.size() ? &occurrence.mStages[aRef.mStage] : nullptr;
 }
 
+const Task* Scheduler::FindTask(const Job& aJob, const TaskRef& aRef)
+{
+  if (aRef.mOccurrence >= aJob.mOccurrences.size())
+    return nullptr;
+  const std::vector<StageRun>& stages = aJob.mOccurrences[aRef.mOccurrence].mStages;
+  if (aRef.mStage >= stages.size() || aRef.mIndex >= stages[aRef.mStage].mTasks.size())
+    return nullptr;
+  return &stages[aRef.mStage].mTasks[aRef.mIndex];
+}
+
 Task* Scheduler::FindTask(const TaskRef& aRef)
 {
   StageRun* stage = FindStage(aRef);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -381,6 +381,7 @@
   Job* FindJobMutable(const std::string& aId);
   Task* FindTask(const TaskRef& aRef);
   StageRun* FindStage(const TaskRef& aRef);
+  static const Task* FindTask(const Job& aJob, const TaskRef& aRef);
   [[nodiscard]] const QueueConfig* FindQueue(const std::string& aName) const;
   void SetTerms(Job& aJob) const;
   [[nodiscard]] const std::string& ChooseService(const Job& aJob) const;
@@ -391,6 +392,7 @@
   void CollectDirty(bool aEnded, std::size_t aMaxEntries, ProgressBatch& aBatch);
   void AddUnstoredEnd(Worker& aWorker, const EndedTask& aRow);
   [[nodiscard]] bool IsCollected(const Worker& aWorker, const UnstoredEnd& aEnd) const;
+  std::map<std::string, Worker>::iterator EraseWorker(std::map<std::string, Worker>::iterator aIt);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   static void SuspectRestart(Worker& aWorker, TimePoint aNow);
   void ExtendLeases(Worker& aWorker, TimePoint aNow) const;
@@ -460,8 +462,10 @@
   std::map<std::string, QueueConfig> mQueues{};  // as configured now, by name
   bool mIsConfigured = false;                    // a configuration was read
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
-  std::set<std::string> mActive{};  // jobs that have not ended
+  std::map<std::string, Job*> mActive{};  // jobs that have not ended
   std::map<std::string, Worker> mWorkers{};
+  std::unordered_map<std::string_view, Worker*> mWorkersById{};  // the same, to find one fast
+  std::set<std::string> mUnknownJobs{};            // jobs that reports named before they were added
   std::map<std::string, RefutedEntry> mRefuted{};  // by worker, until it is unlisted
   // Dirty jobs in the order in which they became dirty; others among them are skipped. A job that
   // ends while it waits is in both.
--- a/src/fleet/scheduler_advice.cpp
+++ b/src/fleet/scheduler_advice.cpp
@@ -40,17 +40,17 @@
   if (isSlow && aFreeSlow == 0)
     return true;
   // -(free cores), worker; a slow worker counts as full.
-  std::vector<std::pair<std::int64_t, std::string>> candidates;
+  std::vector<std::pair<std::int64_t, const std::string*>> candidates;
   std::size_t fitting = 0;
   const bool isFirst = stage.mTickets.empty() && stage.mExcluded.empty();
   for (const auto& [id, worker] : mWorkers) {
-    if (stage.mExcluded.contains(id) || !CanHost(worker, aReady, aNow))
-      continue;
     const bool fits = HasCapacity(worker, *aReady.mSpec);
     // Lasting tasks that ran before hold tickets of full workers as well: by the time a ticket of a
     // worker that has just become free arrives, other tasks have taken its capacity.
     if (!fits && !isFirst && !(aReady.mIsRestart && IsLargeEnough(worker, *aReady.mSpec)))
       continue;
+    if (!CanHost(worker, aReady, aNow) || stage.mExcluded.contains(id))
+      continue;
     if (aReady.mSpec->mMaxPerWorker != 0 &&
         CountRuns(worker, aReady.mRef) >= aReady.mSpec->mMaxPerWorker)
       continue;
@@ -60,24 +60,30 @@
     fitting += fits ? 1 : 0;
     const std::int64_t freeCores =
       std::int64_t{ worker.mEntry.mMilliCores } - worker.mUsedMilliCores;
-    candidates.emplace_back(aNow < worker.mSlowUntil ? 0 : -freeCores, id);
+    candidates.emplace_back(aNow < worker.mSlowUntil ? 0 : -freeCores, &id);
   }
   if (candidates.empty() || (fitting == 0 && !aReady.mIsRestart))
     return true;
   if (fitting == 0 && aMayYield && mLastAdviceWithoutCapacity)
     return false;
   mLastAdviceWithoutCapacity = fitting == 0;
-  std::sort(candidates.begin(), candidates.end());
   const bool isScarce = aReady.mIsRestart && fitting < kMaxRenewedTickets;
   const std::size_t maxWorkers =
     isFirst || isScarce ? mSettings.mMaxAdviceWorkers : kMaxRenewedTickets;
-  if (candidates.size() > maxWorkers)
-    candidates.resize(maxWorkers);
+  const std::size_t n = std::min(candidates.size(), maxWorkers);
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(n),
+                    candidates.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return std::tie(aLeft.first, *aLeft.second) <
+                             std::tie(aRight.first, *aRight.second);
+                    });
+  candidates.resize(n);
   AdviceOrder order;
   order.mNumber = mNextAdvice++;
   order.mStage = FormatStage(aReady.mRef);
-  for (auto& [left, id] : candidates)
-    order.mWorkers.push_back(std::move(id));
+  for (const auto& [left, id] : candidates)
+    order.mWorkers.push_back(*id);
   const Duration expected =
     aReady.mTerms->mAdviceBase + order.mWorkers.size() * aReady.mTerms->mAdvicePerWorker;
   order.mExpectedMs = std::chrono::duration_cast<milliseconds>(expected).count();
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -96,8 +96,8 @@
                    : "jobs of earlier epochs wait for workers that have not answered",
         { { "workers", unresolved }, { "epoch", mSettings.mEpoch } });
   }
-  for (const std::string& id : mActive) {
-    Job& job = *mJobs.at(id);
+  for (const auto& [id, active] : mActive) {
+    Job& job = *active;
     // Of held jobs, lasting stages obtain their tickets: as soon as the hold ends, other tasks take
     // the free capacity.
     const bool isHeld = job.mInherited && !isResolved;
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -24,6 +24,8 @@
 // Applies the ends and running tasks that workers reported of a job before it was added.
 void Scheduler::ApplyOrphanReports(Job& aJob, TimePoint aNow)
 {
+  if (mUnknownJobs.erase(aJob.mSpec.mId) == 0)
+    return;
   const std::string prefix = aJob.mSpec.mId + ".";
   for (auto& [id, worker] : mWorkers) {
     std::vector<std::pair<TimePoint, EndedTask>> orphans = std::move(worker.mOrphanEnds);
@@ -142,8 +144,10 @@
   const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
   if (run != aWorker.mRuns.end())
     DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
-  if (!job)
+  if (!job) {
     aWorker.mOrphanEnds.emplace_back(aNow, aRow);
+    mUnknownJobs.insert(ref.mJob);
+  }
   if (!job || !task || task->mDone || IsOver(job->mState))
     return;
   StageRun& stage = *FindStage(ref);
@@ -307,6 +311,8 @@
     run.mPhase = RunPhase::Running;
     run.mCheckpoint = row->mCheckpoint;
     const bool isAdopted = ParseTask(row->mTask, run.mRef) && AdoptRun(worker, run, aNow);
+    if (!FindJob(run.mRef.mJob))
+      mUnknownJobs.insert(run.mRef.mJob);
     Log(LogPart::Task,
         LogLevel::Info,
         isAdopted ? "adopted a running task" : "a worker runs a task that is not tracked",
--- a/src/fleet/scheduler_running.cpp
+++ b/src/fleet/scheduler_running.cpp
@@ -39,7 +39,7 @@
         mustStop = mustStop || FindJob(run.mRef.mJob) || IsOrphan(run.mProgressAt, aNow);
       else if (!mustStop) {
         const Job* job = FindJob(run.mRef.mJob);
-        const Task* task = FindTask(run.mRef);
+        const Task* task = job ? FindTask(*job, run.mRef) : nullptr;
         // A completed task is not stopped unless it is speculative: the worker reports its end,
         // which releases its capacity.
         mustStop =
@@ -120,31 +120,40 @@
     std::size_t mSlow = 0;
     std::size_t mNormal = 0;
   };
-  std::map<std::string, SpeedCounts> byStage;
-  std::map<std::string, SpeedCounts> byWorker;
-  std::vector<std::pair<Worker*, std::size_t>> stragglers;
+  struct Straggler
+  {
+    Worker* mWorker = nullptr;
+    std::size_t mRun = 0;
+    const StageRun* mStage = nullptr;
+  };
+  std::unordered_map<const StageRun*, SpeedCounts> byStage;
+  std::unordered_map<const Worker*, SpeedCounts> byWorker;
+  std::vector<Straggler> stragglers;
   for (auto& [id, worker] : mWorkers) {
     for (std::size_t n = 0; n < worker.mRuns.size(); ++n) {
       const Run& run = worker.mRuns[n];
       if (!run.mKnown || run.mPhase != RunPhase::Running || run.mProgress.mPercentPerMs < 0 ||
           run.mEstimate <= Duration::zero())
         continue;
+      const StageRun* stageRun = FindStage(run.mRef);
+      if (!stageRun)
+        continue;
       const bool isSlow = IsStraggler(run.mProgress, run.mEstimate);
-      SpeedCounts& stage = byStage[FormatStage(run.mRef)];
-      SpeedCounts& here = byWorker[id];
+      SpeedCounts& stage = byStage[stageRun];
+      SpeedCounts& here = byWorker[&worker];
       ++(isSlow ? stage.mSlow : stage.mNormal);
       ++(isSlow ? here.mSlow : here.mNormal);
       if (isSlow && worker.mReachable && worker.mFenced && !run.mDetached)
-        stragglers.emplace_back(&worker, n);
+        stragglers.push_back({ &worker, n, stageRun });
     }
   }
-  for (const auto& [worker, n] : stragglers) {
+  for (const auto& [worker, n, stageRun] : stragglers) {
     Run& run = worker->mRuns[n];
-    const SpeedCounts& stage = byStage[FormatStage(run.mRef)];
+    const SpeedCounts& stage = byStage[stageRun];
     const Job* job = FindJob(run.mRef.mJob);
     Task* task = job ? FindTask(run.mRef) : nullptr;
     if (!task || task->mDone || task->mWorker != worker->mEntry.mId || task->mRun != run.mRun ||
-        task->mMoves >= kMaxMoves || byWorker[worker->mEntry.mId].mNormal >= kMinNormalRuns ||
+        task->mMoves >= kMaxMoves || byWorker[worker].mNormal >= kMinNormalRuns ||
         (stage.mSlow >= kMinSlowStageStragglers && stage.mSlow > stage.mNormal))
       continue;
     worker->mSlowUntil = aNow + kSlowDuration;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -33,8 +33,15 @@
 
 Worker* Scheduler::FindWorker(const std::string& aId)
 {
-  auto it = mWorkers.find(aId);
-  return it == mWorkers.end() ? nullptr : &it->second;
+  auto it = mWorkersById.find(aId);
+  return it == mWorkersById.end() ? nullptr : it->second;
+}
+
+std::map<std::string, Worker>::iterator Scheduler::EraseWorker(
+  std::map<std::string, Worker>::iterator aIt)
+{
+  mWorkersById.erase(aIt->first);
+  return mWorkers.erase(aIt);
 }
 
 std::vector<std::string> Scheduler::ListWorkersAt(std::string_view aAddress) const
@@ -65,7 +72,7 @@
   while (!worker->mRuns.empty())
     DropRun(*worker, worker->mRuns.size() - 1);
   const Worker ended = std::move(*worker);
-  mWorkers.erase(aId);
+  EraseWorker(mWorkers.find(aId));
   // Before an answer in this epoch, its address is only what a previous holder took it for.
   const bool isUnresolved = IsUnresolved(ended);
   if (isListedElsewhere)
@@ -84,6 +91,8 @@
   }
   auto [it, isNew] = mWorkers.try_emplace(aEntry.mId);
   Worker& worker = it->second;
+  if (isNew)
+    mWorkersById.emplace(it->first, &worker);
   // What runs on a worker is asked for where it answered, or where a previous holder knew it.
   if (isNew || (!worker.mInherited && worker.mAnsweredAt == TimePoint{}))
     worker.mAddress = aEntry.mAddress;
@@ -316,7 +325,7 @@
     while (!worker.mRuns.empty())
       DropRun(worker, worker.mRuns.size() - 1);
     if (!worker.mListed)
-      it = mWorkers.erase(it);
+      it = EraseWorker(it);
     else {
       worker.mFenced = true;  // no task of an earlier epoch can still run there
       ++it;
