Soak: ends have to be acknowledged in time, under a steady load and a slow store

The platform's rules do: no more than a fifth of the ends that workers list may wait for longer than ack_ms (4 s). The stand-in times the acknowledgement of each end, and runs without faults check that share. New options set a steady rate of jobs and a delay of the links to the store.

--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -102,6 +102,32 @@
     mDone.begin(), mDone.end(), [&](const std::string& aItem) { return GetJob(aItem) == aJob; }));
 }
 
+std::uint64_t FleetStandin::CountListedEnds() const
+{
+  const std::lock_guard lock(mLock);
+  std::uint64_t n = mAcknowledgedAfter.size();
+  for (const auto& worker : mWorkers)
+    n += static_cast<std::uint64_t>(
+      std::count_if(worker->mEnded.begin(), worker->mEnded.end(), [](const Ended& aItem) {
+        return aItem.mListedAt != TimePoint{};
+      }));
+  return n;
+}
+
+std::uint64_t FleetStandin::CountLateEnds(Duration aTime) const
+{
+  const std::lock_guard lock(mLock);
+  const TimePoint now = BootClock::now();
+  auto n = std::count_if(mAcknowledgedAfter.begin(),
+                         mAcknowledgedAfter.end(),
+                         [aTime](Duration aItem) { return aItem > aTime; });
+  for (const auto& worker : mWorkers)
+    n += std::count_if(worker->mEnded.begin(), worker->mEnded.end(), [&](const Ended& aItem) {
+      return aItem.mListedAt != TimePoint{} && now - aItem.mListedAt > aTime;
+    });
+  return static_cast<std::uint64_t>(n);
+}
+
 std::uint64_t FleetStandin::CountCrashes(const std::string& aJob) const
 {
   const std::lock_guard lock(mLock);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -89,6 +89,10 @@
   [[nodiscard]] std::vector<std::string> ReadViolations() const;
   [[nodiscard]] std::uint64_t CountStarts() const { return mStarts; }
   [[nodiscard]] std::uint64_t CountLateStarts() const { return mLateStarts; }
+  // Ends that reports have listed, each one once.
+  [[nodiscard]] std::uint64_t CountListedEnds() const;
+  // Those that were not acknowledged within aTime since they were first listed.
+  [[nodiscard]] std::uint64_t CountLateEnds(Duration aTime) const;
   [[nodiscard]] std::uint64_t CountEnds(const std::string& aJob) const;  // tasks that ended well
   // Returns how many workers have crashed while they ran the same task, for the job's worst task.
   [[nodiscard]] std::uint64_t CountCrashes(const std::string& aJob) const;
@@ -126,7 +130,7 @@
   void CheckStart(const WorkerState& aWorker, const std::string& aTask, const StandinStage& aStage);
   void Acknowledge(WorkerState& aWorker, std::uint64_t aNumber);
   static bool AcceptToken(WorkerState& aWorker, const boost::json::value& aBody);
-  [[nodiscard]] HttpResponse MakeReport(const WorkerState& aWorker) const;
+  [[nodiscard]] HttpResponse MakeReport(WorkerState& aWorker) const;
   [[nodiscard]] static std::string MakeTicket(const std::string& aStage,
                                               const WorkerState& aWorker);
   [[nodiscard]] static std::uint32_t GetAllowedMilliCores(const WorkerState& aWorker);
@@ -181,6 +185,7 @@
   std::set<std::string> mDone{};                    // tasks with a good end
   std::set<std::string> mNoted{};                   // ... that was taken note of
   std::map<std::string, TimePoint> mLastStarts{};  // of tasks
+  std::vector<Duration> mAcknowledgedAfter{};      // times from the first listing of an end
   std::vector<std::string> mViolations{};
 };
 
--- a/standin/fleet_impl.h
+++ b/standin/fleet_impl.h
@@ -22,6 +22,7 @@
   std::uint64_t mRun = 0;
   std::string mHow{};
   TimePoint mAt{};
+  TimePoint mListedAt{};    // in its first report; zero: not yet
   bool mHasLapsed = false;  // the worker's lease has expired since
 };
 
--- a/standin/fleet_tasks.cpp
+++ b/standin/fleet_tasks.cpp
@@ -147,6 +147,8 @@
 void FleetStandin::Acknowledge(WorkerState& aWorker, std::uint64_t aNumber)
 {
   for (const Ended& it : aWorker.mEnded) {
+    if (it.mNumber <= aNumber && it.mListedAt != TimePoint{})
+      mAcknowledgedAfter.push_back(BootClock::now() - it.mListedAt);
     if (it.mNumber > aNumber || it.mHow != "done")
       continue;
     mNoted.insert(it.mTask);
@@ -157,7 +159,7 @@
   std::erase_if(aWorker.mEnded, [&](const Ended& aItem) { return aItem.mNumber <= aNumber; });
 }
 
-HttpResponse FleetStandin::MakeReport(const WorkerState& aWorker) const
+HttpResponse FleetStandin::MakeReport(WorkerState& aWorker) const
 {
   json::array running;
   json::array ended;
@@ -166,9 +168,11 @@
     running.push_back(
       json::array{ it.mTask, it.mRun, "", std::min<std::int64_t>(percent, 100), 0 });
   }
-  for (const Ended& it : aWorker.mEnded) {
+  for (Ended& it : aWorker.mEnded) {
     if (ended.size() == mOptions.mEndsListed)
       break;
+    if (it.mListedAt == TimePoint{})
+      it.mListedAt = BootClock::now();
     ended.push_back(json::array{ it.mNumber, it.mTask, it.mRun, it.mHow, "" });
   }
   return Answer(http::status::ok,
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -27,9 +27,13 @@
   std::uint32_t mProcesses = 5;
   std::uint32_t mWorkers = 8;
   bool mFaults = true;
+  std::uint32_t mJobsPerS = 0;  // 0: 6 to 25
+  Duration mStoreDelay{};       // of all links to the store, unless another fault replaces it
 };
 
 constexpr Duration kSettle = seconds(90);  // for all accepted jobs to end once the faults are over
+constexpr Duration kAckTime = seconds(4);  // the platform's ack_ms
+constexpr std::uint64_t kMaxLateEndsShare = 5;  // a fifth of the ends, as its rules allow
 constexpr std::uint32_t kSizes[] = { 4'000, 8'000, 12'000, 16'000, 24'000 };  // of workers
 constexpr std::uint64_t kCrashesThatMayEndAJob = 2;  // of workers, under the same task
 
@@ -49,6 +53,8 @@
 
 private:
   Async<void> SubmitJobs();
+  Async<void> SubmitJob();
+  void CheckAcknowledgements();
   Async<void> InjectFaults();
   Async<void> InjectOne();
   Async<void> InjectWorkerFaults();
@@ -90,47 +96,57 @@
 
 Async<void> Soak::SubmitJobs()
 {
-  constexpr int kTries = 5;
   while (!mOver) {
-    co_await Sleep(milliseconds(40 + Draw(120)));
-    char id[17];
-    std::snprintf(id, sizeof id, "%016lx", static_cast<unsigned long>(mRandom()));
-    Submission submission{ id };
-    std::vector<standin::StandinStage> stages;
-    boost::json::array steps;
-    const std::uint64_t count = 1 + Draw(3);
-    const std::uint64_t millis = Draw(4) == 0 ? 2000 + Draw(2000) : 50 + Draw(800);
-    for (std::uint64_t n = 0; n < count; ++n) {
-      standin::StandinStage stage{ static_cast<std::uint32_t>(1 + Draw(4)),
-                                   static_cast<std::uint32_t>(1000 + 1000 * Draw(3)),
-                                   {} };
-      boost::json::object step{ { "count", stage.mCount },
-                                { "cpu", stage.mMilliCores },
-                                { "mem_mb", 100 },
-                                { "estimate_ms", std::max<std::uint64_t>(millis / 2, 300) } };
-      if (n > 0) {
-        stage.mAfter.push_back(static_cast<std::uint32_t>(n - 1));
-        step["after"] = boost::json::array{ n - 1 };
-      }
-      submission.mTasks += stage.mCount;
-      stages.push_back(stage);
-      steps.push_back(step);
+    if (mOptions.mJobsPerS == 0) {
+      co_await Sleep(milliseconds(40 + Draw(120)));
+      co_await SubmitJob();
+    } else {
+      co_await Sleep(Duration(seconds(1)) / mOptions.mJobsPerS);
+      asio::co_spawn(mContext, SubmitJob(), asio::detached);
     }
-    mFleet.GetPlatform().RegisterJob(id, stages);
-    const std::string payload = "ms=" + std::to_string(millis) + " fail=3";
-    const std::string body =
-      boost::json::serialize(boost::json::object{ { "spec", payload }, { "steps", steps } });
-    for (int n = 0; n < kTries && !submission.mAccepted; ++n) {
-      auto response = co_await Call(http::verb::post, id, body);
-      submission.mAccepted = response && response->result() == http::status::ok;
-      const bool notRun = response ? response->result() == http::status::service_unavailable
-                                   : response.error().mKind == FailureKind::EndpointUnreachable;
-      submission.mMaybe = submission.mMaybe || (!submission.mAccepted && !notRun);
-      if (!submission.mAccepted)
-        co_await Sleep(milliseconds(200));
+  }
+}
+
+Async<void> Soak::SubmitJob()
+{
+  constexpr int kTries = 5;
+  char id[17];
+  std::snprintf(id, sizeof id, "%016lx", static_cast<unsigned long>(mRandom()));
+  Submission submission{ id };
+  std::vector<standin::StandinStage> stages;
+  boost::json::array steps;
+  const std::uint64_t count = 1 + Draw(3);
+  const std::uint64_t millis = Draw(4) == 0 ? 2000 + Draw(2000) : 50 + Draw(800);
+  for (std::uint64_t n = 0; n < count; ++n) {
+    standin::StandinStage stage{ static_cast<std::uint32_t>(1 + Draw(4)),
+                                 static_cast<std::uint32_t>(1000 + 1000 * Draw(3)),
+                                 {} };
+    boost::json::object step{ { "count", stage.mCount },
+                              { "cpu", stage.mMilliCores },
+                              { "mem_mb", 100 },
+                              { "estimate_ms", std::max<std::uint64_t>(millis / 2, 300) } };
+    if (n > 0) {
+      stage.mAfter.push_back(static_cast<std::uint32_t>(n - 1));
+      step["after"] = boost::json::array{ n - 1 };
     }
-    mSubmissions.push_back(std::move(submission));
+    submission.mTasks += stage.mCount;
+    stages.push_back(stage);
+    steps.push_back(step);
+  }
+  mFleet.GetPlatform().RegisterJob(id, stages);
+  const std::string payload = "ms=" + std::to_string(millis) + " fail=3";
+  const std::string body =
+    boost::json::serialize(boost::json::object{ { "spec", payload }, { "steps", steps } });
+  for (int n = 0; n < kTries && !submission.mAccepted; ++n) {
+    auto response = co_await Call(http::verb::post, id, body);
+    submission.mAccepted = response && response->result() == http::status::ok;
+    const bool notRun = response ? response->result() == http::status::service_unavailable
+                                 : response.error().mKind == FailureKind::EndpointUnreachable;
+    submission.mMaybe = submission.mMaybe || (!submission.mAccepted && !notRun);
+    if (!submission.mAccepted)
+      co_await Sleep(milliseconds(200));
   }
+  mSubmissions.push_back(std::move(submission));
 }
 
 Async<void> Soak::InjectOne()
@@ -236,6 +252,16 @@
   platform.SetLateOrders(0);
 }
 
+// Without faults ends have to be acknowledged in time, whatever the load.
+void Soak::CheckAcknowledgements()
+{
+  const std::uint64_t listed = mFleet.GetPlatform().CountListedEnds();
+  const std::uint64_t late = mFleet.GetPlatform().CountLateEnds(kAckTime);
+  if (late * kMaxLateEndsShare > listed)
+    mFindings.push_back(std::to_string(late) + " of " + std::to_string(listed) +
+                        " ends were not acknowledged in time");
+}
+
 Async<void> Soak::CheckEnds()
 {
   const TimePoint deadline = BootClock::now() + kSettle;
@@ -272,6 +298,8 @@
 
 bool Soak::Run()
 {
+  for (std::size_t n = 0; n < mFleet.Count(); ++n)
+    mFleet.Get(n).mStoreLink->SetFaults({ .mDelay = mOptions.mStoreDelay });
   asio::co_spawn(mContext, SubmitJobs(), asio::detached);
   if (mOptions.mFaults) {
     asio::co_spawn(mContext, InjectFaults(), asio::detached);
@@ -282,6 +310,8 @@
     [this]() -> Async<void> {
       co_await Sleep(mOptions.mTime);
       mOver = true;
+      if (!mOptions.mFaults)
+        CheckAcknowledgements();
       co_await Sleep(seconds(10));  // the longest fault under way
       for (std::size_t n = 0; n < mFleet.Count(); ++n)
         mFleet.Start(n);
@@ -318,6 +348,9 @@
   TCLAP::ValueArg<std::uint32_t> processes("", "processes", "entry processes", false, 5, "N", line);
   TCLAP::ValueArg<std::uint32_t> workers("", "workers", "workers", false, 8, "N", line);
   TCLAP::ValueArg<int> faults("", "faults", "0: none", false, 1, "0|1", line);
+  TCLAP::ValueArg<std::uint32_t> rate("", "jobs-per-s", "0: 6 to 25", false, 0, "N", line);
+  TCLAP::ValueArg<std::uint32_t> delay(
+    "", "store-delay-ms", "of each direction", false, 0, "MS", line);
   line.parse(argc, argv);
   int failed = 0;
   for (std::uint32_t n = 0; n < runs.getValue(); ++n) {
@@ -327,6 +360,8 @@
     options.mProcesses = processes.getValue();
     options.mWorkers = workers.getValue();
     options.mFaults = faults.getValue() != 0;
+    options.mJobsPerS = rate.getValue();
+    options.mStoreDelay = milliseconds(delay.getValue());
     Soak soak(options);
     failed += soak.Run() ? 0 : 1;
   }
