Check idle connections again if a signal interrupts the check

Cause: poll fails with EINTR if a signal arrives while it runs, also without a time-out. All idle connections of the address then counted as closed, and the worker there as possibly restarted.

Change: an interrupted check is repeated. A connection that was not opened, or a request that was not sent, before the deadline says so instead of 'Operation canceled'.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <tuple>
@@ -143,7 +144,10 @@
   std::array<pollfd, kMaxIdlePerAddress> states{};
   for (std::size_t n = 0; n < aConnections.size(); ++n)
     states[n] = { aConnections[n]->mSocket.native_handle(), POLLIN, 0 };
-  const int ready = ::poll(states.data(), aConnections.size(), 0);
+  int ready = 0;
+  do
+    ready = ::poll(states.data(), aConnections.size(), 0);
+  while (ready < 0 && errno == EINTR);
   const TimePoint now = BootClock::now();
   for (std::size_t n = aConnections.size(); n-- > 0;) {
     // A failed poll tells nothing of any of them, so none is used.
@@ -224,7 +228,8 @@
       co_return std::move(connection);
     }
     if (!connection->mIsLate || aDeadline - now <= kConnectAttemptTimeout)
-      co_return MakeFailure(FailureKind::EndpointUnreachable, ec.message());
+      co_return MakeFailure(FailureKind::EndpointUnreachable,
+                            connection->mIsLate ? "no connection in time" : ec.message());
   }
 }
 
@@ -295,8 +300,9 @@
   }
   if (ec) {
     const bool nothingSent = written == 0 && !connection->mIsLate;
-    co_return MakeFailure(
-      nothingSent ? FailureKind::EndpointUnreachable : FailureKind::EndpointUnknown, ec.message());
+    co_return MakeFailure(nothingSent ? FailureKind::EndpointUnreachable
+                                      : FailureKind::EndpointUnknown,
+                          connection->mIsLate ? "not sent in time" : ec.message());
   }
 
   ResponseParser parser;
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -4,6 +4,10 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <pthread.h>
+
+#include <atomic>
+#include <csignal>
 #include <optional>
 #include <thread>
 
@@ -183,6 +187,43 @@
   CHECK(turns <= kBodyBytes / kMinBytesPerTurn);
 }
 
+TEST_CASE("a signal makes open connections count as closed", "[http]")
+{
+  asio::io_context context{ 1 };
+  HttpServer server({}, [](HttpRequest, std::string) -> Async<HttpResponse> {
+    co_return MakeJsonResponse(http::status::ok, "{}");
+  });
+  const HttpAddress address{ "127.0.0.1", *server.Listen("127.0.0.1", 0, { &context }) };
+  HttpClient client;
+  bool isAnswered = false;
+  asio::co_spawn(context,
+                 client.Call(address, HttpRequest(http::verb::get, "/", 11), seconds(30)),
+                 [&](std::exception_ptr, const Result<HttpResponse>& aResponse) {
+                   isAnswered = aResponse.has_value();
+                   context.stop();
+                 });
+  context.run();
+  REQUIRE(isAnswered);
+
+  struct sigaction action = {};
+  struct sigaction former = {};
+  action.sa_handler = [](int) {};
+  REQUIRE(sigaction(SIGUSR1, &action, &former) == 0);
+  std::atomic<bool> isOver = false;
+  std::thread signals([&isOver, checking = pthread_self()] {
+    while (!isOver)
+      pthread_kill(checking, SIGUSR1);
+  });
+  std::size_t closed = 0;
+  for (int n = 0; n < 500'000; ++n)
+    closed += client.DropClosed(context, address) ? 1 : 0;
+  isOver = true;
+  signals.join();
+  sigaction(SIGUSR1, &former, nullptr);
+  client.Clear();
+  CHECK(closed == 0);
+}
+
 TEST_CASE("a small response takes more turns of the event loop than one without a body", "[http]")
 {
   constexpr std::size_t kCalls = 200;
