--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -203,6 +203,25 @@
   }
 }
 
+// Adds the ends that may be acknowledged once a batch is stored: those whose effects, and the
+// effects of all ends before them on their worker, are in it or in earlier ones.
+void Scheduler::CollectEnds(ProgressBatch& aBatch, TimePoint aNow)
+{
+  mHasNewEnds = false;
+  for (auto& item : mWorkers) {
+    Worker& worker = item.second;
+    std::erase_if(worker.mOrphanEnds,
+                  [&](const auto& aItem) { return IsOrphan(aItem.first, aNow); });
+    const auto first =
+      std::find_if_not(worker.mUnstoredEnds.begin(),
+                       worker.mUnstoredEnds.end(),
+                       [&](const UnstoredEnd& aItem) { return IsCollected(worker, aItem); });
+    if (first != worker.mUnstoredEnds.begin())
+      aBatch.mEnds.push_back({ item.first, worker.mBornMs, std::prev(first)->mNumber });
+    mHasNewEnds = mHasNewEnds || first != worker.mUnstoredEnds.end();
+  }
+}
+
 ProgressBatch Scheduler::CollectProgress(std::size_t aMaxEntries, TimePoint aNow)
 {
   ProgressBatch batch;
@@ -213,22 +232,9 @@
   CollectDirty(false, aMaxEntries, batch);
   CollectDirty(true, aMaxEntries, batch);
   mHasEndedJob = !mDirtyEnded.empty();
-  // An end may be acknowledged only when the effects of all ends up to it are stored. Nothing else
-  // is in flight, so what was collected is either stored or in this batch.
-  if (mBatchesInFlight == 0) {
-    mHasNewEnds = false;
-    for (auto& [id, worker] : mWorkers) {
-      std::erase_if(worker.mOrphanEnds,
-                    [&](const auto& aItem) { return IsOrphan(aItem.first, aNow); });
-      const auto first =
-        std::find_if_not(worker.mUnstoredEnds.begin(),
-                         worker.mUnstoredEnds.end(),
-                         [&](const UnstoredEnd& aItem) { return IsCollected(worker, aItem); });
-      if (first != worker.mUnstoredEnds.begin())
-        batch.mEnds.push_back({ id, worker.mBornMs, std::prev(first)->mNumber });
-      mHasNewEnds = mHasNewEnds || first != worker.mUnstoredEnds.end();
-    }
-  }
+  // Nothing else is in flight, so what was collected is either stored or in this batch.
+  if (mBatchesInFlight == 0)
+    CollectEnds(batch, aNow);
   ++mBatchesInFlight;
   return batch;
 }
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -390,6 +390,7 @@
   void MakeOccurrence(Job& aJob, std::uint32_t aIndex, TimePoint aNow);
   void MarkDirty(Job& aJob);
   void CollectDirty(bool aEnded, std::size_t aMaxEntries, ProgressBatch& aBatch);
+  void CollectEnds(ProgressBatch& aBatch, TimePoint aNow);
   void AddUnstoredEnd(Worker& aWorker, const EndedTask& aRow);
   [[nodiscard]] bool IsCollected(const Worker& aWorker, const UnstoredEnd& aEnd) const;
   std::map<std::string, Worker>::iterator EraseWorker(std::map<std::string, Worker>::iterator aIt);
