Stand-in: the first worker may run each stage

Traced: the stand-in's policy service draws by hash which workers may run a stage, and drew none of the eight for one stage of each run (the hashes were computed again: none below the bound), so no scheduler could have started it.

Change: as in the fleet model, the first worker may run each stage.

--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -164,7 +164,9 @@
     const std::string id(it.as_string());
     std::string pair = stage;
     pair.append("-").append(id);
-    if (std::hash<std::string>()(pair) % 1000 >= 1000 * mOptions.mAdmitted)
+    // The first worker may run each stage, so that each job can end.
+    if (id != mWorkers.front()->mId &&
+        std::hash<std::string>()(pair) % 1000 >= 1000 * mOptions.mAdmitted)
       continue;
     for (const auto& worker : mWorkers)
       if (worker->mId == id)
