--- a/review/standin2.py
+++ b/review/standin2.py
@@ -71,8 +71,14 @@
         self.handler = handler
         self.server = None
         self.tasks = set()
+        self.silent = set()  # channels that have gone silent: nothing passes, and no end shows
         self.port = 0
 
+    def silence(self):
+        """All open channels go silent for good, without a reset; new ones work."""
+        self.silent |= self.tasks
+        return len(self.tasks)
+
     async def listen(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, reuse_address=True,
                                                  limit=16 * 1024 * 1024)
@@ -97,8 +103,10 @@
                     break
                 line, headers, body = message
                 method, target, _ = line.split(" ", 2)
+                if task in self.silent:
+                    await asyncio.sleep(3600)
                 answer = await self.handler(method, target, headers, body)
-                if answer is None:
+                if answer is None or task in self.silent:
                     await asyncio.sleep(3600)
                 status, value = answer
                 data = b"" if value is None else json.dumps(value).encode()
@@ -109,6 +117,7 @@
             pass
         finally:
             self.tasks.discard(task)
+            self.silent.discard(task)
             writer.transport.abort()
 
 
@@ -473,11 +482,12 @@
         self.lost.append((self.record.now(), runner.id, task))
 
     # life
-    def config(self, version=3, **route):
+    def config(self, version=3, extra=False, **route):
         queue = {"name": "r-1", "host": HOST, "prefix": PREFIX, "service": SERVICE, "timeout_ms": 3000,
                  "priority": 1, "max_attempts": 3, "stretch": 2.0, "target_latency_ms": 1000}
         queue.update(route)
-        self.store.put("op/config", {"version": version, "routes": [queue],
+        routes = [queue] + ([{**queue, "name": "r-2", "prefix": "/new/"}] if extra else [])
+        self.store.put("op/config", {"version": version, "routes": routes,
                                      "services": [{"name": SERVICE, "admission_control": False}],
                                      "limits": {"max_body_bytes": 262144}})
 
