--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,27 +1,25 @@
-"""Case 6: the channels to one runner of ten are slow for 5 s, and a task runs twice."""
+"""Case 6: the channels to two runners of ten are slow for 5 s, and a task runs twice."""
 import asyncio, os, random, sys
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 from standin2 import *
 
-RUNNERS, WINDOW, CALM, WINDOWS = 10, 5.0, 3.0, 8
+RUNNERS, SLOW, WINDOW, CALM, WINDOWS = 10, 2, 5.0, 3.0, 11
 
 
 async def main():
     record = Record(os.path.join(HERE, "record.txt"))
     cell = Cell(record, processes=3, runners=RUNNERS)
     slow = set()
-    holds = 0
+    draw = random.Random(6)
 
     def link(runner, target):
-        nonlocal holds
         if runner.number not in slow:
             return 0, 0
         if target == "/run-start":
             return 0.45, 0
         if target == "/hold":
-            holds += 1
-            return (0.2, 0) if holds % 2 else (0, 0.25)
+            return (0.2, 0) if draw.random() < 0.5 else (0, 0.25)
         return 0.2, 0
 
     async def job(n):
@@ -44,8 +42,8 @@
         for n in range(WINDOWS):
             await asyncio.sleep(CALM)
             if TROUBLE:
-                slow.add(n)
-                record("link", f"packets to and from runner {n} are lost and sent again")
+                slow.update((n + 5 * k) % RUNNERS for k in range(SLOW))
+                record("link", f"packets to and from runners {sorted(slow)} are lost and sent again")
             await asyncio.sleep(WINDOW)
             slow.clear()
             record("link", "all links are good")
--- a/review/standin2.py
+++ b/review/standin2.py
@@ -509,18 +509,23 @@
             self.entries.append({"front": free_port(), "ready": free_port(), "peers": free_port()})
         it = self.entries[n]
         it["file"] = os.path.join(self.folder, f"entry-{n}.toml")
+        it["name"] = f"edge-a-{n + 1}"
         with open(it["file"], "w") as out:
-            out.write(f'[process]\nname = "edge-a-{n + 1}"\nzone = "zone-a"\ncores = 0.25\n'
-                      f'[listen]\ncallers = "127.0.0.1:{it["front"]}"\nready = "127.0.0.1:{it["ready"]}"\n'
-                      f'peers = "127.0.0.1:{it["peers"]}"\n'
-                      f'[store]\naddress = "127.0.0.1:{it.get("store", self.store.server.port)}"\n'
-                      f'[bounds]\ntask_lease_ms = 6000\nshutdown_ms = 6000\nkeep_ended_ms = 120000\n'
-                      f'worker_heartbeat_ms = 1500\n[workers]\ntokens_checked = true\n')
+            out.write(self.settings(it))
         log = open(os.path.join(self.folder, f"entry-{n}.log"), "ab")
         it["process"] = await asyncio.create_subprocess_exec(
             BINARY, "entry", "--config", it["file"], cwd=ROOT, stdout=log, stderr=log)
         log.close()
 
+    def settings(self, it):
+        """The settings that deploy/entry.toml makes of the site's values."""
+        return (f'[process]\nname = "{it["name"]}"\nzone = "zone-a"\ncores = 0.25\n'
+                f'[listen]\ncallers = "127.0.0.1:{it["front"]}"\nready = "127.0.0.1:{it["ready"]}"\n'
+                f'peers = "127.0.0.1:{it["peers"]}"\n'
+                f'[store]\naddress = "127.0.0.1:{self.store.server.port}"\n'
+                f'[bounds]\ntask_lease_ms = 6000\nshutdown_ms = 6000\nkeep_ended_ms = 120000\n'
+                f'worker_heartbeat_ms = 1500\n[workers]\ntokens_checked = true\n')
+
     def log(self, n):
         with open(os.path.join(self.folder, f"entry-{n}.log"), errors="replace") as file:
             return file.read()
