--- a/review/standin2.py
+++ b/review/standin2.py
@@ -20,7 +20,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BINARY = os.path.join(ROOT, "target", "monsoonstage")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOST, PREFIX, SERVICE = "queue.example", "/work/", "pool"
+HOST, PREFIX, SERVICE = "queue.example", "/jobs/", "pool"
 
 
 def free_port():
