--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -262,8 +262,17 @@
       run.mStarted = true;
       ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
       run.mTailLatencyMs = row.mTailLatencyMs;
-      if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt)
+      if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt) {
         run.mPhase = RunPhase::Running;
+        Log(LogPart::Task,
+            LogLevel::Info,
+            "a report confirms a start that was not answered",
+            { { "task", run.mTask },
+              { "run", run.mRun },
+              { "worker", aId },
+              { "requested_ago_ms", aNow - aSentAt },
+              { "worker_clock_ms", aReport.mClockMs } });
+      }
       if (run.mKnown && !row.mCheckpoint.empty())
         if (Task* task = FindTask(run.mRef); task && task->mRun == run.mRun) {
           task->mCheckpoint = row.mCheckpoint;
@@ -287,7 +296,9 @@
             { "worker", aId },
             { "stopped", run.mPhase == RunPhase::Stopping ? "yes" : "no" },
             { "known", run.mKnown ? "yes" : "no" },
-            { "ends", aReport.mEnded.size() } });
+            { "ends", aReport.mEnded.size() },
+            { "requested_ago_ms", aNow - aSentAt },
+            { "worker_clock_ms", aReport.mClockMs } });
       const bool neverRan =
         run.mKnown && !run.mReported && !run.mStarted && run.mPhase == RunPhase::Stopping;
       if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
