A report drops a run only if it was requested after the run was confirmed

Cause: a report that does not list a run proves that the run is gone only if it was made after the run was there. When it was made is not known, only that it was made after it was requested. OnReport compared the time of the request with the time at which the start order was answered or given up. A start that gets no answer takes effect later than that. Report A, requested first, lists the run and confirms it; report B, requested later but made before the run was there, is overtaken by A and drops it. Runs that a report adopted were compared with the request of that report, and runs of unread jobs were dropped by any report at all.

Change: Run::mConfirmedAt, when the first answer or report that confirms the start was received, replaces Run::mStarted. A report drops a run if it was requested later than that, or later than the answer to a stop.

Why it works: what was received at T was sent before T, so the run was there before T; a report requested after T was made after T. A worker lists a run or its end from then on, and refuses a run that has ended or was stopped. Weighed: ordering reports by clock_ms. That would also tell which of two reports is newer, but it needs an answer to equal milliseconds, to clocks that start anew with each incarnation and to answers without a clock. The order of receipt needs none of them.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -67,8 +67,10 @@
   std::uint32_t mMilliCores = 0;  // reserved
   std::uint32_t mMemoryMiB = 0;
   std::uint32_t mAccelerators = 0;
-  bool mReported = false;    // listed in at least one report of the worker
-  bool mStarted = false;     // confirmed by the worker, in an answer or a report
+  bool mReported = false;  // listed in at least one report of the worker
+  // When the first answer or report that confirms the start was received; zero: none was. A report
+  // that was requested later and does not list the run proves that it is gone.
+  TimePoint mConfirmedAt{};
   TimePoint mSentAt{};       // when the start order was sent; later, when it was answered
   TimePoint mStopSentAt{};   // zero: no stop order was sent
   TimePoint mStopAckedAt{};  // zero: no stop order was confirmed
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -21,7 +21,7 @@
 {
   std::string text;
   for (const Run& it : aWorker.mRuns) {
-    if (!it.mStarted || !IsUnproven(aWorker, it))
+    if (!IsConfirmed(it) || !IsUnproven(aWorker, it))
       continue;
     if (!text.empty())
       text += ',';
@@ -35,7 +35,7 @@
   std::vector<SuspectRun> suspects = aWorker.mPastRuns;
   for (const Run& it : aWorker.mRuns)
     if (it.mKnown && !OutlivedCrashes(aWorker, it))
-      suspects.push_back({ it.mTask, it.mRun, it.mStarted, IsUnproven(aWorker, it) });
+      suspects.push_back({ it.mTask, it.mRun, IsConfirmed(it), IsUnproven(aWorker, it) });
   return suspects;
 }
 
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -68,6 +68,12 @@
   return aWorker.mInherited && !aWorker.mFenced;
 }
 
+// Returns whether the worker has confirmed the start, in an answer or a report.
+inline bool IsConfirmed(const Run& aRun)
+{
+  return aRun.mConfirmedAt != TimePoint{};
+}
+
 // For a start order to reach its worker while its ticket is valid.
 inline constexpr Duration kTicketMargin = milliseconds(60);
 
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -49,7 +49,8 @@
       if (run->mPhase == RunPhase::Starting)
         run->mPhase = RunPhase::Running;
       run->mSentAt = aNow;
-      run->mStarted = true;
+      if (!IsConfirmed(*run))
+        run->mConfirmedAt = aNow;
       run->mProgressAt = aNow;
       // Not one that may have restarted: its incarnation is told by its next report.
       worker->mReachable = !worker->mMayHaveRestarted;
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -12,6 +12,17 @@
 constexpr Duration kBaseQuarantine = seconds(2);  // doubled for each further quarantine in a row
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 
+// Returns whether a report that was requested at aRequestedAt, and lists neither the run nor its
+// end, proves that the run is not on its worker and will not be. When the report was made is not
+// known, only that it was after that: reports overtake each other, and starts take effect late. So
+// it has to be requested after it was learned that the run was there, or that its start is refused.
+bool IsProvenGone(const Run& aRun, TimePoint aRequestedAt)
+{
+  const bool wasStopped = aRun.mPhase == RunPhase::Stopping && aRun.mStopAckedAt != TimePoint{};
+  return (IsConfirmed(aRun) && aRequestedAt > aRun.mConfirmedAt) ||
+         (wasStopped && aRequestedAt > aRun.mStopAckedAt);
+}
+
 }  // namespace
 
 // Returns whether a run or an end that was reported of an unknown job can't be of one that is yet
@@ -259,7 +270,8 @@
         run.mProgressAt = aNow;
       }
       run.mReported = true;
-      run.mStarted = true;
+      if (!IsConfirmed(run))
+        run.mConfirmedAt = aNow;
       ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
       run.mTailLatencyMs = row.mTailLatencyMs;
       if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt) {
@@ -283,11 +295,7 @@
     }
     if (aReport.mHasMoreEnds)
       continue;  // its end may be one of those that are not listed yet
-    const bool isGone = (run.mPhase == RunPhase::Running && aSentAt > run.mSentAt) ||
-                        (run.mPhase == RunPhase::Stopping && run.mStopAckedAt != TimePoint{} &&
-                         aSentAt > run.mStopAckedAt) ||
-                        !run.mKnown;
-    if (isGone) {
+    if (IsProvenGone(run, aSentAt)) {
       Log(LogPart::Task,
           run.mPhase == RunPhase::Running ? LogLevel::Warn : LogLevel::Info,
           "a run is missing in a report that lists no end of it",
@@ -299,8 +307,7 @@
             { "ends", aReport.mEnded.size() },
             { "requested_ago_ms", aNow - aSentAt },
             { "worker_clock_ms", aReport.mClockMs } });
-      const bool neverRan =
-        run.mKnown && !run.mReported && !run.mStarted && run.mPhase == RunPhase::Stopping;
+      const bool neverRan = run.mKnown && !IsConfirmed(run);
       if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
         task->mFailedOn.push_back(aId);  // this worker refuses this run number from now on
       DropRun(worker, n, neverRan);
@@ -314,7 +321,7 @@
     run.mTask = row->mTask;
     run.mRun = row->mRun;
     run.mReported = true;
-    run.mStarted = true;
+    run.mConfirmedAt = aNow;
     run.mPercent = row->mPercent;
     run.mTailLatencyMs = row->mTailLatencyMs;
     run.mProgressAt = aNow;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -150,7 +150,7 @@
   };
   const auto living =
     std::stable_partition(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& aRun) {
-      const bool isLater = aRun.mStarted && !aRun.mReported && aRun.mSentAt >= aSentAt;
+      const bool isLater = IsConfirmed(aRun) && !aRun.mReported && aRun.mConfirmedAt >= aSentAt;
       return !isListed(aRun) && !isLater;
     });
   std::vector<Run> kept(std::make_move_iterator(living),
@@ -158,7 +158,7 @@
   aWorker.mRuns.erase(living, aWorker.mRuns.end());
   RecordCrash(aWorker, CrashEvidence::Replaced, aNow);
   for (std::size_t n = aWorker.mRuns.size(); n-- > 0;)
-    if (aWorker.mRuns[n].mStarted)
+    if (IsConfirmed(aWorker.mRuns[n]))
       DropRun(aWorker, n);
   std::move(kept.begin(), kept.end(), std::back_inserter(aWorker.mRuns));
   for (Run& it : aWorker.mRuns) {
@@ -267,7 +267,7 @@
   // have to wait for a full lease.
   if (lease > kIdleLease && std::none_of(aWorker.mRuns.begin(),
                                          aWorker.mRuns.end(),
-                                         [](const Run& aItem) { return aItem.mStarted; })) {
+                                         [](const Run& aItem) { return IsConfirmed(aItem); })) {
     aWorker.mLeaseSentAt = std::max(aWorker.mLeaseSentAt, aNow + kIdleLease - mTaskLease);
     return kIdleLease;
   }
--- /dev/null
+++ b/tests/unit/test_fleet_crossed_reports.cpp
@@ -0,0 +1,145 @@
+// Reports that overtake each other, and late starts: a report proves that a run is absent only if
+// it was requested after the proof that the run was there had been received.
+#include <catch2/catch.hpp>
+
+#include "fleet_model.h"
+
+using namespace monsoon;
+using namespace monsoon::fleet;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds(2000) };
+
+TimePoint At(int aMs)
+{
+  return kStart + milliseconds(aMs);
+}
+
+QueueConfig MakeQueue()
+{
+  QueueConfig queue;
+  queue.mName = "q";
+  queue.mService = "pool";
+  queue.mMaxAttempts = 50;
+  queue.mStretch = 2;
+  queue.mSlack = seconds(1);
+  return queue;
+}
+
+JobSpec MakeJob(std::string aId, std::uint32_t aTasks)
+{
+  JobSpec job;
+  job.mId = std::move(aId);
+  job.mQueue = "q";
+  job.mService = "pool";
+  StageSpec stage;
+  stage.mCount = aTasks;
+  stage.mMilliCores = 3000;
+  stage.mMemoryMiB = 1000;
+  stage.mEstimateMs = 1000;
+  job.mStages.push_back(stage);
+  return job;
+}
+
+// Two workers with room for one task each; both have answered.
+Scheduler MakeScheduler(std::uint64_t aEpoch)
+{
+  Scheduler scheduler({ .mEpoch = aEpoch });
+  FleetConfig config;
+  config.mQueues.push_back(MakeQueue());
+  scheduler.SetQueues(config);
+  for (const char* id : { "w0", "w1" }) {
+    WorkerEntry entry;
+    entry.mId = id;
+    entry.mAddress = std::string(id) + ":80";
+    entry.mService = "pool";
+    entry.mMilliCores = 4000;
+    entry.mMemoryMiB = 16'000;
+    scheduler.ListWorker(entry, true, kStart);
+    scheduler.OnReport(id, {}, kStart, kStart);
+  }
+  return scheduler;
+}
+
+WorkerReport ListRunning(const StartOrder& aOrder, double aPercent = 0)
+{
+  WorkerReport report;
+  report.mRunning.push_back({ .mTask = aOrder.mTask, .mRun = aOrder.mRun, .mPercent = aPercent });
+  return report;
+}
+
+}  // namespace
+
+// A task ran twice: a run that a report had just shown was taken for gone.
+TEST_CASE(
+  "fleet: a late start is taken for gone by a report from before it, and runs elsewhere too")
+{
+  Scheduler scheduler = MakeScheduler(1);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  const std::string id = orders.mStarts[0].mWorker;
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, At(400));
+  // Both are requested after the start timed out. The first one is made after the start took
+  // effect, the second one before it.
+  scheduler.OnReport(id, ListRunning(orders.mStarts[0]), At(401), At(600));
+  scheduler.OnReport(id, {}, At(402), At(601));
+  CHECK(scheduler.FindWorker(id)->mRuns.size() == 1);
+  CHECK(scheduler.Plan(At(610), 0, true, 0).mStarts.empty());
+  // One that is requested later proves that the run is gone.
+  scheduler.OnReport(id, {}, At(602), At(700));
+  CHECK(scheduler.Plan(At(710), 0, true, 0).mStarts.size() == 1);
+}
+
+// After a takeover: a run that a previous holder had started was forgotten again.
+TEST_CASE("fleet: a run of a previous holder is dropped by a report from before it, and runs twice")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  const bool isJobRead = GENERATE(true, false);
+  INFO("job read " << isJobRead);
+  if (isJobRead)
+    scheduler.AddJob(MakeJob("x", 1), {}, true, kStart);
+  const StartOrder order{ .mWorker = "w0", .mTask = "x.0.0.0", .mRun = 7 };
+  scheduler.OnReport("w0", ListRunning(order), At(100), At(300));
+  scheduler.OnReport("w0", {}, At(101), At(301));
+  scheduler.AddJob(MakeJob("x", 1), {}, true, At(302));
+  CHECK(scheduler.FindWorker("w0")->mRuns.size() == 1);
+  CHECK(scheduler.Plan(At(310), 0, true, 0).mStarts.empty());
+  scheduler.OnReport("w0", {}, At(302), At(400));
+  CHECK(scheduler.Plan(At(410), 0, true, 0).mStarts.size() == 1);
+}
+
+TEST_CASE("fleet: tasks run twice while starts are late and reports overtake each other")
+{
+  const auto seed = GENERATE(range(1U, 41U));
+  INFO("seed " << seed);
+  FleetFaults faults;
+  faults.mSlowCall = 0.6;
+  faults.mFailure = 0.05;
+  faults.mLostAnswer = 0.03;
+  faults.mLostReport = 0.02;
+  faults.mTakeoverPerS = seed % 2 == 0 ? 0.1 : 0;
+  faults.mPreviousHolder = seconds(seed % 4 == 0 ? 5 : 0);
+  faults.mCrashPerS = seed % 3 == 0 ? 0.02 : 0;
+  faults.mUnresponsivePerS = seed % 5 == 0 ? 0.05 : 0;
+  FleetModel model(seed, faults, 8);
+  model.SetQueue(MakeQueue());
+  std::mt19937_64 random(seed);
+  std::vector<std::string> ids;
+  for (int round = 0; round < 60; ++round) {
+    ids.push_back("j" + std::to_string(round));
+    model.Submit(MakeJob(ids.back(), static_cast<std::uint32_t>(1 + random() % 12)));
+    if (random() % 10 == 0)
+      model.Cancel(ids.back());
+    model.RunFor(milliseconds(300));
+  }
+  model.StopFaults();
+  model.RunFor(seconds(60));
+  CHECK_THAT(model.mViolations, Catch::Equals(std::vector<std::string>()));
+  for (const std::string& id : ids) {
+    INFO("job " << id);
+    REQUIRE(model.FindJob(id));
+    CHECK(IsOver(model.FindJob(id)->mState));
+  }
+}
