A run whose end is known is not adopted again from an older report

Where reports overtake each other, one that is older than the report of an end lists the run as running. OnReport adopted it again: its capacity was reserved until the next report, a task that was to be repeated waited as long, and a completed one got a stop.

Change: a worker keeps the ends that it reported until a report arrives that was requested after they were received; no later report is older than they are. What they name is not adopted.

The new test fails without the change: 3,000 millicores stay reserved, a completed task is stopped, a failed one does not start.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -155,6 +155,13 @@
   Vanished   // unlisted until the leases of its tasks expired; it may be partitioned instead
 };
 
+struct EndedRun
+{
+  std::string mTask{};
+  std::uint64_t mRun = 0;
+  TimePoint mSeenAt{};  // when its end was received
+};
+
 struct UnstoredEnd  // of a task; the worker lists it until it is acknowledged
 {
   std::uint64_t mNumber = 0;  // EndedTask::mNumber
@@ -189,6 +196,9 @@
   std::uint64_t mLastEnd = 0;    // highest EndedTask::mNumber that was processed
   std::uint64_t mStoredEnd = 0;  // the effects of all ends up to this EndedTask::mNumber are stored
   std::deque<UnstoredEnd> mUnstoredEnds{};  // later ones, by number
+  // Runs whose end was reported lately, by the time of that report. Reports that were requested
+  // before that may be older, and list them as running.
+  std::deque<EndedRun> mRecentEnds{};
   std::uint32_t mUsedMilliCores = 0;
   std::uint32_t mUsedMemoryMiB = 0;
   std::uint32_t mUsedAccelerators = 0;
@@ -312,7 +322,8 @@
   // may still take effect there.
   void SetFencedFrom(TimePoint aFrom) { mFencedFrom = aFrom; }
   // Applies a worker's report, the answer to a poll that was sent at aSentAt. aAddress: where it
-  // answered; empty: where it is known.
+  // answered; empty: where it is known. Reports of a worker are passed on in the order in which
+  // they were requested; others are left out. They may still have been made in another order.
   void OnReport(const std::string& aId,
                 const WorkerReport& aReport,
                 TimePoint aSentAt,
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -23,6 +23,15 @@
          (wasStopped && aRequestedAt > aRun.mStopAckedAt);
 }
 
+// Returns whether the end of a task that a report lists as running was received lately.
+bool HasEnded(const Worker& aWorker, const RunningTask& aRow)
+{
+  return std::any_of(
+    aWorker.mRecentEnds.begin(), aWorker.mRecentEnds.end(), [&aRow](const EndedRun& aItem) {
+      return aItem.mTask == aRow.mTask && aItem.mRun == aRow.mRun;
+    });
+}
+
 }  // namespace
 
 // Returns whether a run or an end that was reported of an unknown job can't be of one that is yet
@@ -253,8 +262,12 @@
     ProcessEnd(worker, row, aNow);
     AddUnstoredEnd(worker, row);
     worker.mLastEnd = row.mNumber;
+    worker.mRecentEnds.push_back({ row.mTask, row.mRun, aNow });
     mHasNewEnds = true;
   }
+  // No later report is older than these ends.
+  while (!worker.mRecentEnds.empty() && worker.mRecentEnds.front().mSeenAt < aSentAt)
+    worker.mRecentEnds.pop_front();
 
   std::map<std::pair<std::string_view, std::uint64_t>, const RunningTask*> listed;
   for (const RunningTask& row : aReport.mRunning)
@@ -317,6 +330,8 @@
   // The remaining tasks run on the worker without being tracked: they are adopted if possible (as
   // after a takeover), and stopped otherwise.
   for (const auto& [key, row] : listed) {
+    if (HasEnded(worker, *row))
+      continue;  // this report is older than the one that listed the end
     Run run;
     run.mTask = row->mTask;
     run.mRun = row->mRun;
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -170,6 +170,7 @@
   aWorker.mLastEnd = 0;
   aWorker.mStoredEnd = 0;
   aWorker.mUnstoredEnds.clear();
+  aWorker.mRecentEnds.clear();
   SuspectRestart(aWorker, aNow);
   ExtendLeases(aWorker, aNow);
 }
--- a/tests/unit/test_fleet_crossed_reports.cpp
+++ b/tests/unit/test_fleet_crossed_reports.cpp
@@ -92,6 +92,29 @@
   CHECK(scheduler.Plan(At(710), 0, true, 0).mStarts.size() == 1);
 }
 
+// Capacity was reserved for a run that had ended, and its task, to be repeated, waited for it.
+TEST_CASE("fleet: a run that has ended is adopted again from a report that is older than its end")
+{
+  Scheduler scheduler = MakeScheduler(1);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  const std::string id = orders.mStarts[0].mWorker;
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, At(10));
+  WorkerReport ended;
+  ended.mEnded.push_back({ 1,
+                           orders.mStarts[0].mTask,
+                           orders.mStarts[0].mRun,
+                           GENERATE(EndKind::Done, EndKind::Failed) });
+  scheduler.OnReport(id, ended, At(500), At(700));
+  scheduler.OnReport(id, ListRunning(orders.mStarts[0], 90), At(501), At(701));
+  CHECK(scheduler.FindWorker(id)->mRuns.empty());
+  CHECK(scheduler.FindWorker(id)->mUsedMilliCores == 0);
+  const Orders next = scheduler.Plan(At(710), 0, true, 0);
+  CHECK(next.mStops.empty());
+  CHECK(next.mStarts.size() == (ended.mEnded[0].mKind == EndKind::Failed ? 1 : 0));
+}
+
 // After a takeover: a run that a previous holder had started was forgotten again.
 TEST_CASE("fleet: a run of a previous holder is dropped by a report from before it, and runs twice")
 {
