A start without an answer is stopped only because of a report that was requested after it

A start that was not answered is stopped unless a report lists it. Any answer of the worker that was received after the start was given up counted as such a report, also one that was requested before the start took effect, or the answer to another start; and a report that did list the run confirmed it only if it was requested late enough. Good work was stopped that way and its task started again.

Change: the stop waits for a report that was requested after the start was given up. A report that lists the run confirms it whenever it was requested, also while its answer is still awaited.

The new test fails without the change in three of its four sections; the fourth, a later report without the run, still leads to a stop.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -190,10 +190,11 @@
   bool mHasUnansweredStart = false;  // since its last answer
   bool mMayHaveRestarted = false;    // since its last report, as its entry or its clock says
   TimePoint mAnsweredAt{};
-  TimePoint mLeaseSentAt{};      // when the last order that renewed its tasks' leases was sent
-  TimePoint mUnlistedAt{};       // when its directory entry was last removed
-  TimePoint mWrittenAt{};        // when its directory entry was last seen to change; zero: never
-  std::uint64_t mLastEnd = 0;    // highest EndedTask::mNumber that was processed
+  TimePoint mReportRequestedAt{};  // when the last report that was applied was requested
+  TimePoint mLeaseSentAt{};        // when the last order that renewed its tasks' leases was sent
+  TimePoint mUnlistedAt{};         // when its directory entry was last removed
+  TimePoint mWrittenAt{};          // when its directory entry was last seen to change; zero: never
+  std::uint64_t mLastEnd = 0;      // highest EndedTask::mNumber that was processed
   std::uint64_t mStoredEnd = 0;  // the effects of all ends up to this EndedTask::mNumber are stored
   std::deque<UnstoredEnd> mUnstoredEnds{};  // later ones, by number
   // Runs whose end was reported lately, by the time of that report. Reports that were requested
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -61,7 +61,7 @@
       return;
     case StartOutcome::Unknown:
       if (run->mPhase == RunPhase::Starting)
-        run->mPhase = RunPhase::Unconfirmed;
+        run->mPhase = IsConfirmed(*run) ? RunPhase::Running : RunPhase::Unconfirmed;
       run->mSentAt = aNow;
       worker->mHasUnansweredStart = true;
       return;
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -255,6 +255,7 @@
     worker.mLeaseSentAt = std::max(worker.mLeaseSentAt, aNow);
   }
   worker.mAnsweredAt = aNow;
+  worker.mReportRequestedAt = aSentAt;
 
   for (const EndedTask& row : aReport.mEnded) {
     if (row.mNumber <= worker.mLastEnd)
@@ -287,7 +288,7 @@
         run.mConfirmedAt = aNow;
       ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
       run.mTailLatencyMs = row.mTailLatencyMs;
-      if (run.mPhase == RunPhase::Unconfirmed && aSentAt > run.mSentAt) {
+      if (run.mPhase == RunPhase::Unconfirmed) {
         run.mPhase = RunPhase::Running;
         Log(LogPart::Task,
             LogLevel::Info,
--- a/src/fleet/scheduler_running.cpp
+++ b/src/fleet/scheduler_running.cpp
@@ -46,7 +46,7 @@
           !job || !task || job->mState == JobState::Cancelled || job->mState == JobState::Failed ||
           (!task->mDone && !run.mDetached && (task->mWorker != id || task->mRun != run.mRun)) ||
           (task->mDone && job->mSpec.mStages[run.mRef.mStage].mSpeculative) ||
-          (run.mPhase == RunPhase::Unconfirmed && worker.mAnsweredAt > run.mSentAt);
+          (run.mPhase == RunPhase::Unconfirmed && worker.mReportRequestedAt > run.mSentAt);
       }
       if (!mustStop || run.mPhase == RunPhase::Starting)
         continue;
--- a/tests/unit/test_fleet_crossed_reports.cpp
+++ b/tests/unit/test_fleet_crossed_reports.cpp
@@ -115,6 +115,44 @@
   CHECK(next.mStarts.size() == (ended.mEnded[0].mKind == EndKind::Failed ? 1 : 0));
 }
 
+// Work was thrown away: a report that is older than a late start was taken for its absence.
+TEST_CASE("fleet: a start without an answer is stopped because of a report from before it")
+{
+  Scheduler scheduler = MakeScheduler(1);
+  scheduler.AddJob(MakeJob("a", 1), {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  const std::string id = orders.mStarts[0].mWorker;
+  SECTION("the report does not list it")
+  {
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, At(400));
+    scheduler.OnReport(id, {}, At(300), At(450));
+    CHECK(scheduler.Plan(At(460), 0, true, 0).mStops.empty());
+    scheduler.OnReport(id, ListRunning(orders.mStarts[0]), At(401), At(600));
+    CHECK(scheduler.Plan(At(610), 0, true, 0).mStops.empty());
+  }
+  SECTION("the report lists it")
+  {
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, At(400));
+    scheduler.OnReport(id, ListRunning(orders.mStarts[0]), At(300), At(450));
+    CHECK(scheduler.Plan(At(460), 0, true, 0).mStops.empty());
+    CHECK(scheduler.FindWorker(id)->mRuns[0].mPhase == RunPhase::Running);
+  }
+  SECTION("a report has listed it before its answer was given up")
+  {
+    scheduler.OnReport(id, ListRunning(orders.mStarts[0]), At(200), At(300));
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, At(400));
+    scheduler.OnReport(id, ListRunning(orders.mStarts[0]), At(300), At(450));
+    CHECK(scheduler.Plan(At(460), 0, true, 0).mStops.empty());
+  }
+  SECTION("a report that was requested later does not list it")
+  {
+    scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, At(400));
+    scheduler.OnReport(id, {}, At(401), At(500));
+    CHECK(scheduler.Plan(At(510), 0, true, 0).mStops.size() == 1);
+  }
+}
+
 // After a takeover: a run that a previous holder had started was forgotten again.
 TEST_CASE("fleet: a run of a previous holder is dropped by a report from before it, and runs twice")
 {
