A report of another incarnation decides only if it was requested after this one was known

A report of a worker's earlier incarnation was recognized by its start time. If the machine's time of day was set back before the restart, the earlier one has the higher time: an overtaken report then ended the present incarnation, whose tasks started elsewhere as well. The other way round, the report of a next incarnation with a lower start time was ignored, and tasks went on to start on a worker that may be smaller.

Change: a report of another incarnation that was requested before the present one became known decides nothing. The worker gets no tasks until its next report, which can't be of an incarnation that had ended by then.

Tried first and not enough: to ignore such a report whatever its start time.

Both new tests fail without the change.

--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -227,8 +227,23 @@
   if (!found)
     return;
   Worker& worker = *found;
-  if (aReport.mBornMs < worker.mBornMs && aReport.mBornMs != 0 && aSentAt < worker.mBornSeenAt)
-    return;  // of an earlier incarnation
+  // The start times are not compared: a machine's time of day may have been set back.
+  const bool isOther =
+    aReport.mBornMs != 0 && worker.mBornMs != 0 && aReport.mBornMs != worker.mBornMs;
+  if (isOther && aSentAt < worker.mBornSeenAt) {
+    // Reports overtake each other, so this one may be of the incarnation before or after. One that
+    // is requested from now on tells.
+    SuspectRestart(worker, aNow);
+    ExtendLeases(worker, aNow);
+    Log(LogPart::Task,
+        LogLevel::Info,
+        "a report is of another incarnation, which may be an earlier one",
+        { { "worker", aId },
+          { "born_ms", aReport.mBornMs },
+          { "known", worker.mBornMs },
+          { "requested_ago_ms", aNow - aSentAt } });
+    return;
+  }
   if (!aAddress.empty() && aAddress != worker.mAddress) {
     Log(LogPart::Task,
         LogLevel::Info,
@@ -238,8 +253,7 @@
   }
   if (!worker.mReachable && worker.mFenced)
     Log(LogPart::Task, LogLevel::Info, "a worker answers again", { { "worker", aId } });
-  // The start time is not compared: a machine's time of day may have been set back.
-  if (aReport.mBornMs != 0 && worker.mBornMs != 0 && aReport.mBornMs != worker.mBornMs)
+  if (isOther)
     ResetForNewIncarnation(worker, aReport, aSentAt, aNow);
   if (aReport.mBornMs != 0)
     worker.mBornMs = aReport.mBornMs;
--- a/tests/unit/fleet_model_workers.cpp
+++ b/tests/unit/fleet_model_workers.cpp
@@ -366,6 +366,8 @@
     it = Node{};
     it.mEntry = former.mEntry;
     it.mEntry.mBornMs = GetUnixMillis(mNow) - (Happens(0.15) ? 3000 : 0);  // its clock was set back
+    if (it.mEntry.mBornMs == former.mEntry.mBornMs)
+      ++it.mEntry.mBornMs;  // workers distinguish their incarnations by it
     const std::uint32_t cores = kSizes[mRandom() % std::size(kSizes)];
     if (mFaults.mRestartsResized)
       it.mEntry.mMilliCores = cores;
--- a/tests/unit/test_fleet_crossed_reports.cpp
+++ b/tests/unit/test_fleet_crossed_reports.cpp
@@ -171,6 +171,44 @@
   CHECK(scheduler.Plan(At(410), 0, true, 0).mStarts.size() == 1);
 }
 
+// A task of the new incarnation was taken for lost, and its ends were counted by other numbers.
+TEST_CASE("fleet: a report of an earlier incarnation that was overtaken ends the present one")
+{
+  Scheduler scheduler = MakeScheduler(2);
+  scheduler.AddJob(MakeJob("x", 1), {}, true, kStart);
+  WorkerReport before;
+  before.mBornMs = 5000;
+  scheduler.OnReport("w0", before, At(10), At(20));
+  // Its machine's time of day was set back before it restarted.
+  WorkerReport after = ListRunning({ .mWorker = "w0", .mTask = "x.0.0.0", .mRun = 7 });
+  after.mBornMs = 4000;
+  scheduler.OnReport("w0", after, At(100), At(300));
+  REQUIRE(scheduler.FindWorker("w0")->mRuns.size() == 1);
+  scheduler.OnReport("w0", before, At(150), At(320));
+  CHECK(scheduler.FindWorker("w0")->mBornMs == 4000);
+  CHECK(scheduler.FindWorker("w0")->mRuns.size() == 1);
+  CHECK(scheduler.Plan(At(330), 0, true, 0).mStarts.empty());
+}
+
+// A worker was given more than it had room for: its next incarnation, on a machine whose time of
+// day was set back, was smaller.
+TEST_CASE(
+  "fleet: a report of the next incarnation, requested before this one was known, is ignored")
+{
+  Scheduler scheduler = MakeScheduler(1);
+  WorkerReport report;
+  for (const auto& [id, born, sentAt, now] : { std::tuple("w0", 1000, 10, 20),
+                                               std::tuple("w1", 1000, 10, 20),
+                                               std::tuple("w0", 2000, 100, 300),
+                                               std::tuple("w0", 1500, 200, 320) }) {
+    report.mBornMs = born;
+    scheduler.OnReport(id, report, At(sentAt), At(now));
+  }
+  scheduler.AddJob(MakeJob("a", 2), {}, false, At(320));
+  for (const StartOrder& it : scheduler.Plan(At(330), 0, true, 0).mStarts)
+    CHECK(it.mWorker == "w1");
+}
+
 TEST_CASE("fleet: tasks run twice while starts are late and reports overtake each other")
 {
   const auto seed = GENERATE(range(1U, 41U));
@@ -184,6 +222,11 @@
   faults.mPreviousHolder = seconds(seed % 4 == 0 ? 5 : 0);
   faults.mCrashPerS = seed % 3 == 0 ? 0.02 : 0;
   faults.mUnresponsivePerS = seed % 5 == 0 ? 0.05 : 0;
+  if (seed % 3 == 1) {
+    faults.mRestartPerS = 0.2;
+    faults.mRestartTime = milliseconds(100);
+    faults.mDirectoryLag = milliseconds(300);
+  }
   FleetModel model(seed, faults, 8);
   model.SetQueue(MakeQueue());
   std::mt19937_64 random(seed);
