A stop that an earlier incarnation of a worker confirmed does not settle a start on the present one

After a restart, starts without an answer are settled by a stop, as they may still take effect on the new incarnation. The answer to a stop that the old one had carried out could arrive after the restart was seen, and was taken for the new one's.

Change: the answer counts only if the stop was planned after the present incarnation was known.

The new test fails without the change: the task starts on another worker before the new incarnation has confirmed a stop.

--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -218,6 +218,7 @@
   std::string mWorker{};
   std::string mTask{};
   std::uint64_t mRun = 0;
+  TimePoint mPlannedAt{};
 };
 
 struct PaceOrder
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -96,10 +96,11 @@
 void Scheduler::OnStop(const StopOrder& aOrder, bool aAcked, TimePoint aNow)
 {
   Worker* worker = FindWorker(aOrder.mWorker);
-  if (!worker)
+  // An earlier incarnation may have confirmed it, and this one knows nothing of that.
+  if (!worker || !aAcked || aOrder.mPlannedAt < worker->mBornSeenAt)
     return;
   for (Run& it : worker->mRuns)
-    if (it.mTask == aOrder.mTask && it.mRun == aOrder.mRun && aAcked)
+    if (it.mTask == aOrder.mTask && it.mRun == aOrder.mRun)
       it.mStopAckedAt = aNow;
 }
 
--- a/src/fleet/scheduler_running.cpp
+++ b/src/fleet/scheduler_running.cpp
@@ -52,7 +52,7 @@
         continue;
       run.mPhase = RunPhase::Stopping;
       run.mStopSentAt = aNow;
-      aOrders.mStops.push_back({ id, run.mTask, run.mRun });
+      aOrders.mStops.push_back({ id, run.mTask, run.mRun, aNow });
     }
   }
 }
--- a/tests/unit/test_fleet_crossed_reports.cpp
+++ b/tests/unit/test_fleet_crossed_reports.cpp
@@ -192,21 +192,51 @@
 
 // A worker was given more than it had room for: its next incarnation, on a machine whose time of
 // day was set back, was smaller.
-TEST_CASE(
-  "fleet: a report of the next incarnation, requested before this one was known, is ignored")
+TEST_CASE("fleet: tasks start on a worker while a report shows another incarnation of it")
 {
   Scheduler scheduler = MakeScheduler(1);
   WorkerReport report;
-  for (const auto& [id, born, sentAt, now] : { std::tuple("w0", 1000, 10, 20),
-                                               std::tuple("w1", 1000, 10, 20),
-                                               std::tuple("w0", 2000, 100, 300),
-                                               std::tuple("w0", 1500, 200, 320) }) {
-    report.mBornMs = born;
-    scheduler.OnReport(id, report, At(sentAt), At(now));
-  }
+  report.mBornMs = 1000;
+  scheduler.OnReport("w0", report, At(10), At(20));
+  report.mBornMs = 2000;
+  scheduler.OnReport("w0", report, At(100), At(300));
+  report.mBornMs = 1500;
+  scheduler.OnReport("w0", report, At(200), At(320));
   scheduler.AddJob(MakeJob("a", 2), {}, false, At(320));
-  for (const StartOrder& it : scheduler.Plan(At(330), 0, true, 0).mStarts)
-    CHECK(it.mWorker == "w1");
+  const Orders orders = scheduler.Plan(At(330), 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  CHECK(orders.mStarts[0].mWorker == "w1");
+  // The next report decides.
+  scheduler.OnReport("w0", report, At(321), At(400));
+  CHECK(scheduler.Plan(At(410), 0, true, 0).mStarts.size() == 1);
+}
+
+// A late start could still take effect on the new incarnation, and its task ran elsewhere too.
+TEST_CASE("fleet: a stop that an earlier incarnation confirmed counts for the present one")
+{
+  Scheduler scheduler = MakeScheduler(1);
+  WorkerReport report;
+  report.mBornMs = 1000;
+  scheduler.OnReport("w0", report, At(10), At(20));
+  scheduler.OnReport("w1", report, At(10), At(20));
+  scheduler.AddJob(MakeJob("a", 1), {}, false, At(20));
+  const Orders orders = scheduler.Plan(At(20), 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  const std::string id = orders.mStarts[0].mWorker;
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Unknown, At(420));
+  scheduler.OnReport(id, report, At(421), At(430));
+  const Orders stops = scheduler.Plan(At(440), 0, true, 0);
+  REQUIRE(stops.mStops.size() == 1);
+  report.mBornMs = 2000;
+  scheduler.OnReport(id, report, At(500), At(510));
+  const Orders again = scheduler.Plan(At(520), 0, true, 0);
+  REQUIRE(again.mStops.size() == 1);
+  scheduler.OnStop(stops.mStops[0], true, At(530));
+  scheduler.OnReport(id, report, At(540), At(550));
+  CHECK(scheduler.Plan(At(560), 0, true, 0).mStarts.empty());
+  scheduler.OnStop(again.mStops[0], true, At(570));
+  scheduler.OnReport(id, report, At(580), At(590));
+  CHECK(scheduler.Plan(At(600), 0, true, 0).mStarts.size() == 1);
 }
 
 TEST_CASE("fleet: tasks run twice while starts are late and reports overtake each other")
