The progress of a run is not measured against an older report

An older report shows less progress than the one before, so the speed of the run came out as zero: it was taken for a straggler and started anew on another worker, from an older checkpoint.

Change: progress below what a report has shown, and the checkpoint beside it, are left out for runs that are checked for slowness.

The new test fails without the change: speed zero, the older checkpoint, and a stop.

--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -293,6 +293,9 @@
     auto it = listed.find({ std::string_view(run.mTask), run.mRun });
     if (it != listed.end()) {
       const RunningTask& row = *it->second;
+      // The progress of a run that is checked for slowness does not fall: this report is older than
+      // the one before.
+      const bool isOutdated = run.mEstimate > Duration::zero() && row.mPercent < run.mPercent;
       if (row.mPercent > run.mPercent || !run.mReported) {
         run.mPercent = row.mPercent;
         run.mProgressAt = aNow;
@@ -300,7 +303,8 @@
       run.mReported = true;
       if (!IsConfirmed(run))
         run.mConfirmedAt = aNow;
-      ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
+      if (!isOutdated)
+        ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
       run.mTailLatencyMs = row.mTailLatencyMs;
       if (run.mPhase == RunPhase::Unconfirmed) {
         run.mPhase = RunPhase::Running;
@@ -313,7 +317,7 @@
               { "requested_ago_ms", aNow - aSentAt },
               { "worker_clock_ms", aReport.mClockMs } });
       }
-      if (run.mKnown && !row.mCheckpoint.empty())
+      if (run.mKnown && !isOutdated && !row.mCheckpoint.empty())
         if (Task* task = FindTask(run.mRef); task && task->mRun == run.mRun) {
           task->mCheckpoint = row.mCheckpoint;
           FindStage(run.mRef)->mGangCheckpoint = row.mCheckpoint;
--- a/tests/unit/test_fleet_crossed_reports.cpp
+++ b/tests/unit/test_fleet_crossed_reports.cpp
@@ -62,10 +62,12 @@
   return scheduler;
 }
 
-WorkerReport ListRunning(const StartOrder& aOrder, double aPercent = 0)
+WorkerReport ListRunning(const StartOrder& aOrder,
+                         double aPercent = 0,
+                         std::string aCheckpoint = "")
 {
   WorkerReport report;
-  report.mRunning.push_back({ .mTask = aOrder.mTask, .mRun = aOrder.mRun, .mPercent = aPercent });
+  report.mRunning.push_back({ aOrder.mTask, aOrder.mRun, std::move(aCheckpoint), aPercent });
   return report;
 }
 
@@ -153,6 +155,26 @@
   }
 }
 
+// A task that made progress was taken for a straggler and started anew on another worker.
+TEST_CASE("fleet: the progress of a run is measured against an older report")
+{
+  Scheduler scheduler = MakeScheduler(1);
+  JobSpec job = MakeJob("a", 1);
+  job.mStages[0].mCheckpointed = true;
+  scheduler.AddJob(job, {}, false, kStart);
+  const Orders orders = scheduler.Plan(kStart, 0, true, 0);
+  REQUIRE(orders.mStarts.size() == 1);
+  const std::string id = orders.mStarts[0].mWorker;
+  scheduler.OnStart(orders.mStarts[0], StartOutcome::Started, At(10));
+  scheduler.OnReport(id, ListRunning(orders.mStarts[0], 10, "c1"), At(100), At(101));
+  scheduler.OnReport(id, ListRunning(orders.mStarts[0], 50, "c2"), At(450), At(501));
+  scheduler.OnReport(id, ListRunning(orders.mStarts[0], 20, "c1"), At(460), At(800));
+  const Run& run = scheduler.FindWorker(id)->mRuns[0];
+  CHECK(run.mProgress.mPercentPerMs > 0);
+  CHECK(scheduler.FindJob("a")->mOccurrences[0].mStages[0].mTasks[0].mCheckpoint == "c2");
+  CHECK(scheduler.Plan(At(810), 0, true, 0).mStops.empty());
+}
+
 // After a takeover: a run that a previous holder had started was forgotten again.
 TEST_CASE("fleet: a run of a previous holder is dropped by a report from before it, and runs twice")
 {
