Soak: slow links to workers, so that starts are late and reports overtake each other

Calls to two workers at a time take up to 0.6 s longer on one of their two ways, for 2 to 5 s, beside all other faults. The links draw by themselves, so the other faults of a seed stay as they were.

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -79,6 +79,9 @@
   void SetLostAnswers(double aShare) { mLostAnswers = aShare; }  // of orders to workers
   void SetSilent(std::uint32_t aWorker, bool aSilent);           // it runs on and answers nothing
   void SetLateOrders(double aShare) { mLateOrders = aShare; }    // of starts: seconds late
+  // Makes a share of the calls to a worker take up to 0.6 s longer, on the way there or on the way
+  // back. So starts take effect after their deadline, and reports overtake each other.
+  void SetSlowCalls(std::uint32_t aWorker, double aShare);
   void CrashWorker(std::uint32_t aWorker);  // what it runs is lost; it is back under another id
   void RestartWorker(std::uint32_t aWorker, std::uint32_t aMilliCores);  // ... under the same id
   void ResizeWorker(std::uint32_t aWorker, std::uint32_t aMilliCores);   // it runs on
@@ -119,6 +122,7 @@
   Async<HttpResponse> HandleStore(HttpRequest aRequest);
   Async<HttpResponse> HandleAdvice(HttpRequest aRequest);
   Async<HttpResponse> HandleWorker(std::uint32_t aWorker, HttpRequest aRequest);
+  Async<HttpResponse> CarryOut(std::uint32_t aWorker, HttpRequest aRequest);
   static Async<HttpResponse> NeverAnswer();
   Async<HttpResponse> Watch(std::string aPrefix, std::uint64_t aAfter, Duration aWait);
   Async<HttpResponse> Hold(std::uint32_t aWorker, boost::json::value aBody);
--- a/standin/fleet_impl.h
+++ b/standin/fleet_impl.h
@@ -48,6 +48,7 @@
   std::uint32_t mLife = 0;
   bool mUp = true;
   bool mSilent = false;
+  double mSlowCalls = 0;       // share of calls that take long on one of their two ways
   bool mHidden = false;        // it does not reach the store
   std::uint32_t mHidings = 0;  // times that it was hidden
 
--- a/standin/fleet_tasks.cpp
+++ b/standin/fleet_tasks.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration kStep = milliseconds(10);       // of waits
 constexpr Duration kStopTime = milliseconds(100);  // until a stopped task has ended
+constexpr Duration kMinSlowCall = milliseconds(50);
+constexpr Duration kMaxSlowCall = milliseconds(600);
 
 }  // namespace
 
@@ -235,7 +237,31 @@
     ++mLateStarts;
 }
 
+// Delivers a call and its response, each of which may take long.
 Async<HttpResponse> FleetStandin::HandleWorker(std::uint32_t aWorker, HttpRequest aRequest)
+{
+  Duration there{};
+  Duration back{};
+  std::uint32_t life = 0;
+  {
+    const std::lock_guard lock(mLock);
+    life = mWorkers[aWorker]->mLife;
+    if (Happens(mWorkers[aWorker]->mSlowCalls))
+      (Happens(0.5) ? there : back) = Draw(kMinSlowCall, kMaxSlowCall);
+  }
+  if (there > Duration::zero()) {
+    co_await Sleep(there);
+    const std::lock_guard lock(mLock);
+    if (mWorkers[aWorker]->mLife != life)  // it was sent to a process that has ended
+      co_return MakeJsonResponse(kCloseWithoutResponse, "");
+  }
+  HttpResponse response = co_await CarryOut(aWorker, std::move(aRequest));
+  if (back > Duration::zero())
+    co_await Sleep(back);
+  co_return response;
+}
+
+Async<HttpResponse> FleetStandin::CarryOut(std::uint32_t aWorker, HttpRequest aRequest)
 {
   const std::string path(aRequest.target());
   auto body = ParseJson(aRequest.body());
--- a/standin/fleet_workers.cpp
+++ b/standin/fleet_workers.cpp
@@ -43,6 +43,12 @@
   mWorkers[aWorker]->mSilent = aSilent;
 }
 
+void FleetStandin::SetSlowCalls(std::uint32_t aWorker, double aShare)
+{
+  const std::lock_guard lock(mLock);
+  mWorkers[aWorker]->mSlowCalls = aShare;
+}
+
 // Starts a new incarnation, with nothing left of the one before.
 void FleetStandin::BeginLife(WorkerState& aWorker, std::uint32_t aMilliCores)
 {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,6 +2,7 @@
 // kills, stops, pauses and restarts by signals; a store that is busy, silent or loses answers;
 // links that are delayed, cut or frozen by proxies; workers that crash, restart under their ids,
 // change their capacity, fall silent, can't reach the store, lose answers or carry out orders late;
+// slow links to workers, so that starts take effect late and reports overtake each other;
 // other writers of the directory; configurations that replace the queue while it has jobs.
 // What must always hold is checked from what callers and workers see.
 //
@@ -58,6 +59,7 @@
   Async<void> InjectFaults();
   Async<void> InjectOne();
   Async<void> InjectWorkerFaults();
+  Async<void> SlowLinks();
   Async<void> CheckEnds();
   Async<Result<HttpResponse>> Call(http::verb aVerb, std::string aId, std::string aBody);
   std::uint64_t Draw(std::uint64_t aBound) { return mRandom() % aBound; }
@@ -252,6 +254,26 @@
   platform.SetLateOrders(0);
 }
 
+// Makes the links to a few workers slow for some seconds at a time. Draws by itself, so that the
+// other faults of a seed stay the same.
+Async<void> Soak::SlowLinks()
+{
+  std::mt19937_64 random(mOptions.mSeed + 1'000'000);
+  while (!mOver) {
+    const auto pause = milliseconds(500 + random() % 1500);
+    co_await Sleep(pause);
+    const auto first = static_cast<std::uint32_t>(random() % mOptions.mWorkers);
+    const std::uint32_t other = (first + mOptions.mWorkers / 2) % mOptions.mWorkers;
+    const double share = random() % 2 == 0 ? 0.3 : 0.9;
+    const auto time = milliseconds(2000 + random() % 3000);
+    for (const std::uint32_t worker : { first, other })
+      mFleet.GetPlatform().SetSlowCalls(worker, share);
+    co_await Sleep(time);
+    for (const std::uint32_t worker : { first, other })
+      mFleet.GetPlatform().SetSlowCalls(worker, 0);
+  }
+}
+
 // Without faults ends have to be acknowledged in time, whatever the load.
 void Soak::CheckAcknowledgements()
 {
@@ -304,6 +326,7 @@
   if (mOptions.mFaults) {
     asio::co_spawn(mContext, InjectFaults(), asio::detached);
     asio::co_spawn(mContext, InjectWorkerFaults(), asio::detached);
+    asio::co_spawn(mContext, SlowLinks(), asio::detached);
   }
   asio::co_spawn(
     mContext,
