Settings: bounds in seconds are read as seconds, in every form of a number

Cause: deploy/entry.toml made milliseconds of status_s and grace_s by writing 000 behind a value that it had not read. 120.5 became keep_ended_ms = 120.5000, which is 0.12 s; ended jobs were deleted after that and 30 s. 0.5 and 6.5 likewise, 1e1 became 1e1000, which is no number, and no process would have started.

The _ms keys are still read, from 1000 on, so that a file of the earlier template can't be taken for a thousandth of what was meant. Values that are no number, not finite or out of range are errors with the key and the unit. The values in effect are logged at the start and after each reload; a reload now takes both bounds.

Weighed: keep_ended_ms = {{.}}e3. An earlier build would read that file, but a value with an exponent would still stop every process, and the template would still extend what it has not read. With the new keys an earlier build that is running refuses the file and keeps its settings; one that starts with it stops with "unknown key". Run with this build on files of the earlier template: 120 is read; 120.5000 is an error at the start, and at a reload the settings stay in effect until a file without errors comes.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -29,6 +29,21 @@
   return limits;
 }
 
+// Logs the values in effect, whether they were given or are defaults.
+void LogEffectiveSettings(const EntrySettings& aSettings)
+{
+  Log(LogPart::Process,
+      LogLevel::Info,
+      "settings in effect",
+      { { "cores", aSettings.mCores },
+        { "task_lease_ms", aSettings.mMaxTaskLease },
+        { "worker_heartbeat_ms", aSettings.mWorkerHeartbeat },
+        { "shutdown_ms", aSettings.mShutdown },
+        { "keep_ended_ms", aSettings.mKeepEnded },
+        { "tokens_checked", aSettings.mTokensChecked ? "yes" : "no" },
+        { "advice", aSettings.mAdvice ? "yes" : "no" } });
+}
+
 }  // namespace
 
 Entry::Entry(EntrySettings aSettings, std::string aFile)
@@ -41,6 +56,7 @@
 
 Result<void> Entry::Run()
 {
+  LogEffectiveSettings(mSettings);
   std::vector<asio::io_context*> contexts{ &mContext };
   mCallers =
     std::make_unique<HttpServer>(MakeCallerLimits(), [this](HttpRequest aRequest, std::string) {
@@ -207,8 +223,11 @@
   mSettings.mStore = loaded.mSettings.mStore;
   mSettings.mAdvice = loaded.mSettings.mAdvice;
   mSettings.mMaxTaskLease = loaded.mSettings.mMaxTaskLease;
+  mSettings.mShutdown = loaded.mSettings.mShutdown;
+  mSettings.mKeepEnded = loaded.mSettings.mKeepEnded;
   mStore.SetAddress(mSettings.mStore);
   Log(LogPart::Process, LogLevel::Info, "reloaded the settings", { { "why", aWhy } });
+  LogEffectiveSettings(mSettings);
 }
 
 Async<void> Entry::WatchSettings()
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 
+#include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -10,6 +11,12 @@
 
 namespace {
 
+constexpr seconds kMaxDuration = std::chrono::hours(24);
+constexpr milliseconds kMinTaskLease(100);
+constexpr milliseconds kMinWorkerHeartbeat(10);
+// Templates of earlier builds appended zeros to a number of seconds: 120.5 became 120.5000 ms.
+constexpr milliseconds kMinLongBound(1000);
+
 class Reader
 {
 public:
@@ -51,16 +58,48 @@
     aOut = *address;
     return true;
   }
-  void ReadMillis(const char* aSection, const char* aKey, Duration& aOut)
+  void ReadMillis(const char* aSection, const char* aKey, milliseconds aMin, Duration& aOut)
+  {
+    const toml::node* node = Find(aSection, aKey, false);
+    if (!node)
+      return;
+    const auto value = ReadNumber<std::milli>(*node);
+    if (!value || *value < aMin || *value > kMaxDuration)
+      AddError(*node,
+               aSection,
+               aKey,
+               "expected a number of milliseconds from " + std::to_string(aMin.count()) + " to " +
+                 std::to_string(milliseconds(kMaxDuration).count()));
+    else
+      aOut = std::chrono::duration_cast<Duration>(*value);
+  }
+  void ReadSeconds(const char* aSection, const char* aKey, Duration& aOut)
   {
     const toml::node* node = Find(aSection, aKey, false);
     if (!node)
       return;
-    const double ms = node->value<double>().value_or(-1);
-    if (ms <= 0 || ms > 86'400'000)
-      AddError(*node, aSection, aKey, "expected a number of milliseconds from 1 to 86400000");
+    const auto value = ReadNumber<std::ratio<1>>(*node);
+    if (!value || *value < seconds(0) || *value > kMaxDuration)
+      AddError(*node,
+               aSection,
+               aKey,
+               "expected a number of seconds from 0 to " + std::to_string(kMaxDuration.count()));
     else
-      aOut = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+      aOut = std::chrono::duration_cast<Duration>(*value);
+  }
+  // Reads a duration that may be given in either unit, under a key of its own.
+  void ReadMillisOrSeconds(const char* aSection,
+                           const char* aMillisKey,
+                           const char* aSecondsKey,
+                           milliseconds aMinMillis,
+                           Duration& aOut)
+  {
+    ReadMillis(aSection, aMillisKey, aMinMillis, aOut);
+    ReadSeconds(aSection, aSecondsKey, aOut);
+    const toml::node* node = mRoot[aSection][aSecondsKey].node();
+    if (node && mRoot[aSection][aMillisKey])
+      AddError(
+        *node, aSection, aSecondsKey, std::string(aMillisKey) + " is given too; leave out one");
   }
   void ReadFlag(const char* aSection, const char* aKey, bool& aOut)
   {
@@ -77,8 +116,8 @@
     const toml::node* node = Find(aSection, aKey, false);
     if (!node)
       return;
-    const double value = node->value<double>().value_or(-1);
-    if (value <= 0 || value > 1024)
+    const double value = node->is_number() ? node->value<double>().value_or(-1) : -1;
+    if (!(value > 0 && value <= 1024))
       AddError(*node, aSection, aKey, "expected a number above 0 and at most 1024");
     else
       aOut = value;
@@ -100,6 +139,16 @@
   }
 
 private:
+  // Returns nothing for a value that is no number, and for one that is not finite.
+  template<class Unit>
+  static std::optional<std::chrono::duration<double, Unit>> ReadNumber(const toml::node& aNode)
+  {
+    const auto value = aNode.is_number() ? aNode.value<double>() : std::nullopt;
+    if (!value || !std::isfinite(*value))
+      return std::nullopt;
+    return std::chrono::duration<double, Unit>(*value);
+  }
+
   void AddError(const toml::node& aNode,
                 const char* aSection,
                 const char* aKey,
@@ -143,10 +192,11 @@
   HttpAddress advice;
   if (reader.ReadAddress("advice", "address", false, advice))
     out.mAdvice = advice;
-  reader.ReadMillis("bounds", "task_lease_ms", out.mMaxTaskLease);
-  reader.ReadMillis("bounds", "shutdown_ms", out.mShutdown);
-  reader.ReadMillis("bounds", "keep_ended_ms", out.mKeepEnded);
-  reader.ReadMillis("bounds", "worker_heartbeat_ms", out.mWorkerHeartbeat);
+  reader.ReadMillis("bounds", "task_lease_ms", kMinTaskLease, out.mMaxTaskLease);
+  reader.ReadMillis("bounds", "worker_heartbeat_ms", kMinWorkerHeartbeat, out.mWorkerHeartbeat);
+  reader.ReadMillisOrSeconds("bounds", "shutdown_ms", "shutdown_s", kMinLongBound, out.mShutdown);
+  reader.ReadMillisOrSeconds(
+    "bounds", "keep_ended_ms", "keep_ended_s", kMinLongBound, out.mKeepEnded);
   reader.ReadFlag("workers", "tokens_checked", out.mTokensChecked);
   reader.CheckUnknown();
   return result;
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -25,7 +25,7 @@
   // [store], [advice]
   HttpAddress mStore{};
   std::optional<HttpAddress> mAdvice{};  // policy service; unset if no queue needs it
-  // [bounds], in ms
+  // [bounds], in ms (KEY_ms); the last two in seconds as well (KEY_s)
   Duration mMaxTaskLease = seconds(6);             // longest lease of a task that workers allow
   Duration mWorkerHeartbeat = milliseconds(1500);  // interval at which workers renew their entries
   Duration mShutdown = seconds(6);                 // from SIGTERM to SIGKILL
