--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace monsoon {
 
@@ -34,20 +35,29 @@
   return text ? std::string(text->data(), text->size()) : std::move(aDefault);
 }
 
+std::optional<std::int64_t> ReadWhole(const json::value& aValue)
+{
+  if (const auto* n = aValue.if_int64())
+    return *n;
+  constexpr double kMaxExact = 9'007'199'254'740'992;  // 2^53
+  const auto* n = aValue.if_double();
+  if (!n || !(std::abs(*n) <= kMaxExact) || *n != std::floor(*n))
+    return std::nullopt;
+  return static_cast<std::int64_t>(*n);
+}
+
 std::uint64_t GetUnsigned(const json::value& aValue, std::string_view aKey, std::uint64_t aDefault)
 {
   const json::value& member = GetMember(aValue, aKey);
   if (const auto* n = member.if_uint64())
     return *n;
-  if (const auto* n = member.if_int64(); n && *n >= 0)
-    return static_cast<std::uint64_t>(*n);
-  return aDefault;
+  const auto n = ReadWhole(member);
+  return n && *n >= 0 ? static_cast<std::uint64_t>(*n) : aDefault;
 }
 
 std::int64_t GetSigned(const json::value& aValue, std::string_view aKey, std::int64_t aDefault)
 {
-  const auto* n = GetMember(aValue, aKey).if_int64();
-  return n ? *n : aDefault;
+  return ReadWhole(GetMember(aValue, aKey)).value_or(aDefault);
 }
 
 Duration GetMillis(const json::value& aValue, std::string_view aKey, std::int64_t aDefault)
--- a/src/core/json.h
+++ b/src/core/json.h
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
 [[nodiscard]] std::string GetString(const boost::json::value& aValue,
                                     std::string_view aKey,
                                     std::string aDefault = {});
+// A whole number may be written with a decimal point or an exponent.
+[[nodiscard]] std::optional<std::int64_t> ReadWhole(const boost::json::value& aValue);
 [[nodiscard]] std::uint64_t GetUnsigned(const boost::json::value& aValue,
                                         std::string_view aKey,
                                         std::uint64_t aDefault = 0);
