A lasting task that has worked does not count against its worker when it fails

Cause: a worker is quarantined after three failures in a row of different jobs, then after each further one for twice as long, up to 16 s. Only an end `done` resets the count, and lasting tasks end only by failing. Where a service runs nothing else, each ordinary failure takes its worker away for 16 s, until no worker is left.

Change: a lasting task that a report lists 2 s after its start was confirmed has survived its start. Its failure is not counted, and if it started after the last counted failure it resets the count, as an end `done` does for other tasks.

Why it works: the quarantine is for workers on which starts keep failing. A worker that fails all that it starts is still quarantined, also while a task from before runs on there.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -67,7 +67,8 @@
   std::uint32_t mMilliCores = 0;  // reserved
   std::uint32_t mMemoryMiB = 0;
   std::uint32_t mAccelerators = 0;
-  bool mReported = false;  // listed in at least one report of the worker
+  bool mReported = false;   // listed in at least one report of the worker
+  bool mHasWorked = false;  // it is a lasting task that survived its start; see kWorkedFor
   // When the first answer or report that confirms the start was received; zero: none was. A report
   // that was requested later and does not list the run proves that it is gone.
   TimePoint mConfirmedAt{};
@@ -83,6 +84,7 @@
   double mTailLatencyMs = 0;  // as last reported
   std::int64_t mLatencyTargetMs = 0;
   bool mFiller = false;
+  bool mLongRunning = false;
 };
 
 struct Task
@@ -207,8 +209,11 @@
   TimePoint mUnresponsiveSince{};  // meaningful while mReachable is false
   // Ends of tasks whose job was not added yet, with the time of their report.
   std::vector<std::pair<TimePoint, EndedTask>> mOrphanEnds{};
-  std::uint32_t mFailStreak = 0;  // failures in a row, each of another job than the one before
-  std::string mFailJob{};         // job of the last failure that was counted
+  // Failures in a row, each of another job than the one before. Of lasting tasks, only those of
+  // runs that have not worked.
+  std::uint32_t mFailStreak = 0;
+  TimePoint mFailedAt{};   // when the last of them was reported
+  std::string mFailJob{};  // job of the last failure that was counted
   TimePoint mQuarantinedUntil{};
   std::uint32_t mQuarantines = 0;  // in a row, without a success between them
   TimePoint mFullUntil{};          // gets no tasks until then, as it did not take the last one
@@ -435,7 +440,8 @@
   void MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow);
   void CheckJobEnd(Job& aJob, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
-  void UpdateFailStreak(Worker& aWorker, const std::string& aJob, bool aFailed, TimePoint aNow);
+  void CountFailure(Worker& aWorker, const std::string& aJob, TimePoint aNow);
+  static void ResetFailStreak(Worker& aWorker);
   [[nodiscard]] bool IsStageReady(const Job& aJob,
                                   const Occurrence& aOccurrence,
                                   std::uint32_t aStage) const;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -232,6 +232,7 @@
   run.mMemoryMiB = aReady.mSpec->mMemoryMiB;
   run.mAccelerators = aReady.mSpec->mAccelerators;
   run.mFiller = aReady.mSpec->mFiller;
+  run.mLongRunning = aReady.mSpec->mLongRunning;
   run.mEstimate = GetProgressEstimate(*aReady.mSpec);
   run.mLatencyTargetMs = aReady.mSpec->mLatencyTargetMs;
   run.mSentAt = aNow;
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -11,6 +11,8 @@
 constexpr std::uint32_t kMaxFailStreak = 3;       // failures in a row that quarantine a worker
 constexpr Duration kBaseQuarantine = seconds(2);  // doubled for each further quarantine in a row
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
+// A lasting task that still runs this long after its start has survived it.
+constexpr Duration kWorkedFor = seconds(2);
 
 // Returns whether a report that was requested at aRequestedAt, and lists neither the run nor its
 // end, proves that the run is not on its worker and will not be. When the report was made is not
@@ -89,6 +91,7 @@
     aWorker.mUsedAccelerators += aRun.mAccelerators;
   }
   aRun.mFiller = spec.mFiller;
+  aRun.mLongRunning = spec.mLongRunning;
   aRun.mEstimate = GetProgressEstimate(spec);
   aRun.mLatencyTargetMs = spec.mLatencyTargetMs;
   if (task->mDone || !task->mWorker.empty() || IsOver(job->mState) || aRun.mRun < task->mRun)
@@ -108,16 +111,15 @@
   return true;
 }
 
-void Scheduler::UpdateFailStreak(Worker& aWorker,
-                                 const std::string& aJob,
-                                 bool aFailed,
-                                 TimePoint aNow)
+void Scheduler::ResetFailStreak(Worker& aWorker)
 {
-  if (!aFailed) {
-    aWorker.mFailStreak = 0;
-    aWorker.mQuarantines = 0;
-    return;
-  }
+  aWorker.mFailStreak = 0;
+  aWorker.mQuarantines = 0;
+}
+
+void Scheduler::CountFailure(Worker& aWorker, const std::string& aJob, TimePoint aNow)
+{
+  aWorker.mFailedAt = aNow;
   if (aWorker.mFailJob == aJob)  // a job that fails repeatedly is no sign of a bad worker
     return;
   aWorker.mFailJob = aJob;
@@ -162,6 +164,7 @@
     return aItem.mTask == aRow.mTask && aItem.mRun == aRow.mRun;
   });
   const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
+  const bool hasWorked = run != aWorker.mRuns.end() && run->mHasWorked;
   if (run != aWorker.mRuns.end())
     DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
   if (!job) {
@@ -177,7 +180,7 @@
     stage.mGangCheckpoint = aRow.mCheckpoint;
   }
   if (aRow.mKind == EndKind::Done && !spec.mLongRunning) {
-    UpdateFailStreak(aWorker, ref.mJob, false, aNow);
+    ResetFailStreak(aWorker);
     if (spec.mGang) {
       for (std::uint32_t n = 0; n < stage.mTasks.size(); ++n)
         MarkDone(*job, stage, TaskRef{ ref.mJob, ref.mOccurrence, ref.mStage, n }, aNow);
@@ -195,7 +198,10 @@
         { "run", aRow.mRun },
         { "worker", aWorker.mEntry.mId },
         { "stopping", wasStopped ? "yes" : "no" } });
-  UpdateFailStreak(aWorker, ref.mJob, true, aNow);
+  // A lasting task ends only by failing. If it has worked before, that tells nothing about its
+  // worker.
+  if (!hasWorked)
+    CountFailure(aWorker, ref.mJob, aNow);
   task->mFailedOn.push_back(aWorker.mEntry.mId);
   if (spec.mLongRunning)
     return;
@@ -306,6 +312,12 @@
       if (!isOutdated)
         ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
       run.mTailLatencyMs = row.mTailLatencyMs;
+      // Of a lasting task, to survive its start is what an end `done` is of another one.
+      if (run.mLongRunning && !run.mHasWorked && aSentAt - run.mConfirmedAt >= kWorkedFor) {
+        run.mHasWorked = true;
+        if (run.mConfirmedAt > worker.mFailedAt)
+          ResetFailStreak(worker);
+      }
       if (run.mPhase == RunPhase::Unconfirmed) {
         run.mPhase = RunPhase::Running;
         Log(LogPart::Task,
