A holder that stops as planned tells the next one how long leases on unresponsive workers last

Cause: a new holder does not know when its predecessor last renewed the leases on a worker that does not answer, so it counts the longest ones from its own election. Hand-overs that come sooner than that start the wait anew each time, also for workers that left long before.

Change: when a holder resigns it sends no more orders, stores the remaining waits of its unresponsive workers under its holder key, and then ends its lease. Its successor takes them from its election on, if the record is of its direct predecessor and the worker has neither answered nor restarted since.

Why it works: the record is stored before the next election and nothing is renewed after it, so the new wait ends no sooner than the predecessor's own. In all other cases the wait is what it was.

--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -100,6 +100,7 @@
     if (!co_await StoreProgressOnce())
       co_await Sleep(milliseconds(20));
   StepDown(aWhy);
+  co_await StoreHandover();
   auto ended = co_await mStore.EndLease(mGrant.mLease, platform::kStoreDeadline);
   if (!ended)
     Log(LogPart::Ownership,
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -120,6 +120,7 @@
   Async<bool> StoreBatch();
   void OnBatchStored(const ProgressBatch& aBatch);
   Async<void> RecordWorkers();
+  Async<void> StoreHandover();  // call it after StepDown, before the lease is ended
   Async<void> CheckHolderKey();
   Async<void> WatchWorker(std::string aId);
   Async<bool> PollWorker(std::string aId, Duration aWait);
@@ -139,6 +140,7 @@
   [[nodiscard]] bool MayBeStarted(const platform::StoreItem& aJob) const;
   Async<void> ReadRevisionOfTakeover();
   void ApplyWorkerItem(const platform::StoreItem& aItem, bool aIsRecent);
+  void ApplyHandover(std::string_view aRecord);
   void VerifyAddress(const std::string& aId);  // polls all workers that may be where it is listed
   void ApplyReport(const std::string& aId,
                    const WorkerReport& aReport,
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -74,6 +74,9 @@
                                std::set(record->mTasks.begin(), record->mTasks.end()),
                                std::move(record->mSuspects));
   }
+  for (const StoreItem& it : state.mItems)
+    if (it.mKey == kHandoverKey)
+      ApplyHandover(it.mValue);
   for (const StoreItem& it : directory.mItems)
     ApplyWorkerItem(it, false);
   mScheduler.SetJobsReadUntil(listedAt);
@@ -101,6 +104,24 @@
   Spawn(mContext, YieldToLarger());
 }
 
+// Takes over the waits for unresponsive workers, if the holder that stored them was the last one:
+// since then nobody has renewed leases there. It stored them before this one was elected.
+void Holder::ApplyHandover(std::string_view aRecord)
+{
+  const auto record = DecodeMessage<HandoverRecord>(aRecord);
+  if (!record) {
+    Log(LogPart::Ownership,
+        LogLevel::Error,
+        "the record of a hand-over can't be decoded; leases count from this election",
+        { { "what", record.error().mDetail } });
+    return;
+  }
+  if (!mGrant.mPreviousHolder || record->mEpoch != mGrant.mPreviousHolder->mEpoch)
+    return;
+  for (const LeaseWait& it : record->mLeaseWaits)
+    mScheduler.SetLeaseWait(it, mElectedAt);
+}
+
 void Holder::ApplyJobItem(const StoreItem& aItem, bool aInherited)
 {
   if (!aItem.mKey.starts_with(kJobPrefix) || aItem.mDeleted)
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -51,6 +51,29 @@
   }
 }
 
+// Without this record the next holder counts the leases of all unresponsive workers from its own
+// election, as it can't know when they were last renewed.
+Async<void> Holder::StoreHandover()
+{
+  auto self = shared_from_this();
+  HandoverRecord record;
+  record.mEpoch = GetEpoch();
+  record.mLeaseWaits = mScheduler.ListLeaseWaits(BootClock::now());
+  if (record.mLeaseWaits.empty())
+    co_return;
+  StoreTransaction transaction;
+  transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+  transaction.mWrites.push_back({ std::string(kHandoverKey), EncodeMessage(record) });
+  const auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+  const bool isStored = outcome && outcome->mCommitted;
+  Log(LogPart::Ownership,
+      isStored ? LogLevel::Info : LogLevel::Warn,
+      isStored ? "stored how long the leases of unresponsive workers still last"
+               : "the next holder counts the leases of unresponsive workers from its election",
+      { { "workers", record.mLeaseWaits.size() },
+        { "why", outcome ? std::string() : outcome.error().mDetail } });
+}
+
 Async<void> Holder::CheckHolderKey()
 {
   auto self = shared_from_this();
--- a/src/fleet/keys.h
+++ b/src/fleet/keys.h
@@ -9,6 +9,7 @@
 inline constexpr std::string_view kRoot = "monsoon/";
 inline constexpr std::string_view kHolderKey = "monsoon-holder";   // HolderRecord, under its lease
 inline constexpr std::string_view kEpochKey = "monsoon-epoch";     // HolderRecord, never deleted
+inline constexpr std::string_view kHandoverKey = "monsoon/h";      // HandoverRecord
 inline constexpr std::string_view kJobPrefix = "monsoon/j/";       // JobSpec
 inline constexpr std::string_view kProgressPrefix = "monsoon/p/";  // progress of a job
 inline constexpr std::string_view kWorkerPrefix = "monsoon/w/";    // WorkerRecord
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -190,6 +190,19 @@
   }
 };
 
+struct LeaseWait  // of an unresponsive worker: until the leases of its tasks have expired
+{
+  std::string mWorker{};
+  std::int64_t mBornMs = 0;  // as in WorkerEntry
+  std::int64_t mLeftMs = 0;  // from when the wait was listed; 0: they have expired
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorker, mBornMs, mLeftMs);
+  }
+};
+
 struct AdmittedWorker  // a worker that the policy service allows for a stage
 {
   std::string mWorker{};
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -2,7 +2,7 @@
 // to the process that holds the scheduler's lease (the holder).
 //
 // Index
-//   Stored records   the holder, and workers that may run tasks
+//   Stored records   the holder, workers that may run tasks, what a holder leaves to the next
 //   Poll             a member fetches policy calls to make from the holder
 //   Probe            a member asks another whether it reaches the holder and the store
 //   Queries          state and submission of jobs
@@ -112,6 +112,19 @@
   void SerializeAdded(auto& aArchive) const { aArchive(mSuspects); }
 };
 
+// What a holder that stops as planned leaves to the next one.
+struct HandoverRecord
+{
+  std::uint64_t mEpoch = 0;  // of the holder that stopped
+  std::vector<LeaseWait> mLeaseWaits{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mEpoch, mLeaseWaits);
+  }
+};
+
 // Resignation
 struct ResignReply  // of a process that was the holder and now sends no more orders
 {
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -192,6 +192,9 @@
   bool mHasUnansweredStart = false;  // since its last answer
   bool mMayHaveRestarted = false;    // since its last report, as its entry or its clock says
   TimePoint mAnsweredAt{};
+  // When the leases of its tasks expire, as told by the previous holder, which renews none any
+  // more.
+  std::optional<TimePoint> mInheritedExpiry{};
   TimePoint mReportRequestedAt{};  // when the last report that was applied was requested
   TimePoint mLeaseSentAt{};        // when the last order that renewed its tasks' leases was sent
   TimePoint mUnlistedAt{};         // when its directory entry was last removed
@@ -321,6 +324,10 @@
   void SetFinalTasks(const std::string& aId,
                      std::set<std::string> aTasks,
                      std::vector<SuspectRun> aSuspects = {});
+  // Lists the unresponsive workers for the next holder, if this one sends no order any more.
+  [[nodiscard]] std::vector<LeaseWait> ListLeaseWaits(TimePoint aNow) const;
+  // Sets what the previous holder listed when it stopped; aElectedAt: of this holder.
+  void SetLeaseWait(const LeaseWait& aWait, TimePoint aElectedAt);
   // Lists the runs that count if the worker is found to have crashed.
   [[nodiscard]] std::vector<SuspectRun> ListSuspects(const Worker& aWorker) const;
   void UnlistWorker(const std::string& aId, TimePoint aNow);
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -286,9 +286,31 @@
   const TimePoint own = aWorker.mLeaseSentAt + getExpiry(mTaskLease);
   if (aWorker.mFenced)
     return own;
+  // Nobody has renewed them since: it has not answered, and is not known to have restarted.
+  if (aWorker.mInheritedExpiry && aWorker.mAnsweredAt == TimePoint{} && !aWorker.mMayHaveRestarted)
+    return *aWorker.mInheritedExpiry;
   return std::max(own, aWorker.mAddedAt + getExpiry(mTaskLease + kMaxLeaseOverhang));
 }
 
+std::vector<LeaseWait> Scheduler::ListLeaseWaits(TimePoint aNow) const
+{
+  std::vector<LeaseWait> waits;
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mReachable)
+      continue;
+    const auto left = std::chrono::ceil<milliseconds>(GetLeaseExpiry(worker) - aNow);
+    waits.push_back({ id, worker.mBornMs, std::max<std::int64_t>(left.count(), 0) });
+  }
+  return waits;
+}
+
+void Scheduler::SetLeaseWait(const LeaseWait& aWait, TimePoint aElectedAt)
+{
+  Worker* worker = FindWorker(aWait.mWorker);
+  if (worker && IsUnresolved(*worker) && worker->mBornMs == aWait.mBornMs)
+    worker->mInheritedExpiry = aElectedAt + milliseconds(aWait.mLeftMs);
+}
+
 // Returns whether a draining worker has left, with all its tasks. Its entry was removed although it
 // had been written within the last heartbeat; one that expires has not been written for three
 // heartbeats, and its worker may run on.
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -46,6 +46,8 @@
   Duration mIdlePollInterval{};        // of workers that run nothing; zero: like all others
   Duration mDirectoryLag{};            // a change of a worker is listed up to this much later
   Duration mJobLag{};  // a new holder reads jobs accepted since its election this much later
+  // Share of takeovers in which the previous holder stops as planned, and hands over.
+  double mPlannedTakeover = 0;
   Duration mPreviousHolder{};      // goes on for up to this long after a takeover
   double mPreviousCut = 0;         // share of workers that it does not reach from then on
   Duration mWriteTime{};           // a write of progress takes up to this long
