HTTP client: a timeout closes the idle connections that may be silent too

Cause: a call that gets no response closes its own connection only, and the next call takes the next dead one from the pool; a burst leaves up to 20.

Change: after a timeout the client closes the idle connections to that address that have not been answered since the request was sent, and logs how many. The watches of entry processes wait for 2 s instead of 2.5.

--- a/src/fleet/entry_impl.h
+++ b/src/fleet/entry_impl.h
@@ -10,7 +10,8 @@
 
 inline constexpr Duration kStoreWriteDeadline =
   milliseconds(800);  // for a job; then it is relayed to the holder
-inline constexpr Duration kWatchWait = milliseconds(2500);  // detects a dead connection within this
+inline constexpr Duration kWatchWait =
+  milliseconds(2000);  // a dead connection is detected 0.5 s later
 inline constexpr Duration kRetryStore = milliseconds(100);
 inline constexpr Duration kPeerDeadline = milliseconds(900);  // covers a slow store
 inline constexpr Duration kPingDeadline = milliseconds(250);  // a cross-zone round trip takes 9 ms
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -17,6 +17,7 @@
 #include <tuple>
 
 #include "http/message_text.h"
+#include "observe/log.h"
 
 namespace monsoon {
 
@@ -56,8 +57,9 @@
 
   asio::basic_stream_socket<tcp, Executor> mSocket;
   beast::flat_buffer mBuf{};
-  TimePoint mCheckedAt{};  // when the server was last seen to keep it open
-  bool mIsLate = false;    // the deadline of the present operation has passed
+  TimePoint mCheckedAt{};   // when the server was last seen to keep it open
+  TimePoint mAnsweredAt{};  // when a response was last received on it
+  bool mIsLate = false;     // the deadline of the present operation has passed
 };
 
 // Cancels the operations of connections whose deadlines have passed. One timer serves all calls of
@@ -178,12 +180,30 @@
 {
   if (aConnection->mBuf.capacity() > kFirstReadBytes)
     aConnection->mBuf = {};
+  aConnection->mAnsweredAt = BootClock::now();
   std::lock_guard lock(mLock);
   auto& idle = mIdle[aKey];
   if (idle.size() < kMaxIdlePerAddress)
     idle.push_back(std::move(aConnection));
 }
 
+// Closes the idle connections on which no response was received since aSince. All connections to a
+// server can go silent at once without an end, and each of them would cost a call its deadline.
+void HttpClient::DropUnanswered(const PoolKey& aKey, TimePoint aSince)
+{
+  std::lock_guard lock(mLock);
+  const auto it = mIdle.find(aKey);
+  if (it == mIdle.end())
+    return;
+  const std::size_t dropped = std::erase_if(
+    it->second, [&](const ConnectionPtr& aItem) { return aItem->mAnsweredAt < aSince; });
+  if (dropped > 0)
+    Log(LogPart::Http,
+        LogLevel::Info,
+        "closed idle connections, as a call got no response in time",
+        { { "host", aKey.second.mHost }, { "port", aKey.second.mPort }, { "closed", dropped } });
+}
+
 std::shared_ptr<HttpClient::Deadlines> HttpClient::GetDeadlines(asio::io_context& aContext)
 {
   std::lock_guard lock(mLock);
@@ -273,7 +293,8 @@
 {
   auto executor = co_await asio::this_coro::executor;
   auto& context = static_cast<asio::io_context&>(executor.context());
-  const TimePoint deadline = BootClock::now() + aDeadline;
+  const TimePoint sentAt = BootClock::now();
+  const TimePoint deadline = sentAt + aDeadline;
   const std::shared_ptr<Deadlines> deadlines = GetDeadlines(context);
   const std::string text = FormatRequest(std::move(aRequest), aAddress);
   const PoolKey key{ &context, std::move(aAddress) };
@@ -308,8 +329,10 @@
   ResponseParser parser;
   parser.body_limit(aMaxBodyBytes);
   ec = co_await Read(*connection, parser);
-  if (ec == beast::error::timeout)
+  if (ec == beast::error::timeout) {
+    DropUnanswered(key, sentAt);
     co_return MakeFailure(FailureKind::Timeout, "no complete response before the deadline");
+  }
   if (ec)
     co_return MakeFailure(FailureKind::EndpointUnknown, ec.message());
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,7 +31,8 @@
 
   // Sends a request and returns its response. EndpointUnreachable: no byte was written.
   // EndpointUnknown or Timeout: the request may have arrived. A connection that failed or timed out
-  // is closed and never reused.
+  // is closed and never reused. After a timeout the idle connections that have not been answered
+  // since the request was sent are closed as well: they may have gone silent with it.
   Async<Result<HttpResponse>> Call(HttpAddress aAddress,
                                    HttpRequest aRequest,
                                    Duration aDeadline,
@@ -51,6 +52,7 @@
 
   ConnectionPtr TakeIdle(const PoolKey& aKey);
   void PutIdle(const PoolKey& aKey, ConnectionPtr aConnection);
+  void DropUnanswered(const PoolKey& aKey, TimePoint aSince);
   static bool EraseClosed(std::vector<ConnectionPtr>& aConnections);
   std::shared_ptr<Deadlines> GetDeadlines(asio::io_context& aContext);
   Async<Result<ConnectionPtr>> Connect(std::shared_ptr<Deadlines> aDeadlines,
