--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -444,6 +444,22 @@
   void ApplyOrphanReports(Job& aJob, TimePoint aNow);
   [[nodiscard]] bool IsOrphan(TimePoint aReportedAt, TimePoint aNow) const;
   bool AdoptRun(Worker& aWorker, Run& aRun, TimePoint aNow);
+  bool AcceptIncarnation(Worker& aWorker,
+                         const WorkerReport& aReport,
+                         TimePoint aSentAt,
+                         TimePoint aNow);
+  void UpdateListedRun(Worker& aWorker,
+                       Run& aRun,
+                       const RunningTask& aRow,
+                       std::int64_t aClockMs,
+                       TimePoint aSentAt,
+                       TimePoint aNow);
+  void DropMissingRun(Worker& aWorker,
+                      std::size_t aIndex,
+                      const WorkerReport& aReport,
+                      TimePoint aSentAt,
+                      TimePoint aNow);
+  void TrackListedRun(Worker& aWorker, const RunningTask& aRow, TimePoint aSentAt, TimePoint aNow);
   void MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow);
   void CheckJobEnd(Job& aJob, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -1,4 +1,4 @@
-// Scheduler: reports of workers: what runs there, and what has ended.
+// Scheduler: reports of workers: what runs there, and which incarnation answers.
 #include <algorithm>
 
 #include "fleet/scheduler_impl.h"
@@ -8,9 +8,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxFailStreak = 3;       // failures in a row that quarantine a worker
-constexpr Duration kBaseQuarantine = seconds(2);  // doubled for each further quarantine in a row
-constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 // A lasting task that still runs this long after its start has survived it.
 constexpr Duration kWorkedFor = seconds(2);
 
@@ -111,116 +108,136 @@
   return true;
 }
 
-void Scheduler::ResetFailStreak(Worker& aWorker)
+// Returns whether the report is of the incarnation that is known to be the latest, or of the next
+// one, which is applied then.
+bool Scheduler::AcceptIncarnation(Worker& aWorker,
+                                  const WorkerReport& aReport,
+                                  TimePoint aSentAt,
+                                  TimePoint aNow)
 {
-  aWorker.mFailStreak = 0;
-  aWorker.mQuarantines = 0;
+  // The start times are not compared: a machine's time of day may have been set back.
+  if (aReport.mBornMs == 0 || aWorker.mBornMs == 0 || aReport.mBornMs == aWorker.mBornMs)
+    return true;
+  if (aSentAt >= aWorker.mBornSeenAt) {
+    ResetForNewIncarnation(aWorker, aReport, aSentAt, aNow);
+    return true;
+  }
+  // Reports overtake each other, so this one may be of the incarnation before or after. One that is
+  // requested from now on tells.
+  SuspectRestart(aWorker, aNow);
+  ExtendLeases(aWorker, aNow);
+  Log(LogPart::Task,
+      LogLevel::Info,
+      "a report is of another incarnation, which may be an earlier one",
+      { { "worker", aWorker.mEntry.mId },
+        { "born_ms", aReport.mBornMs },
+        { "known", aWorker.mBornMs },
+        { "requested_ago_ms", aNow - aSentAt } });
+  return false;
 }
 
-void Scheduler::CountFailure(Worker& aWorker, const std::string& aJob, TimePoint aNow)
+// Applies the row of a report to the run that it lists. aClockMs: of the worker, as reported.
+void Scheduler::UpdateListedRun(Worker& aWorker,
+                                Run& aRun,
+                                const RunningTask& aRow,
+                                std::int64_t aClockMs,
+                                TimePoint aSentAt,
+                                TimePoint aNow)
 {
-  aWorker.mFailedAt = aNow;
-  if (aWorker.mFailJob == aJob)  // a job that fails repeatedly is no sign of a bad worker
-    return;
-  aWorker.mFailJob = aJob;
-  if (++aWorker.mFailStreak < kMaxFailStreak)
+  // The progress of a run that is checked for slowness does not fall: this report is older than the
+  // one before.
+  const bool isOutdated = aRun.mEstimate > Duration::zero() && aRow.mPercent < aRun.mPercent;
+  if (aRow.mPercent > aRun.mPercent || !aRun.mReported) {
+    aRun.mPercent = aRow.mPercent;
+    aRun.mProgressAt = aNow;
+  }
+  aRun.mReported = true;
+  if (!IsConfirmed(aRun))
+    aRun.mConfirmedAt = aNow;
+  if (!isOutdated)
+    ObserveProgress(aRun.mProgress, aRow.mPercent, aRun.mEstimate, aNow);
+  aRun.mTailLatencyMs = aRow.mTailLatencyMs;
+  // A lasting task that has survived its start tells of its worker what an end `done` of another
+  // task does.
+  if (aRun.mLongRunning && !aRun.mHasWorked && aSentAt - aRun.mConfirmedAt >= kWorkedFor) {
+    aRun.mHasWorked = true;
+    if (aRun.mConfirmedAt > aWorker.mFailedAt)
+      ResetFailStreak(aWorker);
+  }
+  if (aRun.mPhase == RunPhase::Unconfirmed) {
+    aRun.mPhase = RunPhase::Running;
+    Log(LogPart::Task,
+        LogLevel::Info,
+        "a report confirms a start that was not answered",
+        { { "task", aRun.mTask },
+          { "run", aRun.mRun },
+          { "worker", aWorker.mEntry.mId },
+          { "requested_ago_ms", aNow - aSentAt },
+          { "worker_clock_ms", aClockMs } });
+  }
+  if (!aRun.mKnown || isOutdated || aRow.mCheckpoint.empty())
     return;
-  const std::uint32_t doublings = std::min(aWorker.mQuarantines, kMaxQuarantineDoublings);
-  aWorker.mQuarantinedUntil = aNow + kBaseQuarantine * (1 << doublings);
-  ++aWorker.mQuarantines;
-  aWorker.mFailStreak = kMaxFailStreak - 1;  // the next failure starts a quarantine again
-  Log(LogPart::Task,
-      LogLevel::Warn,
-      "tasks of several jobs failed in a row on a worker; it is quarantined",
-      { { "worker", aWorker.mEntry.mId }, { "ms", aWorker.mQuarantinedUntil - aNow } });
+  if (Task* task = FindTask(aRun.mRef); task && task->mRun == aRun.mRun) {
+    task->mCheckpoint = aRow.mCheckpoint;
+    FindStage(aRun.mRef)->mGangCheckpoint = aRow.mCheckpoint;
+  }
 }
 
-void Scheduler::MarkDone(Job& aJob, StageRun& aStage, const TaskRef& aRef, TimePoint aNow)
+// Drops a run that is proven to be gone.
+void Scheduler::DropMissingRun(Worker& aWorker,
+                               std::size_t aIndex,
+                               const WorkerReport& aReport,
+                               TimePoint aSentAt,
+                               TimePoint aNow)
 {
-  Task& task = aStage.mTasks[aRef.mIndex];
-  if (task.mDone)
-    return;
-  if (task.mWorker.empty())
-    --aStage.mWaiting;
-  task.mDone = true;
-  ++aStage.mDone;
-  MarkDirty(aJob);
-  if (aStage.mDone < aStage.mTasks.size())
-    return;
-  for (StageRun& it : aJob.mOccurrences[aRef.mOccurrence].mStages)
-    it.mReadyAt = std::max(it.mReadyAt, aNow);
-  CheckJobEnd(aJob, aNow);
+  const Run& run = aWorker.mRuns[aIndex];
+  const std::string& id = aWorker.mEntry.mId;
+  Log(LogPart::Task,
+      run.mPhase == RunPhase::Running ? LogLevel::Warn : LogLevel::Info,
+      "a run is missing in a report that lists no end of it",
+      { { "task", run.mTask },
+        { "run", run.mRun },
+        { "worker", id },
+        { "stopped", run.mPhase == RunPhase::Stopping ? "yes" : "no" },
+        { "known", run.mKnown ? "yes" : "no" },
+        { "ends", aReport.mEnded.size() },
+        { "requested_ago_ms", aNow - aSentAt },
+        { "worker_clock_ms", aReport.mClockMs } });
+  const bool neverRan = run.mKnown && !IsConfirmed(run);
+  if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
+    task->mFailedOn.push_back(id);  // this worker refuses this run number from now on
+  DropRun(aWorker, aIndex, neverRan);
 }
 
-void Scheduler::ProcessEnd(Worker& aWorker, const EndedTask& aRow, TimePoint aNow)
+// Tracks a run that a report lists and that was not tracked: it is adopted if possible (as after a
+// takeover), and stopped otherwise.
+void Scheduler::TrackListedRun(Worker& aWorker,
+                               const RunningTask& aRow,
+                               TimePoint aSentAt,
+                               TimePoint aNow)
 {
-  TaskRef ref;
-  if (!ParseTask(aRow.mTask, ref))
-    return;
-  EnsureOccurrence(ref, aNow);
-  Job* job = FindJobMutable(ref.mJob);
-  Task* task = FindTask(ref);
-  const auto run = std::find_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const Run& aItem) {
-    return aItem.mTask == aRow.mTask && aItem.mRun == aRow.mRun;
-  });
-  const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
-  const bool hasWorked = run != aWorker.mRuns.end() && run->mHasWorked;
-  if (run != aWorker.mRuns.end())
-    DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
-  if (!job) {
-    aWorker.mOrphanEnds.emplace_back(aNow, aRow);
-    mUnknownJobs.insert(ref.mJob);
-  }
-  if (!job || !task || task->mDone || IsOver(job->mState))
-    return;
-  StageRun& stage = *FindStage(ref);
-  const StageSpec& spec = job->mSpec.mStages[ref.mStage];
-  if (!aRow.mCheckpoint.empty() && spec.mCheckpointed && aRow.mRun >= task->mRun) {
-    task->mCheckpoint = aRow.mCheckpoint;
-    stage.mGangCheckpoint = aRow.mCheckpoint;
-  }
-  if (aRow.mKind == EndKind::Done && !spec.mLongRunning) {
-    ResetFailStreak(aWorker);
-    if (spec.mGang) {
-      for (std::uint32_t n = 0; n < stage.mTasks.size(); ++n)
-        MarkDone(*job, stage, TaskRef{ ref.mJob, ref.mOccurrence, ref.mStage, n }, aNow);
-    } else {
-      MarkDone(*job, stage, ref, aNow);
-    }
-    return;
-  }
-  if (aRow.mKind != EndKind::Failed)
-    return;
+  Run run;
+  run.mTask = aRow.mTask;
+  run.mRun = aRow.mRun;
+  run.mReported = true;
+  run.mConfirmedAt = aNow;
+  run.mPercent = aRow.mPercent;
+  run.mTailLatencyMs = aRow.mTailLatencyMs;
+  run.mProgressAt = aNow;
+  run.mSentAt = aSentAt;
+  run.mPhase = RunPhase::Running;
+  run.mCheckpoint = aRow.mCheckpoint;
+  const bool isAdopted = ParseTask(aRow.mTask, run.mRef) && AdoptRun(aWorker, run, aNow);
+  if (!FindJob(run.mRef.mJob))
+    mUnknownJobs.insert(run.mRef.mJob);
   Log(LogPart::Task,
       LogLevel::Info,
-      "failed",
+      isAdopted ? "adopted a running task" : "a worker runs a task that is not tracked",
       { { "task", aRow.mTask },
         { "run", aRow.mRun },
         { "worker", aWorker.mEntry.mId },
-        { "stopping", wasStopped ? "yes" : "no" } });
-  // A lasting task ends only by failing. If it has worked before, that tells nothing about its
-  // worker.
-  if (!hasWorked)
-    CountFailure(aWorker, ref.mJob, aNow);
-  task->mFailedOn.push_back(aWorker.mEntry.mId);
-  if (spec.mLongRunning)
-    return;
-  std::uint32_t failures = 0;
-  task->mFailedRuns.insert(aRow.mRun);
-  if (spec.mGang) {
-    stage.mFailedGangRuns.insert(aRow.mRun);
-    failures = static_cast<std::uint32_t>(stage.mFailedGangRuns.size());
-  } else {
-    failures = static_cast<std::uint32_t>(task->mFailedRuns.size());
-  }
-  MarkDirty(*job);
-  if (job->mSpec.mTerms && failures >= job->mSpec.mTerms->mMaxAttempts) {
-    Log(LogPart::Job,
-        LogLevel::Info,
-        "failed: a task failed as often as its queue allows",
-        { { "job", ref.mJob }, { "task", aRow.mTask }, { "failures", failures } });
-    EndJob(*job, JobState::Failed, aNow);
-  }
+        { "known", FindTask(run.mRef) ? "yes" : "no" } });
+  aWorker.mRuns.push_back(std::move(run));
 }
 
 void Scheduler::OnReport(const std::string& aId,
@@ -233,23 +250,9 @@
   if (!found)
     return;
   Worker& worker = *found;
-  // The start times are not compared: a machine's time of day may have been set back.
-  const bool isOther =
-    aReport.mBornMs != 0 && worker.mBornMs != 0 && aReport.mBornMs != worker.mBornMs;
-  if (isOther && aSentAt < worker.mBornSeenAt) {
-    // Reports overtake each other, so this one may be of the incarnation before or after. One that
-    // is requested from now on tells.
-    SuspectRestart(worker, aNow);
-    ExtendLeases(worker, aNow);
-    Log(LogPart::Task,
-        LogLevel::Info,
-        "a report is of another incarnation, which may be an earlier one",
-        { { "worker", aId },
-          { "born_ms", aReport.mBornMs },
-          { "known", worker.mBornMs },
-          { "requested_ago_ms", aNow - aSentAt } });
+  const bool wasUnresponsive = !worker.mReachable && worker.mFenced;
+  if (!AcceptIncarnation(worker, aReport, aSentAt, aNow))
     return;
-  }
   if (!aAddress.empty() && aAddress != worker.mAddress) {
     Log(LogPart::Task,
         LogLevel::Info,
@@ -257,10 +260,8 @@
         { { "worker", aId }, { "address", aAddress }, { "before", worker.mAddress } });
     worker.mAddress = aAddress;
   }
-  if (!worker.mReachable && worker.mFenced)
+  if (wasUnresponsive)
     Log(LogPart::Task, LogLevel::Info, "a worker answers again", { { "worker", aId } });
-  if (isOther)
-    ResetForNewIncarnation(worker, aReport, aSentAt, aNow);
   if (aReport.mBornMs != 0)
     worker.mBornMs = aReport.mBornMs;
   RevokeCrashes(worker);
@@ -296,96 +297,17 @@
 
   for (std::size_t n = worker.mRuns.size(); n-- > 0;) {
     Run& run = worker.mRuns[n];
-    auto it = listed.find({ std::string_view(run.mTask), run.mRun });
+    const auto it = listed.find({ std::string_view(run.mTask), run.mRun });
     if (it != listed.end()) {
-      const RunningTask& row = *it->second;
-      // The progress of a run that is checked for slowness does not fall: this report is older than
-      // the one before.
-      const bool isOutdated = run.mEstimate > Duration::zero() && row.mPercent < run.mPercent;
-      if (row.mPercent > run.mPercent || !run.mReported) {
-        run.mPercent = row.mPercent;
-        run.mProgressAt = aNow;
-      }
-      run.mReported = true;
-      if (!IsConfirmed(run))
-        run.mConfirmedAt = aNow;
-      if (!isOutdated)
-        ObserveProgress(run.mProgress, row.mPercent, run.mEstimate, aNow);
-      run.mTailLatencyMs = row.mTailLatencyMs;
-      // Of a lasting task, to survive its start is what an end `done` is of another one.
-      if (run.mLongRunning && !run.mHasWorked && aSentAt - run.mConfirmedAt >= kWorkedFor) {
-        run.mHasWorked = true;
-        if (run.mConfirmedAt > worker.mFailedAt)
-          ResetFailStreak(worker);
-      }
-      if (run.mPhase == RunPhase::Unconfirmed) {
-        run.mPhase = RunPhase::Running;
-        Log(LogPart::Task,
-            LogLevel::Info,
-            "a report confirms a start that was not answered",
-            { { "task", run.mTask },
-              { "run", run.mRun },
-              { "worker", aId },
-              { "requested_ago_ms", aNow - aSentAt },
-              { "worker_clock_ms", aReport.mClockMs } });
-      }
-      if (run.mKnown && !isOutdated && !row.mCheckpoint.empty())
-        if (Task* task = FindTask(run.mRef); task && task->mRun == run.mRun) {
-          task->mCheckpoint = row.mCheckpoint;
-          FindStage(run.mRef)->mGangCheckpoint = row.mCheckpoint;
-        }
+      UpdateListedRun(worker, run, *it->second, aReport.mClockMs, aSentAt, aNow);
       listed.erase(it);
-      continue;
+    } else if (!aReport.mHasMoreEnds && IsProvenGone(run, aSentAt)) {  // no end of it is left out
+      DropMissingRun(worker, n, aReport, aSentAt, aNow);
     }
-    if (aReport.mHasMoreEnds)
-      continue;  // its end may be one of those that are not listed yet
-    if (IsProvenGone(run, aSentAt)) {
-      Log(LogPart::Task,
-          run.mPhase == RunPhase::Running ? LogLevel::Warn : LogLevel::Info,
-          "a run is missing in a report that lists no end of it",
-          { { "task", run.mTask },
-            { "run", run.mRun },
-            { "worker", aId },
-            { "stopped", run.mPhase == RunPhase::Stopping ? "yes" : "no" },
-            { "known", run.mKnown ? "yes" : "no" },
-            { "ends", aReport.mEnded.size() },
-            { "requested_ago_ms", aNow - aSentAt },
-            { "worker_clock_ms", aReport.mClockMs } });
-      const bool neverRan = run.mKnown && !IsConfirmed(run);
-      if (Task* task = neverRan ? FindTask(run.mRef) : nullptr)
-        task->mFailedOn.push_back(aId);  // this worker refuses this run number from now on
-      DropRun(worker, n, neverRan);
-    }
-  }
-
-  // The remaining tasks run on the worker without being tracked: they are adopted if possible (as
-  // after a takeover), and stopped otherwise.
-  for (const auto& [key, row] : listed) {
-    if (HasEnded(worker, *row))
-      continue;  // this report is older than the one that listed the end
-    Run run;
-    run.mTask = row->mTask;
-    run.mRun = row->mRun;
-    run.mReported = true;
-    run.mConfirmedAt = aNow;
-    run.mPercent = row->mPercent;
-    run.mTailLatencyMs = row->mTailLatencyMs;
-    run.mProgressAt = aNow;
-    run.mSentAt = aSentAt;
-    run.mPhase = RunPhase::Running;
-    run.mCheckpoint = row->mCheckpoint;
-    const bool isAdopted = ParseTask(row->mTask, run.mRef) && AdoptRun(worker, run, aNow);
-    if (!FindJob(run.mRef.mJob))
-      mUnknownJobs.insert(run.mRef.mJob);
-    Log(LogPart::Task,
-        LogLevel::Info,
-        isAdopted ? "adopted a running task" : "a worker runs a task that is not tracked",
-        { { "task", row->mTask },
-          { "run", row->mRun },
-          { "worker", aId },
-          { "known", FindTask(run.mRef) ? "yes" : "no" } });
-    worker.mRuns.push_back(std::move(run));
   }
+  for (const auto& [key, row] : listed)
+    if (!HasEnded(worker, *row))  // otherwise this report is older than the one of its end
+      TrackListedRun(worker, *row, aSentAt, aNow);
 }
 
 }  // namespace monsoon::fleet
