--- a/tests/unit/test_deploy_templates.cpp
+++ b/tests/unit/test_deploy_templates.cpp
@@ -226,32 +226,3 @@
   CHECK(ReadRendered("node_name", json::value("edge \"\xc5\x82\"\\\n")).mSettings.mName ==
         "edge \"\xc5\x82\"\\\n");
 }
-
-// Settings files that templates of earlier builds have made, while processes are replaced in turn.
-TEST_CASE("entry settings: a number of seconds with zeros appended is taken for milliseconds")
-{
-  const std::string required = R"([process]
-name = "entry-1"
-zone = "zone-a"
-[listen]
-callers = "127.0.0.1:1000"
-ready = "127.0.0.1:1001"
-peers = "127.0.0.1:1002"
-[store]
-address = "127.0.0.1:1003"
-[bounds]
-)";
-  const std::string key = GENERATE("shutdown_ms", "keep_ended_ms");
-  const std::string text = GENERATE("120.5000", "6.5000", "0.5000", "0000");
-  INFO(key << " = " << text);
-  CHECK(ParseEntrySettings(required + key + " = " + text, "entry.toml").mErrors.size() == 1);
-  const EntrySettingsResult whole = ParseEntrySettings(required + key + " = 6000", "entry.toml");
-  CHECK(whole.mErrors.empty());
-  CHECK((key == "shutdown_ms" ? whole.mSettings.mShutdown : whole.mSettings.mKeepEnded) ==
-        seconds(6));
-  const std::string seconds = key.substr(0, key.size() - 2) + "s = 6";
-  const auto both =
-    ParseEntrySettings(required + key + " = 6000\n" + seconds, "entry.toml").mErrors;
-  REQUIRE(both.size() == 1);
-  CHECK_THAT(both[0], Catch::Contains(key + " is given too"));
-}
--- a/tests/unit/test_entry_settings.cpp
+++ b/tests/unit/test_entry_settings.cpp
@@ -38,3 +38,24 @@
   REQUIRE(result.mErrors.size() == 1);
   CHECK(result.mErrors[0] == "entry.toml:11:18: workers.tokens_checked: expected true or false");
 }
+
+// Settings files that templates of earlier builds have made, while processes are replaced in turn.
+TEST_CASE("entry settings: a number of seconds with zeros appended is taken for milliseconds")
+{
+  const std::string key = GENERATE("shutdown_ms", "keep_ended_ms");
+  const std::string text = GENERATE("120.5000", "6.5000", "0.5000", "0000");
+  INFO(key << " = " << text);
+  CHECK(ParseEntrySettings(kRequired + "[bounds]\n" + key + " = " + text, "entry.toml")
+          .mErrors.size() == 1);
+  const EntrySettingsResult whole =
+    ParseEntrySettings(kRequired + "[bounds]\n" + key + " = 6000", "entry.toml");
+  CHECK(whole.mErrors.empty());
+  CHECK((key == "shutdown_ms" ? whole.mSettings.mShutdown : whole.mSettings.mKeepEnded) ==
+        seconds(6));
+  const std::string seconds = key.substr(0, key.size() - 2) + "s = 6";
+  const auto both =
+    ParseEntrySettings(kRequired + "[bounds]\n" + key + " = 6000\n" + seconds, "entry.toml")
+      .mErrors;
+  REQUIRE(both.size() == 1);
+  CHECK_THAT(both[0], Catch::Contains(key + " is given too"));
+}
--- a/tests/unit/test_fleet_crossed_reports.cpp
+++ b/tests/unit/test_fleet_crossed_reports.cpp
@@ -2,7 +2,7 @@
 // it was requested after the proof that the run was there had been received.
 #include <catch2/catch.hpp>
 
-#include "fleet_model.h"
+#include "fleet_jobs.h"
 
 using namespace monsoon;
 using namespace monsoon::fleet;
@@ -16,47 +16,13 @@
   return kStart + milliseconds(aMs);
 }
 
-QueueConfig MakeQueue()
-{
-  QueueConfig queue;
-  queue.mName = "q";
-  queue.mService = "pool";
-  queue.mMaxAttempts = 50;
-  queue.mStretch = 2;
-  queue.mSlack = seconds(1);
-  return queue;
-}
-
-JobSpec MakeJob(std::string aId, std::uint32_t aTasks)
-{
-  JobSpec job;
-  job.mId = std::move(aId);
-  job.mQueue = "q";
-  job.mService = "pool";
-  StageSpec stage;
-  stage.mCount = aTasks;
-  stage.mMilliCores = 3000;
-  stage.mMemoryMiB = 1000;
-  stage.mEstimateMs = 1000;
-  job.mStages.push_back(stage);
-  return job;
-}
-
 // Two workers with room for one task each; both have answered.
 Scheduler MakeScheduler(std::uint64_t aEpoch)
 {
   Scheduler scheduler({ .mEpoch = aEpoch });
-  FleetConfig config;
-  config.mQueues.push_back(MakeQueue());
-  scheduler.SetQueues(config);
+  scheduler.SetQueues(MakeFleetConfig());
   for (const char* id : { "w0", "w1" }) {
-    WorkerEntry entry;
-    entry.mId = id;
-    entry.mAddress = std::string(id) + ":80";
-    entry.mService = "pool";
-    entry.mMilliCores = 4000;
-    entry.mMemoryMiB = 16'000;
-    scheduler.ListWorker(entry, true, kStart);
+    scheduler.ListWorker(MakeWorkerEntry(id), true, kStart);
     scheduler.OnReport(id, {}, kStart, kStart);
   }
   return scheduler;
@@ -78,7 +44,7 @@
   "fleet: a late start is taken for gone by a report from before it, and runs elsewhere too")
 {
   Scheduler scheduler = MakeScheduler(1);
-  scheduler.AddJob(MakeJob("a", 1), {}, false, kStart);
+  scheduler.AddJob(MakeFleetJob("a", 1), {}, false, kStart);
   const Orders orders = scheduler.Plan(kStart, 0, true, 0);
   REQUIRE(orders.mStarts.size() == 1);
   const std::string id = orders.mStarts[0].mWorker;
@@ -98,7 +64,7 @@
 TEST_CASE("fleet: a run that has ended is adopted again from a report that is older than its end")
 {
   Scheduler scheduler = MakeScheduler(1);
-  scheduler.AddJob(MakeJob("a", 1), {}, false, kStart);
+  scheduler.AddJob(MakeFleetJob("a", 1), {}, false, kStart);
   const Orders orders = scheduler.Plan(kStart, 0, true, 0);
   REQUIRE(orders.mStarts.size() == 1);
   const std::string id = orders.mStarts[0].mWorker;
@@ -121,7 +87,7 @@
 TEST_CASE("fleet: a start without an answer is stopped because of a report from before it")
 {
   Scheduler scheduler = MakeScheduler(1);
-  scheduler.AddJob(MakeJob("a", 1), {}, false, kStart);
+  scheduler.AddJob(MakeFleetJob("a", 1), {}, false, kStart);
   const Orders orders = scheduler.Plan(kStart, 0, true, 0);
   REQUIRE(orders.mStarts.size() == 1);
   const std::string id = orders.mStarts[0].mWorker;
@@ -159,7 +125,7 @@
 TEST_CASE("fleet: the progress of a run is measured against an older report")
 {
   Scheduler scheduler = MakeScheduler(1);
-  JobSpec job = MakeJob("a", 1);
+  JobSpec job = MakeFleetJob("a", 1);
   job.mStages[0].mCheckpointed = true;
   scheduler.AddJob(job, {}, false, kStart);
   const Orders orders = scheduler.Plan(kStart, 0, true, 0);
@@ -182,11 +148,11 @@
   const bool isJobRead = GENERATE(true, false);
   INFO("job read " << isJobRead);
   if (isJobRead)
-    scheduler.AddJob(MakeJob("x", 1), {}, true, kStart);
+    scheduler.AddJob(MakeFleetJob("x", 1), {}, true, kStart);
   const StartOrder order{ .mWorker = "w0", .mTask = "x.0.0.0", .mRun = 7 };
   scheduler.OnReport("w0", ListRunning(order), At(100), At(300));
   scheduler.OnReport("w0", {}, At(101), At(301));
-  scheduler.AddJob(MakeJob("x", 1), {}, true, At(302));
+  scheduler.AddJob(MakeFleetJob("x", 1), {}, true, At(302));
   CHECK(scheduler.FindWorker("w0")->mRuns.size() == 1);
   CHECK(scheduler.Plan(At(310), 0, true, 0).mStarts.empty());
   scheduler.OnReport("w0", {}, At(302), At(400));
@@ -197,7 +163,7 @@
 TEST_CASE("fleet: a report of an earlier incarnation that was overtaken ends the present one")
 {
   Scheduler scheduler = MakeScheduler(2);
-  scheduler.AddJob(MakeJob("x", 1), {}, true, kStart);
+  scheduler.AddJob(MakeFleetJob("x", 1), {}, true, kStart);
   WorkerReport before;
   before.mBornMs = 5000;
   scheduler.OnReport("w0", before, At(10), At(20));
@@ -224,7 +190,7 @@
   scheduler.OnReport("w0", report, At(100), At(300));
   report.mBornMs = 1500;
   scheduler.OnReport("w0", report, At(200), At(320));
-  scheduler.AddJob(MakeJob("a", 2), {}, false, At(320));
+  scheduler.AddJob(MakeFleetJob("a", 2), {}, false, At(320));
   const Orders orders = scheduler.Plan(At(330), 0, true, 0);
   REQUIRE(orders.mStarts.size() == 1);
   CHECK(orders.mStarts[0].mWorker == "w1");
@@ -241,7 +207,7 @@
   report.mBornMs = 1000;
   scheduler.OnReport("w0", report, At(10), At(20));
   scheduler.OnReport("w1", report, At(10), At(20));
-  scheduler.AddJob(MakeJob("a", 1), {}, false, At(20));
+  scheduler.AddJob(MakeFleetJob("a", 1), {}, false, At(20));
   const Orders orders = scheduler.Plan(At(20), 0, true, 0);
   REQUIRE(orders.mStarts.size() == 1);
   const std::string id = orders.mStarts[0].mWorker;
@@ -280,22 +246,15 @@
     faults.mDirectoryLag = milliseconds(300);
   }
   FleetModel model(seed, faults, 8);
-  model.SetQueue(MakeQueue());
+  model.SetQueue(MakeFleetConfig().mQueues[0]);
   std::mt19937_64 random(seed);
   std::vector<std::string> ids;
   for (int round = 0; round < 60; ++round) {
     ids.push_back("j" + std::to_string(round));
-    model.Submit(MakeJob(ids.back(), static_cast<std::uint32_t>(1 + random() % 12)));
+    model.Submit(MakeFleetJob(ids.back(), static_cast<std::uint32_t>(1 + random() % 12)));
     if (random() % 10 == 0)
       model.Cancel(ids.back());
     model.RunFor(milliseconds(300));
   }
-  model.StopFaults();
-  model.RunFor(seconds(60));
-  CHECK_THAT(model.mViolations, Catch::Equals(std::vector<std::string>()));
-  for (const std::string& id : ids) {
-    INFO("job " << id);
-    REQUIRE(model.FindJob(id));
-    CHECK(IsOver(model.FindJob(id)->mState));
-  }
+  CheckAllEnd(model, ids);
 }
--- a/tests/unit/test_fleet_handover.cpp
+++ b/tests/unit/test_fleet_handover.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "fleet/peer_messages.h"
-#include "fleet_model.h"
+#include "fleet_jobs.h"
 
 using namespace monsoon;
 using namespace monsoon::fleet;
@@ -13,64 +13,24 @@
 constexpr TimePoint kStart{ seconds(2000) };
 constexpr Duration kMaxAway = seconds(9);  // of a lasting task, from the loss of its worker
 
-FleetConfig MakeConfig()
-{
-  QueueConfig queue;
-  queue.mName = "q";
-  queue.mService = "pool";
-  queue.mMaxAttempts = 50;
-  queue.mSlack = seconds(1);
-  FleetConfig config;
-  config.mQueues.push_back(queue);
-  return config;
-}
-
-JobSpec MakeJob(std::string aId, std::uint32_t aTasks, bool aLasting)
-{
-  JobSpec job;
-  job.mId = std::move(aId);
-  job.mQueue = "q";
-  job.mService = "pool";
-  StageSpec stage;
-  stage.mCount = aTasks;
-  stage.mMilliCores = 3000;
-  stage.mMemoryMiB = 1000;
-  stage.mEstimateMs = 1000;
-  stage.mLongRunning = aLasting;
-  job.mStages.push_back(stage);
-  return job;
-}
-
-WorkerEntry MakeEntry(std::string aId, std::int64_t aBornMs)
-{
-  WorkerEntry entry;
-  entry.mId = std::move(aId);
-  entry.mAddress = entry.mId + ":80";
-  entry.mService = "pool";
-  entry.mMilliCores = 4000;
-  entry.mMemoryMiB = 16'000;
-  entry.mBornMs = aBornMs;
-  return entry;
-}
-
 // A holder that takes over the two workers of the one before; w1 answers.
 std::unique_ptr<Scheduler> TakeOver(std::uint64_t aEpoch,
                                     const std::vector<LeaseWait>& aWaits,
                                     TimePoint aElectedAt)
 {
   auto scheduler = std::make_unique<Scheduler>(SchedulerSettings{ .mEpoch = aEpoch });
-  scheduler->SetQueues(MakeConfig());
+  scheduler->SetQueues(MakeFleetConfig());
   for (const char* id : { "w0", "w1" }) {
-    scheduler->ListWorker(MakeEntry(id, 1000), true, aElectedAt);
+    scheduler->ListWorker(MakeWorkerEntry(id, 1000), true, aElectedAt);
     scheduler->UnlistWorker(id, aElectedAt);
   }
   for (const LeaseWait& it : aWaits)
     scheduler->SetLeaseWait(it, aElectedAt);
-  scheduler->ListWorker(MakeEntry("w1", 1000), true, aElectedAt);
+  scheduler->ListWorker(MakeWorkerEntry("w1", 1000), true, aElectedAt);
   WorkerReport report;
   report.mBornMs = 1000;
   scheduler->OnReport("w1", report, aElectedAt, aElectedAt);
-  scheduler->AddJob(MakeJob("a", 1, true), {}, true, aElectedAt);
+  scheduler->AddJob(MakeFleetJob("a", 1, true), {}, true, aElectedAt);
   return scheduler;
 }
 
@@ -78,12 +38,12 @@
 std::unique_ptr<Scheduler> LoseWorker()
 {
   auto scheduler = std::make_unique<Scheduler>(SchedulerSettings{ .mEpoch = 1 });
-  scheduler->SetQueues(MakeConfig());
+  scheduler->SetQueues(MakeFleetConfig());
   WorkerReport report;
   report.mBornMs = 1000;
-  scheduler->ListWorker(MakeEntry("w0", 1000), true, kStart);
+  scheduler->ListWorker(MakeWorkerEntry("w0", 1000), true, kStart);
   scheduler->OnReport("w0", report, kStart, kStart);
-  scheduler->AddJob(MakeJob("a", 1, true), {}, false, kStart);
+  scheduler->AddJob(MakeFleetJob("a", 1, true), {}, false, kStart);
   const Orders orders = scheduler->Plan(kStart, 0, true, 0);
   REQUIRE(orders.mStarts.size() == 1);
   scheduler->OnStart(orders.mStarts[0], StartOutcome::Started, kStart);
@@ -128,7 +88,7 @@
   SECTION("another incarnation is listed")
   {
     auto next = TakeOver(2, waits, electedAt);
-    next->ListWorker(MakeEntry("w0", 2000), false, electedAt);
+    next->ListWorker(MakeWorkerEntry("w0", 2000), false, electedAt);
     CHECK_FALSE(StartsTask(*next, kStart + kMaxAway));
   }
   SECTION("it has answered")
@@ -158,24 +118,17 @@
   faults.mRestartPerS = seed % 3 == 0 ? 0.05 : 0;
   faults.mDrainPerS = seed % 3 == 1 ? 0.03 : 0;
   FleetModel model(seed, faults, 8);
-  model.SetQueue(MakeConfig().mQueues[0]);
+  model.SetQueue(MakeFleetConfig().mQueues[0]);
   std::mt19937_64 random(seed);
   std::vector<std::string> ids;
   for (int round = 0; round < 50; ++round) {
     ids.push_back("j" + std::to_string(round));
-    model.Submit(MakeJob(ids.back(), static_cast<std::uint32_t>(1 + random() % 8), false));
+    model.Submit(MakeFleetJob(ids.back(), static_cast<std::uint32_t>(1 + random() % 8)));
     if (random() % 3 == 0)
       model.SetRunTime(ids.back(), milliseconds(2000 + random() % 6000));
     model.RunFor(milliseconds(500));
   }
-  model.StopFaults();
-  model.RunFor(seconds(60));
-  CHECK_THAT(model.mViolations, Catch::Equals(std::vector<std::string>()));
-  for (const std::string& id : ids) {
-    INFO("job " << id);
-    REQUIRE(model.FindJob(id));
-    CHECK(IsOver(model.FindJob(id)->mState));
-  }
+  CheckAllEnd(model, ids);
 }
 
 TEST_CASE("fleet: a hand-over record does not survive the store")
--- a/tests/unit/test_fleet_quarantine.cpp
+++ b/tests/unit/test_fleet_quarantine.cpp
@@ -1,7 +1,7 @@
 // Workers on which tasks keep failing get no new ones for a while, and which failures count.
 #include <catch2/catch.hpp>
 
-#include "fleet/scheduler.h"
+#include "fleet_jobs.h"
 
 using namespace monsoon;
 using namespace monsoon::fleet;
@@ -14,16 +14,8 @@
 public:
   FailingWorker()
   {
-    QueueConfig queue;
-    queue.mName = "q";
-    queue.mService = "pool";
-    FleetConfig config;
-    config.mQueues.push_back(queue);
-    mScheduler.SetQueues(config);
-    WorkerEntry entry;
-    entry.mId = "w0";
-    entry.mAddress = "10.0.0.1:80";
-    entry.mService = "pool";
+    mScheduler.SetQueues(MakeFleetConfig());
+    WorkerEntry entry = MakeWorkerEntry("w0");
     entry.mMilliCores = 32'000;
     entry.mMemoryMiB = 128'000;
     mScheduler.ListWorker(entry, true, mNow);
@@ -33,17 +25,7 @@
   // Hands in a job with one lasting task, which starts at once.
   StartOrder Start(const std::string& aJob)
   {
-    JobSpec job;
-    job.mId = aJob;
-    job.mQueue = "q";
-    job.mService = "pool";
-    StageSpec stage;
-    stage.mCount = 1;
-    stage.mMilliCores = 500;
-    stage.mMemoryMiB = 500;
-    stage.mLongRunning = true;
-    job.mStages.push_back(stage);
-    mScheduler.AddJob(job, {}, false, mNow);
+    mScheduler.AddJob(MakeFleetJob(aJob, 1, true), {}, false, mNow);
     mNow += seconds(60);  // a quarantine is over by then
     const Orders orders = mScheduler.Plan(mNow, 0, true, 0);
     for (const StartOrder& it : orders.mStarts) {
@@ -71,6 +53,15 @@
     mReport.mEnded.clear();
     mScheduler.CancelJob(aOrder.mTask.substr(0, aOrder.mTask.find('.')), mNow);
   }
+  // Lets tasks of as many jobs fail soon after their starts.
+  void FailAtStart(int aCount)
+  {
+    for (int n = 0; n < aCount; ++n) {
+      const StartOrder order = Start("j" + std::to_string(n));
+      Work(milliseconds(500));
+      Fail(order);
+    }
+  }
   [[nodiscard]] bool IsQuarantined() { return mNow < Get().mQuarantinedUntil; }
   [[nodiscard]] std::uint32_t CountFailures() { return Get().mFailStreak; }
 
@@ -101,11 +92,7 @@
 TEST_CASE("fleet: a worker on which lasting tasks fail as they start is not quarantined")
 {
   FailingWorker worker;
-  for (int n = 0; n < 3; ++n) {
-    const StartOrder order = worker.Start("j" + std::to_string(n));
-    worker.Work(milliseconds(500));
-    worker.Fail(order);
-  }
+  worker.FailAtStart(3);
   CHECK(worker.IsQuarantined());
 }
 
@@ -114,11 +101,7 @@
 {
   FailingWorker worker;
   worker.Start("before");
-  for (int n = 0; n < 3; ++n) {
-    const StartOrder order = worker.Start("j" + std::to_string(n));
-    worker.Work(milliseconds(500));
-    worker.Fail(order);
-  }
+  worker.FailAtStart(3);
   worker.Work(seconds(20));
   CHECK(worker.CountFailures() > 0);
   worker.Start("after");
