--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -153,6 +153,17 @@
   void PlanFor(const HolderRef& aHolder);
   [[nodiscard]] bool HasStopped(const HolderState& aHolder) const;
   [[nodiscard]] bool MayStart(const HolderState& aHolder) const;
+  void StoreProgress();
+  void WriteProgress(const HolderRef& aHolder, const ProgressBatch& aBatch);
+  [[nodiscard]] bool CommitProgress(const HolderRef& aHolder,
+                                    const ProgressBatch& aBatch,
+                                    std::map<std::string, std::uint64_t> aRevisions);
+  void RecordWorkers();
+  [[nodiscard]] HolderRef MakeHolder();
+  void ReplaceQueue();
+  void ForEachHolder(const std::function<void(HolderState&)>& aAction);
+
+  // Calls (fleet_model_calls.cpp)
   [[nodiscard]] bool HasClosedConnections(const HolderState& aHolder, const std::string& aId) const;
   void PollWorker(const std::string& aId);
   void Poll(const HolderRef& aHolder, const std::string& aId);
@@ -164,15 +175,6 @@
   void SendStart(const HolderRef& aHolder, const StartOrder& aOrder);
   void SendStop(const HolderRef& aHolder, const StopOrder& aOrder);
   void SendAdvice(const HolderRef& aHolder, const AdviceOrder& aOrder);
-  void StoreProgress();
-  void WriteProgress(const HolderRef& aHolder, const ProgressBatch& aBatch);
-  [[nodiscard]] bool CommitProgress(const HolderRef& aHolder,
-                                    const ProgressBatch& aBatch,
-                                    std::map<std::string, std::uint64_t> aRevisions);
-  void RecordWorkers();
-  [[nodiscard]] HolderRef MakeHolder();
-  void ReplaceQueue();
-  void ForEachHolder(const std::function<void(HolderState&)>& aAction);
 
   // Workers (fleet_model_workers.cpp)
   void AddNode(std::string aId, std::string aAddress);
@@ -183,6 +185,17 @@
   void DeliverStart(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt);
   void CheckStart(const Node& aNode, const StartOrder& aOrder, TimePoint aSentAt);
   void Acknowledge(Node& aNode, std::uint64_t aNumber);
+  void RemoveEntry(const std::string& aId);
+  void WriteEntry(const WorkerEntry& aEntry);
+  void WriteForeignEntry(const std::string& aId);
+  [[nodiscard]] std::uint32_t GetAllowedCores(const Node& aNode) const;
+  [[nodiscard]] std::string GetTicket(const std::string& aId) const;
+  [[nodiscard]] Node* FindNodeAt(const std::string& aAddress);
+  [[nodiscard]] bool IsAnswering(const Node& aNode, const HolderState& aHolder) const;
+  void ReportViolation(std::string aWhat);
+  [[nodiscard]] const StageSpec* FindStage(const std::string& aTask, const JobSpec** aJob) const;
+
+  // Faults (fleet_model_faults.cpp)
   void InjectFaults();
   void BreakGang(const StartOrder& aMember);
   void CrashUnderTask(const std::string& aId);
@@ -191,17 +204,16 @@
   void CutFromStore(const std::string& aId);
   void ExpireEntry(const std::string& aId);
   void SendHeartbeat(const std::string& aId);
-  void RemoveEntry(const std::string& aId);
-  void WriteEntry(const WorkerEntry& aEntry);
-  void WriteForeignEntry(const std::string& aId);
   void DrainNode(const std::string& aId);
   void LoseTasks(Node& aNode);
-  [[nodiscard]] std::uint32_t GetAllowedCores(const Node& aNode) const;
-  [[nodiscard]] std::string GetTicket(const std::string& aId) const;
-  [[nodiscard]] Node* FindNodeAt(const std::string& aAddress);
-  [[nodiscard]] bool IsAnswering(const Node& aNode, const HolderState& aHolder) const;
-  void ReportViolation(std::string aWhat);
-  [[nodiscard]] const StageSpec* FindStage(const std::string& aTask, const JobSpec** aJob) const;
+
+  static constexpr Duration kHeartbeat = milliseconds(1500);
+  // A capacity that has shrunk counts until this long afterwards: contact_ms and a heartbeat.
+  static constexpr Duration kShrinkNotice = seconds(3) + kHeartbeat;
+  [[nodiscard]] static std::int64_t GetUnixMillis(TimePoint aAt)
+  {
+    return 1'700'000'000'000 + aAt.time_since_epoch() / milliseconds(1);
+  }
 
   std::mt19937_64 mRandom{};
   FleetFaults mFaults{};
