Test harness: hold the ports of all processes until each has its own

Cause: FindFreePort closed each port before it looked for the next, so two processes, or a process and a proxy, could get the same one.

Change: the ports are held until all processes and proxies have theirs. Between the release and the start of the processes another program can still take one.

--- a/tests/integration/entry_fleet.cpp
+++ b/tests/integration/entry_fleet.cpp
@@ -14,13 +14,6 @@
 
 namespace {
 
-std::uint16_t FindFreePort()
-{
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
-}
-
 std::string FormatLocal(std::uint16_t aPort)
 {
   return "\"127.0.0.1:" + std::to_string(aPort) + "\"\n";
@@ -28,6 +21,12 @@
 
 }  // namespace
 
+std::uint16_t PortReservation::Reserve()
+{
+  mAcceptors.emplace_back(mContext, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return mAcceptors.back().local_endpoint().port();
+}
+
 EntryFleet::EntryFleet(asio::io_context& aContext,
                        const standin::FleetStandinOptions& aPlatform,
                        const std::vector<double>& aCores,
@@ -41,11 +40,13 @@
   if (!mPlatform->Start())
     throw std::runtime_error("the stand-in can't listen");
   std::mt19937_64 seeds(aPlatform.mSeed);
+  // Held until all proxies have their ports, too.
+  PortReservation ports;
   for (std::size_t n = 0; n < aCores.size(); ++n) {
     EntryProcess& it = mProcesses[n];
-    it.mCallers = FindFreePort();
-    it.mReady = FindFreePort();
-    it.mPeers = FindFreePort();
+    it.mCallers = ports.Reserve();
+    it.mReady = ports.Reserve();
+    it.mPeers = ports.Reserve();
     it.mStoreLink = std::make_unique<Proxy>(mProxies, mPlatform->GetStorePort(), seeds());
     it.mPeerLink = std::make_unique<Proxy>(mProxies, it.mPeers, seeds());
     it.mSettings = mDirectory + "/entry-" + std::to_string(n) + ".toml";
@@ -59,8 +60,10 @@
                                 << "[store]\naddress = " << FormatLocal(it.mStoreLink->GetPort())
                                 << "[advice]\naddress = " << FormatLocal(mPlatform->GetAdvicePort())
                                 << "[workers]\ntokens_checked = true\n";
-    Start(n);
   }
+  ports.Release();
+  for (std::size_t n = 0; n < mProcesses.size(); ++n)
+    Start(n);
 }
 
 EntryFleet::~EntryFleet()
--- a/tests/integration/entry_fleet.h
+++ b/tests/integration/entry_fleet.h
@@ -26,6 +26,18 @@
   std::unique_ptr<Proxy> mPeerLink{};   // from other processes to this one
 };
 
+// Free ports on loopback, which nobody else is given while they are held.
+class PortReservation
+{
+public:
+  std::uint16_t Reserve();  // throws if there is none
+  void Release() { mAcceptors.clear(); }
+
+private:
+  asio::io_context mContext{};
+  std::vector<asio::ip::tcp::acceptor> mAcceptors{};
+};
+
 class EntryFleet
 {
 public:
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <set>
 
 #include "tests/integration/entry_fleet.h"
 
@@ -427,3 +428,14 @@
   CHECK(FindHolder(fleet) == holder);
   CHECK_THAT(workers.ReadViolations(), Catch::Equals(std::vector<std::string>()));
 }
+
+// A soak called the readiness port of one process as the callers' port of another one.
+TEST_CASE("two processes of a fleet are given the same port")
+{
+  testing::PortReservation ports;
+  std::set<std::uint16_t> reserved;
+  constexpr std::size_t kPorts = 700;
+  for (std::size_t n = 0; n < kPorts; ++n)
+    reserved.insert(ports.Reserve());
+  CHECK(reserved.size() == kPorts);
+}
