--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   Jobs       a job is a DAG of stages, run once or on a schedule; a stage is a set of equal tasks
+//   Teams      callers' teams: their keys, shares and limits
 //   Queues     configuration of the queues that accept jobs
 //   Workers    entries of the worker directory, and the reports of workers
 //   Orders     what the scheduler asks of workers and of the policy service
@@ -27,6 +28,7 @@
   std::vector<std::uint32_t> mAfter{};  // indexes of stages that must complete first
   std::string mRequiredLabel{};         // a worker must have this label; empty: any worker
   std::string mDataRack{};              // rack of the input; tasks run slower on other racks
+  std::string mImage{};                 // tasks of one image behave alike; empty: unknown
   std::uint32_t mMaxPerWorker = 0;      // tasks of one occurrence on one worker; 0: unlimited
   std::int64_t mLatencyTargetMs = 0;    // upper limit of a serving task's tail latency; 0: none
   std::uint32_t mMayMiss = 0;  // serving tasks that may be missing because of the scheduler
@@ -78,6 +80,7 @@
   std::uint32_t mOccurrences = 0;      // 0: the job runs once, immediately
   std::int64_t mAcceptedMs = 0;        // time of day at acceptance, Unix ms
   std::optional<QueueTerms> mTerms{};  // at acceptance; earlier builds stored none
+  std::string mTeam{};                 // whose key submitted it; empty: none, or not known
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -87,6 +90,16 @@
   }
   void SerializeAdded(auto& aArchive) { aArchive(mTerms); }
   void SerializeAdded(auto& aArchive) const { aArchive(mTerms); }
+  void SerializeLater(auto& aArchive) { SerializeTeamAndImages(*this, aArchive); }
+  void SerializeLater(auto& aArchive) const { SerializeTeamAndImages(*this, aArchive); }
+
+private:
+  static void SerializeTeamAndImages(auto& aJob, auto& aArchive)
+  {
+    aArchive(aJob.mTeam);
+    for (auto& it : aJob.mStages)
+      aArchive(it.mImage);
+  }
 };
 
 enum class JobState : std::uint8_t
@@ -103,20 +116,40 @@
   return aState != JobState::Queued && aState != JobState::Running;
 }
 
+// Teams
+struct ResourceLimit  // over all workers; 0: unlimited
+{
+  std::uint64_t mMilliCores = 0;
+  std::uint64_t mMemoryMiB = 0;
+  std::uint64_t mAccelerators = 0;
+};
+
+struct TeamConfig
+{
+  std::string mName{};
+  std::vector<std::string> mKeys{};  // that its callers send; any of them
+  double mWeight = 1;                // its share of capacity, against other teams
+  ResourceLimit mLimit{};            // of what its tasks may have at one time
+};
+
 // Queues
 struct QueueConfig : QueueTerms
 {
   std::string mName{};
-  std::string mHost{};      // Host header of callers' requests
-  std::string mPrefix{};    // path prefix of callers' requests
-  std::string mService{};   // pool of workers
-  Duration mCallTimeout{};  // of one request of a caller
+  std::string mHost{};        // Host header of callers' requests
+  std::string mPrefix{};      // path prefix of callers' requests
+  bool mIsAnonymous = false;  // callers need no key
+  std::string mService{};     // pool of workers
+  Duration mCallTimeout{};    // of one request of a caller
 };
 
 struct FleetConfig
 {
   std::uint64_t mVersion = 0;  // 0: no configuration was read yet
   std::vector<QueueConfig> mQueues{};
+  std::vector<TeamConfig> mTeams{};
+  bool mNeedsKeys =
+    false;  // teams are configured: callers of queues that aren't anonymous need a key
   std::vector<std::string> mServices{};
   std::size_t mMaxBodyBytes = 262'144;  // limit of a caller's request
 };
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -42,6 +42,13 @@
   aMessage.SerializeAdded(aArchive);
 };
 
+// The same, with a second group of fields that was added after the first.
+template<class T>
+concept HasLaterFields = requires(T& aMessage, cereal::BinaryInputArchive& aArchive)
+{
+  aMessage.SerializeLater(aArchive);
+};
+
 template<class T>
 std::string EncodeMessage(const T& aMessage)
 {
@@ -50,6 +57,8 @@
   archive(aMessage);
   if constexpr (HasAddedFields<T>)
     aMessage.SerializeAdded(archive);
+  if constexpr (HasLaterFields<T>)
+    aMessage.SerializeLater(archive);
   return std::move(out).str();
 }
 
@@ -58,13 +67,17 @@
 Result<T> DecodeMessage(std::string_view aBytes)
 {
   std::istringstream in{ std::string(aBytes) };
+  const auto hasMore = [&in] { return in.peek() != std::istringstream::traits_type::eof(); };
   T message;
   try {
     cereal::BinaryInputArchive archive(in);
     archive(message);
     if constexpr (HasAddedFields<T>)
-      if (in.peek() != std::istringstream::traits_type::eof())
+      if (hasMore())
         message.SerializeAdded(archive);
+    if constexpr (HasLaterFields<T>)
+      if (hasMore())
+        message.SerializeLater(archive);
   } catch (const std::exception& error) {
     return MakeFailure(FailureKind::BadInput, error.what());
   }
