--- a/src/fleet/holder_stats.cpp
+++ b/src/fleet/holder_stats.cpp
@@ -36,6 +36,10 @@
           { "stored_jobs", mStats.mStoredJobs },
           { "unstored_ends", backlog.mUnstoredEnds },
           { "unstored_jobs", backlog.mUnstoredJobs },
+          { "waiting_in_time", backlog.mWaitingInTime },
+          { "waiting_late", backlog.mWaitingLate },
+          { "waiting_hopeless", backlog.mWaitingHopeless },
+          { "teams_above_share", backlog.mTeamsAboveShare },
           { "max_loop_delay_ms", maxDelay } });
     mStats = {};
     maxDelay = {};
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -241,7 +241,8 @@
 
 SchedulerBacklog Scheduler::GetBacklog() const
 {
-  SchedulerBacklog backlog{ .mUnstoredJobs = CountUnstoredJobs() };
+  SchedulerBacklog backlog = mWaitingStages;
+  backlog.mUnstoredJobs = CountUnstoredJobs();
   for (const auto& [id, worker] : mWorkers)
     backlog.mUnstoredEnds += static_cast<std::size_t>(worker.mLastEnd - worker.mStoredEnd);
   return backlog;
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -176,6 +176,9 @@
   mQueues.clear();
   for (const QueueConfig& it : aConfig.mQueues)
     mQueues[it.mName] = it;
+  mTeamWeights.clear();
+  for (const TeamConfig& it : aConfig.mTeams)
+    mTeamWeights[it.mName] = it.mWeight;
   mIsConfigured = mIsConfigured || aConfig.mVersion != 0 || !mQueues.empty();
   for (const auto& [id, job] : mActive)
     SetTerms(*job);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -64,10 +64,15 @@
   std::vector<StoredEnds> mEnds{};
 };
 
-struct SchedulerBacklog  // what is not stored yet
+struct SchedulerBacklog
 {
   std::size_t mUnstoredJobs = 0;  // jobs whose progress has changed
   std::size_t mUnstoredEnds = 0;  // ends that workers have to list again
+  // Stages with waiting tasks at the last plan, by the prospect of their jobs
+  std::size_t mWaitingInTime = 0;
+  std::size_t mWaitingLate = 0;
+  std::size_t mWaitingHopeless = 0;
+  std::size_t mTeamsAboveShare = 0;  // with waiting tasks
 };
 
 enum class StartOutcome : std::uint8_t
@@ -82,6 +87,8 @@
   Unknown            // no answer: the task may have started, or may start later
 };
 
+struct PoolCapacity;
+
 // Scheduler
 class Scheduler
 {
@@ -297,13 +304,19 @@
   void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow);
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(Orders& aOrders);
+  std::size_t FindUnansweredRuns(TimePoint aNow, TimePoint& aHeldUntil);
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
+  void SortReady(std::vector<Ready>& aReady, TimePoint aNow);
+  static StageDemand MakeDemand(const Ready& aReady, const PoolCapacity& aPool, TimePoint aNow);
+  void CountWaiting(const std::vector<StageDemand>& aDemands, const std::vector<TeamUse>& aTeams);
+  void SetTurn(std::vector<Ready>& aReady, std::vector<StageDemand>& aDemands, TimePoint aNow);
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
 
   SchedulerSettings mSettings{};
   Duration mTaskLease{};  // a worker kills tasks whose lease is not renewed in time
   std::map<std::string, QueueConfig> mQueues{};  // as configured now, by name
+  std::map<std::string, double> mTeamWeights{};  // as configured now, by name
   bool mIsConfigured = false;                    // a configuration was read
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
   std::map<std::string, Job*> mActive{};  // jobs that have not ended
@@ -318,6 +331,9 @@
   std::size_t mDirtyCount = 0;
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
+  SchedulerBacklog mWaitingStages{};  // what SortReady counted
+  TaskRef mTurn{};                    // hopeless stage that has the turn; see ChooseTurn
+  TimePoint mNextTurnAt{};
   TimePoint mJobsReadUntil = TimePoint::max();
   bool mHoldsInherited = false;  // inherited jobs wait for workers that have not answered
   // Of tasks on workers that do not answer. Set by CountUnproven.
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -27,6 +27,24 @@
   return longest;
 }
 
+// Returns the estimated duration from the start of each stage to the end of the longest chain that
+// depends on it, policy calls included.
+inline std::vector<Duration> EstimateTails(const std::vector<StageSpec>& aStages,
+                                           const QueueTerms& aTerms)
+{
+  Duration advice{};
+  if (aTerms.mNeedsAdvice)
+    advice = aTerms.mAdviceBase + 30 * aTerms.mAdvicePerWorker;
+  std::vector<Duration> tails(aStages.size(), Duration::zero());
+  for (std::size_t n = aStages.size(); n-- > 0;) {
+    tails[n] += milliseconds(aStages[n].mEstimateMs) + advice;
+    for (const std::uint32_t before : aStages[n].mAfter)
+      if (before < n)
+        tails[before] = std::max(tails[before], tails[n]);
+  }
+  return tails;
+}
+
 // Returns how long after its acceptance, or after its due time, a job is to be completed.
 inline Duration EstimateTarget(const std::vector<StageSpec>& aStages, const QueueTerms& aTerms)
 {
@@ -132,6 +150,8 @@
   TaskRef mRef{};           // mIndex is not used
   bool mIsRestart = false;  // of lasting tasks that ran before
   bool mIsHeld = false;     // nothing may start yet, only tickets are obtained
+  Occurrence* mOccurrence = nullptr;
+  TimePoint mDueAt{};  // of the occurrence
 };
 
 }  // namespace monsoon::fleet
--- a/src/fleet/scheduler_ready.cpp
+++ b/src/fleet/scheduler_ready.cpp
@@ -11,6 +11,17 @@
 // Tickets for lasting tasks are obtained this long before the wait of a takeover ends.
 constexpr Duration kTicketLead = milliseconds(1200);
 
+// Returns when an occurrence is due that began at aStartedAt.
+TimePoint GetDueTime(Job& aJob, TimePoint aStartedAt)
+{
+  JobOutline& outline = aJob.mOutline;
+  if (outline.mTails.size() != aJob.mSpec.mStages.size()) {
+    outline.mTails = EstimateTails(aJob.mSpec.mStages, *aJob.mSpec.mTerms);
+    outline.mTarget = EstimateTarget(aJob.mSpec.mStages, *aJob.mSpec.mTerms);
+  }
+  return aJob.mSpec.mOccurrences == 0 ? aJob.mDueAt : aStartedAt + outline.mTarget;
+}
+
 }  // namespace
 
 bool Scheduler::MayRunSomewhere(const TaskRef& aRef) const
@@ -54,13 +65,13 @@
   });
 }
 
-std::vector<Scheduler::Ready> Scheduler::CollectReady(TimePoint aNow, std::int64_t aWallMs)
+// Sets mPossiblyRunning. Tasks of an earlier epoch may still run on workers that have not answered
+// in this one. Returns how many of these have no stored task list: while there are any, no
+// inherited job is ready. aHeldUntil: when the last of them may run nothing any more.
+std::size_t Scheduler::FindUnansweredRuns(TimePoint aNow, TimePoint& aHeldUntil)
 {
-  std::vector<Ready> ready;
-  // Tasks of an earlier epoch may still run on workers that have not answered in this one. If one
-  // of these has no stored task list, no inherited job is ready.
   std::size_t unresolved = 0;
-  TimePoint heldUntil{};
+  aHeldUntil = aNow;
   mPossiblyRunning.clear();
   for (const auto& [id, worker] : mWorkers) {
     if (!IsUnresolved(worker))
@@ -69,9 +80,17 @@
       mPossiblyRunning.insert(worker.mFinalTasks->begin(), worker.mFinalTasks->end());
     } else {
       ++unresolved;
-      heldUntil = std::max(heldUntil, GetLeaseExpiry(worker));
+      aHeldUntil = std::max(aHeldUntil, GetLeaseExpiry(worker));
     }
   }
+  return unresolved;
+}
+
+std::vector<Scheduler::Ready> Scheduler::CollectReady(TimePoint aNow, std::int64_t aWallMs)
+{
+  std::vector<Ready> ready;
+  TimePoint heldUntil{};
+  const std::size_t unresolved = FindUnansweredRuns(aNow, heldUntil);
   const bool isResolved = unresolved == 0;
   if (mHoldsInherited == isResolved) {
     mHoldsInherited = !isResolved;
@@ -94,8 +113,9 @@
     const std::string_view service = ChooseService(job);
     for (std::uint32_t k = 0; k < job.mOccurrences.size(); ++k) {
       Occurrence& occurrence = job.mOccurrences[k];
+      const std::int64_t startMs = job.mSpec.mFirstMs + std::int64_t{ k } * job.mSpec.mIntervalMs;
       if (!occurrence.mStarted) {
-        if (isHeld || aWallMs < job.mSpec.mFirstMs + std::int64_t{ k } * job.mSpec.mIntervalMs)
+        if (isHeld || aWallMs < startMs)
           break;
         MakeOccurrence(job, k, aNow);
         job.mDueAt = aNow + EstimateTarget(job.mSpec.mStages, terms);
@@ -111,18 +131,12 @@
         ready.back().mIsRestart =
           spec.mLongRunning && (job.mInherited || HasRunBefore(occurrence.mStages[n]));
         ready.back().mIsHeld = isHeld;
+        ready.back().mOccurrence = &occurrence;
+        ready.back().mDueAt = GetDueTime(job, aNow - milliseconds(aWallMs - startMs));
       }
     }
   }
-  // Lasting tasks that ran before come first: they are few, and have to be back soon however many
-  // urgent jobs ask for policy calls.
-  std::sort(ready.begin(), ready.end(), [](const Ready& aLeft, const Ready& aRight) {
-    if (aLeft.mIsRestart != aRight.mIsRestart)
-      return aLeft.mIsRestart;
-    if (aLeft.mTerms->mPriority != aRight.mTerms->mPriority)
-      return aLeft.mTerms->mPriority < aRight.mTerms->mPriority;
-    return aLeft.mJob->mDueAt < aRight.mJob->mDueAt;
-  });
+  SortReady(ready, aNow);
   return ready;
 }
 
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -16,6 +16,7 @@
 
 #include "fleet/model.h"
 #include "policy/crash_budget.h"
+#include "policy/stage_order.h"
 #include "policy/straggler.h"
 
 namespace monsoon::fleet {
@@ -95,6 +96,7 @@
   std::uint64_t mAdviceNumber = 0;    // policy call in flight; 0: none
   TimePoint mAdviceRetryAt{};         // earliest next policy call, after one that failed
   TimePoint mReadyAt{};               // when a stage of its occurrence last completed
+  TimePoint mTurnAt{};                // when it last got the turn of hopeless stages
   std::set<std::uint64_t> mFailedGangRuns{};
   std::string mGangCheckpoint{};  // all members resume from the same checkpoint of any member
   TimePoint mGangBrokenAt{};      // since when a member is missing; zero: none is
@@ -106,6 +108,12 @@
   std::vector<StageRun> mStages{};
 };
 
+struct JobOutline  // follows from a job's stages and terms
+{
+  std::vector<Duration> mTails{};  // by stage: from its start to the end of its longest chain
+  Duration mTarget{};              // from acceptance, or the due time, until the job is late
+};
+
 struct Job
 {
   JobSpec mSpec{};
@@ -113,12 +121,14 @@
   JobState mStoredState = JobState::Queued;  // as last written to the store
   bool mHasStoredTerms = false;              // otherwise mSpec.mTerms is set by SetQueues
   std::vector<Occurrence> mOccurrences{};
-  bool mInherited = false;              // a previous holder may have started its tasks
-  bool mDirty = false;                  // has progress that CollectProgress did not return yet
-  std::uint64_t mChanges = 0;           // of its progress
-  std::uint64_t mCollectedChanges = 0;  // those in the last batch that was not lost
-  TimePoint mSeenAt{};                  // when this holder added it
-  TimePoint mDueAt{};                   // estimated end of a job that is on time; orders the jobs
+  bool mInherited = false;                // a previous holder may have started its tasks
+  bool mDirty = false;                    // has progress that CollectProgress did not return yet
+  std::uint64_t mChanges = 0;             // of its progress
+  std::uint64_t mCollectedChanges = 0;    // those in the last batch that was not lost
+  TimePoint mSeenAt{};                    // when this holder added it
+  TimePoint mDueAt{};                     // estimated end of a job that is on time; orders the jobs
+  JobOutline mOutline{};                  // set when a stage is first ready
+  Prospect mProspect = Prospect::InTime;  // at the last plan in which a stage was ready
   TimePoint mEndedAt{};
 };
 
--- /dev/null
+++ b/src/policy/stage_order.cpp
@@ -0,0 +1,172 @@
+#include "policy/stage_order.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <tuple>
+
+namespace monsoon {
+
+namespace {
+
+// A job still earns its callers something until this many times its target.
+constexpr int kUsefulTargets = 3;
+// A stage ends with its slowest task, and its tasks run longer on slow workers.
+constexpr double kSlowestTask = 1.25;
+// Ranks of teams above their share; each has half as much again as the one before.
+constexpr double kRankRatio = 1.5;
+constexpr double kMaxRank = 12;
+
+// Returns 0 for a team within its share.
+std::uint32_t RankUse(double aUse, double aShare)
+{
+  if (aUse <= aShare)
+    return 0;
+  if (aShare <= 0)
+    return static_cast<std::uint32_t>(kMaxRank);
+  const double rank = 1 + std::floor(std::log(aUse / aShare) / std::log(kRankRatio));
+  return static_cast<std::uint32_t>(std::min(rank, kMaxRank));
+}
+
+// Returns how long the job has waited for each unit of what it still takes.
+double GetResponseRatio(const StageDemand& aStage)
+{
+  constexpr double kLeast = 1e-9;
+  return std::chrono::duration<double>(aStage.mWaited).count() /
+         std::max(aStage.mRemaining, kLeast);
+}
+
+struct Key
+{
+  bool mIsLater = false;  // neither a restart nor the stage that has the turn
+  bool mIsTurn = false;
+  bool mIsHopeless = false;
+  std::uint32_t mPriority = 0;
+  std::uint32_t mRank = 0;  // of its team's use
+  Prospect mProspect = Prospect::InTime;
+  double mUrgency = 0;
+  TimePoint mDueAt{};
+  auto operator<=>(const Key&) const = default;
+};
+
+Key MakeKey(const StageDemand& aStage)
+{
+  const bool isInTime = aStage.mProspect == Prospect::InTime;
+  Key key;
+  key.mIsLater = !aStage.mIsRestart && !aStage.mHasTurn;
+  key.mIsTurn = !aStage.mIsRestart && aStage.mHasTurn;
+  key.mIsHopeless = aStage.mProspect == Prospect::Hopeless;
+  key.mPriority = aStage.mPriority;
+  key.mProspect = aStage.mProspect;
+  key.mUrgency = isInTime ? 0 : -GetResponseRatio(aStage);
+  key.mDueAt = aStage.mDueAt;
+  return key;
+}
+
+// Returns each team's part of its pool.
+std::vector<double> ComputeShares(std::span<const TeamUse> aTeams)
+{
+  std::vector<double> weights;  // by pool
+  for (const TeamUse& it : aTeams) {
+    if (it.mPool >= weights.size())
+      weights.resize(it.mPool + 1);
+    weights[it.mPool] += it.mWeight;
+  }
+  std::vector<double> shares;
+  shares.reserve(aTeams.size());
+  for (const TeamUse& it : aTeams)
+    shares.push_back(weights[it.mPool] > 0 ? it.mWeight / weights[it.mPool] : 0);
+  return shares;
+}
+
+// Sets the rank of each stage as if all stages of its team that come before it had been placed, so
+// that a team's surplus falls behind although it has little running yet. What the stage's own job
+// runs doesn't count: a job that is larger than its team's share has to end as well.
+void RankTeams(std::span<const StageDemand> aStages,
+               std::span<const TeamUse> aTeams,
+               std::span<const std::size_t> aOrder,
+               std::vector<Key>& aKeys)
+{
+  const std::vector<double> shares = ComputeShares(aTeams);
+  std::vector<CapacityShare> uses;
+  uses.reserve(aTeams.size());
+  for (const TeamUse& it : aTeams)
+    uses.push_back(it.mRuns);
+  for (const std::size_t n : aOrder) {
+    const StageDemand& stage = aStages[n];
+    if (stage.mTeam >= aTeams.size())
+      continue;
+    CapacityShare before = uses[stage.mTeam];
+    before += stage.mRuns * -1;
+    aKeys[n].mRank = RankUse(before.GetDominant(), shares[stage.mTeam]);
+    uses[stage.mTeam] += stage.mNeeds;
+  }
+}
+
+}  // namespace
+
+CapacityShare& CapacityShare::operator+=(const CapacityShare& aOther)
+{
+  mCores += aOther.mCores;
+  mMemory += aOther.mMemory;
+  mAccelerators += aOther.mAccelerators;
+  return *this;
+}
+
+CapacityShare operator*(const CapacityShare& aShare, double aFactor)
+{
+  return { aShare.mCores * aFactor, aShare.mMemory * aFactor, aShare.mAccelerators * aFactor };
+}
+
+Prospect JudgeProspect(TimePoint aDueAt, Duration aTarget, Duration aRemaining, TimePoint aNow)
+{
+  const TimePoint end = aNow + std::chrono::duration_cast<Duration>(kSlowestTask * aRemaining);
+  if (end <= aDueAt)
+    return Prospect::InTime;
+  return end <= aDueAt + (kUsefulTargets - 1) * aTarget ? Prospect::Late : Prospect::Hopeless;
+}
+
+std::vector<std::size_t> OrderStages(std::span<const StageDemand> aStages,
+                                     std::span<const TeamUse> aTeams)
+{
+  std::vector<Key> keys;
+  keys.reserve(aStages.size());
+  for (const StageDemand& it : aStages)
+    keys.push_back(MakeKey(it));
+  std::vector<std::size_t> order(aStages.size());
+  std::iota(order.begin(), order.end(), std::size_t{ 0 });
+  const auto isBefore = [&keys](std::size_t aLeft, std::size_t aRight) {
+    return keys[aLeft] < keys[aRight];
+  };
+  std::stable_sort(order.begin(), order.end(), isBefore);
+  if (aTeams.empty())
+    return order;
+  RankTeams(aStages, aTeams, order, keys);
+  std::stable_sort(order.begin(), order.end(), isBefore);
+  return order;
+}
+
+std::vector<bool> FindTeamsAboveShare(std::span<const TeamUse> aTeams)
+{
+  const std::vector<double> shares = ComputeShares(aTeams);
+  std::vector<bool> isAbove;
+  isAbove.reserve(aTeams.size());
+  for (std::size_t n = 0; n < aTeams.size(); ++n)
+    isAbove.push_back(aTeams[n].mRuns.GetDominant() > shares[n]);
+  return isAbove;
+}
+
+std::size_t ChooseTurn(std::span<const StageDemand> aStages)
+{
+  const auto isBefore = [](const StageDemand& aLeft, const StageDemand& aRight) {
+    return std::tie(aLeft.mTurnAt, aRight.mWaited) < std::tie(aRight.mTurnAt, aLeft.mWaited);
+  };
+  std::size_t chosen = aStages.size();
+  for (std::size_t n = 0; n < aStages.size(); ++n)
+    if (aStages[n].mProspect == Prospect::Hopeless &&
+        (chosen == aStages.size() || isBefore(aStages[n], aStages[chosen])))
+      chosen = n;
+  return chosen;
+}
+
+}  // namespace monsoon
