--- a/src/fleet/scheduler_order.cpp
+++ b/src/fleet/scheduler_order.cpp
@@ -133,9 +133,9 @@
   demand.mRuns = SumRuns(job, aPool);
   demand.mNeeds = GetTaskShare(*aReady.mSpec, aPool) * aReady.mStage->mWaiting;
   // Lasting tasks are never late: they earn for as long as they run.
+  const Duration remaining = EstimateRemaining(job, *aReady.mOccurrence);
   if (!aReady.mSpec->mLongRunning)
-    demand.mProspect =
-      JudgeProspect(aReady.mDueAt, target, EstimateRemaining(job, *aReady.mOccurrence), aNow);
+    demand.mProspect = JudgeProspect(aReady.mDueAt, target, remaining, aNow);
   return demand;
 }
 
--- a/src/policy/stage_order.cpp
+++ b/src/policy/stage_order.cpp
@@ -51,14 +51,13 @@
 
 Key MakeKey(const StageDemand& aStage)
 {
-  const bool isInTime = aStage.mProspect == Prospect::InTime;
   Key key;
   key.mIsLater = !aStage.mIsRestart && !aStage.mHasTurn;
   key.mIsTurn = !aStage.mIsRestart && aStage.mHasTurn;
   key.mIsHopeless = aStage.mProspect == Prospect::Hopeless;
   key.mPriority = aStage.mPriority;
   key.mProspect = aStage.mProspect;
-  key.mUrgency = isInTime ? 0 : -GetResponseRatio(aStage);
+  key.mUrgency = aStage.mProspect == Prospect::InTime ? 0 : -GetResponseRatio(aStage);
   key.mDueAt = aStage.mDueAt;
   return key;
 }
@@ -123,7 +122,8 @@
   const TimePoint end = aNow + std::chrono::duration_cast<Duration>(kSlowestTask * aRemaining);
   if (end <= aDueAt)
     return Prospect::InTime;
-  return end <= aDueAt + (kUsefulTargets - 1) * aTarget ? Prospect::Late : Prospect::Hopeless;
+  const TimePoint usefulUntil = aDueAt + (kUsefulTargets - 1) * aTarget;
+  return end <= usefulUntil ? Prospect::Late : Prospect::Hopeless;
 }
 
 std::vector<std::size_t> OrderStages(std::span<const StageDemand> aStages,
--- a/src/policy/stage_order.h
+++ b/src/policy/stage_order.h
@@ -73,9 +73,9 @@
 //
 // Restarts come first, then the stage that has the turn; hopeless jobs come last. Between them, the
 // queue's priority decides, then how far the stage's team is above its share, then the prospect.
-// Jobs in time are ordered by due time. Other ones can't meet it any more: among these, the wait
-// counts against the capacity that the job still takes, so that short ones end soon and long ones
-// are not passed over for ever.
+// Jobs in time are ordered by due time. Others can't meet it any more: among these, the wait counts
+// against the capacity that the job still takes, so that short ones end soon and long ones are not
+// passed over for ever.
 [[nodiscard]] std::vector<std::size_t> OrderStages(std::span<const StageDemand> aStages,
                                                    std::span<const TeamUse> aTeams);
 
--- a/tests/unit/test_stage_order.cpp
+++ b/tests/unit/test_stage_order.cpp
@@ -48,8 +48,9 @@
       if (it.mAt > now || it.mWaiting == 0)
         continue;
       waiting.push_back(&it);
+      const Prospect prospect = JudgeProspect(it.mAt + kTarget, kTarget, kRunTime, now);
       demands.push_back({ .mTeam = aTeams > 0 ? it.mTeam : kNoTeam,
-                          .mProspect = JudgeProspect(it.mAt + kTarget, kTarget, kRunTime, now),
+                          .mProspect = prospect,
                           .mDueAt = it.mAt + kTarget,
                           .mWaited = now - it.mAt,
                           .mTurnAt = it.mTurnAt,
@@ -135,14 +136,16 @@
                                     { .mWeight = 1, .mRuns = half } };
   std::vector<StageDemand> stages(6);
   stages[0] = { .mProspect = Prospect::Hopeless };
-  stages[1] = { .mPriority = 2, .mTeam = 1, .mProspect = Prospect::InTime };
+  stages[1] = { .mPriority = 2, .mTeam = 1 };
   stages[2] = { .mPriority = 2, .mTeam = 0, .mProspect = Prospect::Late };
-  stages[3] = { .mPriority = 2, .mTeam = 0, .mProspect = Prospect::InTime };
+  stages[3] = { .mPriority = 2, .mTeam = 0 };
   stages[4] = { .mPriority = 1, .mTeam = 1, .mProspect = Prospect::Late };
   stages[5] = { .mIsRestart = true, .mPriority = 3 };
   CHECK(OrderStages(stages, teams) == std::vector<std::size_t>{ 5, 4, 3, 2, 1, 0 });
   stages[1].mRuns = half;  // it is all that its team runs
   CHECK(OrderStages(stages, teams) == std::vector<std::size_t>{ 5, 4, 1, 3, 2, 0 });
+  stages[0].mHasTurn = true;
+  CHECK(OrderStages(stages, teams) == std::vector<std::size_t>{ 5, 0, 4, 1, 3, 2 });
 }
 
 namespace {
