Order of waiting stages: surplus taken out, turns for jobs that yield

Change: jobs that the pool can't all end in time are taken out largest first; a quarter of capacity goes in turns to late and hopeless ones.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -309,7 +309,7 @@
   void SortReady(std::vector<Ready>& aReady, TimePoint aNow);
   static StageDemand MakeDemand(const Ready& aReady, const PoolCapacity& aPool, TimePoint aNow);
   void CountWaiting(const std::vector<StageDemand>& aDemands, const std::vector<TeamUse>& aTeams);
-  void SetTurn(std::vector<Ready>& aReady, std::vector<StageDemand>& aDemands, TimePoint aNow);
+  void GiveTurn(std::vector<Ready>& aReady, std::vector<StageDemand>& aDemands, TimePoint aNow);
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
 
@@ -332,8 +332,8 @@
   // Tasks that may run on workers that have not answered in this epoch. Set by CollectReady.
   std::set<std::string> mPossiblyRunning{};
   SchedulerBacklog mWaitingStages{};  // what SortReady counted
-  TaskRef mTurn{};                    // hopeless stage that has the turn; see ChooseTurn
-  TimePoint mNextTurnAt{};
+  std::uint64_t mTurns = 0;           // given by GiveTurn
+  TimePoint mNextTurnAt{};            // see GiveTurn
   TimePoint mJobsReadUntil = TimePoint::max();
   bool mHoldsInherited = false;  // inherited jobs wait for workers that have not answered
   // Of tasks on workers that do not answer. Set by CountUnproven.
--- a/src/fleet/scheduler_order.cpp
+++ b/src/fleet/scheduler_order.cpp
@@ -12,10 +12,14 @@
   double mMilliCores = 0;
   double mMemoryMiB = 0;
   double mAccelerators = 0;
+  std::uint32_t mNumber = 0;  // of the pool
 };
 
 namespace {
 
+constexpr std::uint64_t kHopelessTurns =
+  8;  // every n-th turn is one of hopeless jobs, if there are any
+
 using PoolCapacities = std::map<std::string_view, PoolCapacity>;
 
 PoolCapacities SumCapacities(const std::map<std::string, Worker>& aWorkers)
@@ -24,7 +28,9 @@
   for (const auto& [id, worker] : aWorkers) {
     if (!worker.mListed)
       continue;
-    PoolCapacity& pool = pools[worker.mEntry.mService];
+    const auto number = static_cast<std::uint32_t>(pools.size());
+    PoolCapacity& pool =
+      pools.try_emplace(worker.mEntry.mService, PoolCapacity{ .mNumber = number }).first->second;
     pool.mMilliCores += worker.mEntry.mMilliCores;
     pool.mMemoryMiB += worker.mEntry.mMemoryMiB;
     pool.mAccelerators += worker.mEntry.mAccelerators;
@@ -127,34 +133,35 @@
   demand.mIsRestart = aReady.mIsRestart;
   demand.mPriority = aReady.mTerms->mPriority;
   demand.mDueAt = aReady.mDueAt;
-  demand.mTurnAt = aReady.mStage->mTurnAt;
+  demand.mHasTurn = aReady.mOccurrence->mHasTurn;
+  demand.mUseUntil = GetUseUntil(aReady.mDueAt, target);
   demand.mWaited = aNow - (aReady.mDueAt - target);
-  demand.mRemaining = EstimateRoom(job, *aReady.mOccurrence, aPool);
+  demand.mPool = aPool.mNumber;
   demand.mRuns = SumRuns(job, aPool);
   demand.mNeeds = GetTaskShare(*aReady.mSpec, aPool) * aReady.mStage->mWaiting;
-  // Lasting tasks are never late: they earn for as long as they run.
-  const Duration remaining = EstimateRemaining(job, *aReady.mOccurrence);
-  if (!aReady.mSpec->mLongRunning)
-    demand.mProspect = JudgeProspect(aReady.mDueAt, target, remaining, aNow);
+  if (aReady.mSpec->mLongRunning)
+    return demand;  // never late: it earns for as long as it runs
+  demand.mRemaining = EstimateRoom(job, *aReady.mOccurrence, aPool);
+  demand.mChain = EstimateRemaining(job, *aReady.mOccurrence);
+  demand.mProspect = JudgeProspect(aReady.mDueAt, target, demand.mChain, aNow);
   return demand;
 }
 
-// A hopeless stage keeps the turn until all of its tasks are placed, or another one's turn has
-// come.
-void Scheduler::SetTurn(std::vector<Ready>& aReady,
-                        std::vector<StageDemand>& aDemands,
-                        TimePoint aNow)
+// Gives a turn to a job that yields, which it keeps until it ends.
+void Scheduler::GiveTurn(std::vector<Ready>& aReady,
+                         std::vector<StageDemand>& aDemands,
+                         TimePoint aNow)
 {
-  if (aNow >= mNextTurnAt) {
-    const std::size_t chosen = ChooseTurn(aDemands);
-    if (chosen == aDemands.size())
-      return;
-    mTurn = aReady[chosen].mRef;
-    mNextTurnAt = aNow + kTurnInterval;
-    aReady[chosen].mStage->mTurnAt = aNow;
-  }
-  for (std::size_t n = 0; n < aReady.size(); ++n)
-    aDemands[n].mHasTurn = aReady[n].mRef == mTurn;
+  if (aNow < mNextTurnAt)
+    return;
+  const std::size_t chosen =
+    ChooseTurn(aDemands, mTurns % kHopelessTurns == 0 ? Prospect::Hopeless : Prospect::Late);
+  if (chosen == aDemands.size())
+    return;
+  ++mTurns;
+  mNextTurnAt = aNow + GetTurnInterval(aDemands[chosen]);
+  aReady[chosen].mOccurrence->mHasTurn = true;
+  aDemands[chosen].mHasTurn = true;
 }
 
 void Scheduler::CountWaiting(const std::vector<StageDemand>& aDemands,
@@ -193,11 +200,11 @@
       LogProspect(job, demands.back().mProspect, it.mDueAt, aNow);
     job.mProspect = demands.back().mProspect;
   }
-  SetTurn(aReady, demands, aNow);
+  GiveTurn(aReady, demands, aNow);
   CountWaiting(demands, teams.mTeams);
   std::vector<Ready> sorted;
   sorted.reserve(aReady.size());
-  for (const std::size_t n : OrderStages(demands, teams.mTeams))
+  for (const std::size_t n : OrderStages(demands, teams.mTeams, aNow))
     sorted.push_back(std::move(aReady[n]));
   aReady = std::move(sorted);
 }
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -96,7 +96,6 @@
   std::uint64_t mAdviceNumber = 0;    // policy call in flight; 0: none
   TimePoint mAdviceRetryAt{};         // earliest next policy call, after one that failed
   TimePoint mReadyAt{};               // when a stage of its occurrence last completed
-  TimePoint mTurnAt{};                // when it last got the turn of hopeless stages
   std::set<std::uint64_t> mFailedGangRuns{};
   std::string mGangCheckpoint{};  // all members resume from the same checkpoint of any member
   TimePoint mGangBrokenAt{};      // since when a member is missing; zero: none is
@@ -105,6 +104,7 @@
 struct Occurrence
 {
   bool mStarted = false;  // was due, and mStages is filled
+  bool mHasTurn = false;  // see ChooseTurn
   std::vector<StageRun> mStages{};
 };
 
--- a/src/policy/stage_order.cpp
+++ b/src/policy/stage_order.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <numeric>
+#include <queue>
 #include <tuple>
 
 namespace monsoon {
@@ -13,6 +15,11 @@
 constexpr int kUsefulTargets = 3;
 // A stage ends with its slowest task, and its tasks run longer on slow workers.
 constexpr double kSlowestTask = 1.25;
+// Part of a pool's capacity that is left to jobs with a turn.
+constexpr double kTurnShare = 0.25;
+constexpr Duration kMaxTurnInterval = seconds(5);
+// Part of a pool's capacity that tasks can use, as they don't fill workers exactly.
+constexpr double kUsableCapacity = 0.8;
 // Ranks of teams above their share; each has half as much again as the one before.
 constexpr double kRankRatio = 1.5;
 constexpr double kMaxRank = 12;
@@ -38,11 +45,11 @@
 
 struct Key
 {
-  bool mIsLater = false;  // neither a restart nor the stage that has the turn
-  bool mIsTurn = false;
+  bool mIsLater = false;  // no restart
   bool mIsHopeless = false;
   std::uint32_t mPriority = 0;
   std::uint32_t mRank = 0;  // of its team's use
+  bool mHasNoTurn = true;
   Prospect mProspect = Prospect::InTime;
   double mUrgency = 0;
   TimePoint mDueAt{};
@@ -52,9 +59,9 @@
 Key MakeKey(const StageDemand& aStage)
 {
   Key key;
-  key.mIsLater = !aStage.mIsRestart && !aStage.mHasTurn;
-  key.mIsTurn = !aStage.mIsRestart && aStage.mHasTurn;
-  key.mIsHopeless = aStage.mProspect == Prospect::Hopeless;
+  key.mIsLater = !aStage.mIsRestart;
+  key.mIsHopeless = aStage.mProspect == Prospect::Hopeless && !aStage.mHasTurn;
+  key.mHasNoTurn = !aStage.mHasTurn;
   key.mPriority = aStage.mPriority;
   key.mProspect = aStage.mProspect;
   key.mUrgency = aStage.mProspect == Prospect::InTime ? 0 : -GetResponseRatio(aStage);
@@ -102,6 +109,46 @@
   }
 }
 
+// Marks the jobs that make others late, as Moore and Hodgson do for a single machine: in due order,
+// whenever a job would be late, the largest one so far is taken out. Stages of a higher priority,
+// or of teams with a lower rank, only delay those behind them.
+void TakeOutSurplus(std::span<const StageDemand> aStages,
+                    std::span<const std::size_t> aOrder,
+                    TimePoint aNow,
+                    std::vector<Key>& aKeys)
+{
+  struct Backlog
+  {
+    double mSeconds = 0;  // of the whole pool
+    std::pair<std::uint32_t, std::uint32_t> mClass{};
+    std::priority_queue<std::pair<double, std::size_t>> mKept{};  // of the class, by size
+  };
+  std::map<std::uint32_t, Backlog> pools;
+  for (const std::size_t n : aOrder) {
+    const StageDemand& stage = aStages[n];
+    Key& key = aKeys[n];
+    if (key.mProspect != Prospect::InTime)
+      continue;
+    Backlog& backlog = pools[stage.mPool];
+    if (backlog.mClass != std::pair(key.mPriority, key.mRank)) {
+      backlog.mClass = { key.mPriority, key.mRank };
+      backlog.mKept = {};
+    }
+    const auto wait = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(backlog.mSeconds / kUsableCapacity));
+    const TimePoint end = aNow + std::chrono::duration_cast<Duration>(kSlowestTask * stage.mChain);
+    backlog.mSeconds += stage.mRemaining;
+    backlog.mKept.emplace(stage.mRemaining, n);
+    if (end > stage.mDueAt || end + wait <= stage.mDueAt)
+      continue;  // it would be close without the others as well, or it is in time
+    const auto [size, largest] = backlog.mKept.top();
+    backlog.mKept.pop();
+    backlog.mSeconds -= size;
+    aKeys[largest].mProspect = Prospect::Late;
+    aKeys[largest].mUrgency = -GetResponseRatio(aStages[largest]);
+  }
+}
+
 }  // namespace
 
 CapacityShare& CapacityShare::operator+=(const CapacityShare& aOther)
@@ -117,17 +164,22 @@
   return { aShare.mCores * aFactor, aShare.mMemory * aFactor, aShare.mAccelerators * aFactor };
 }
 
+TimePoint GetUseUntil(TimePoint aDueAt, Duration aTarget)
+{
+  return aDueAt + (kUsefulTargets - 1) * aTarget;
+}
+
 Prospect JudgeProspect(TimePoint aDueAt, Duration aTarget, Duration aRemaining, TimePoint aNow)
 {
-  const TimePoint end = aNow + std::chrono::duration_cast<Duration>(kSlowestTask * aRemaining);
+  const TimePoint end = aNow + aRemaining;
   if (end <= aDueAt)
     return Prospect::InTime;
-  const TimePoint usefulUntil = aDueAt + (kUsefulTargets - 1) * aTarget;
-  return end <= usefulUntil ? Prospect::Late : Prospect::Hopeless;
+  return end <= GetUseUntil(aDueAt, aTarget) ? Prospect::Late : Prospect::Hopeless;
 }
 
 std::vector<std::size_t> OrderStages(std::span<const StageDemand> aStages,
-                                     std::span<const TeamUse> aTeams)
+                                     std::span<const TeamUse> aTeams,
+                                     TimePoint aNow)
 {
   std::vector<Key> keys;
   keys.reserve(aStages.size());
@@ -135,14 +187,18 @@
     keys.push_back(MakeKey(it));
   std::vector<std::size_t> order(aStages.size());
   std::iota(order.begin(), order.end(), std::size_t{ 0 });
-  const auto isBefore = [&keys](std::size_t aLeft, std::size_t aRight) {
-    return keys[aLeft] < keys[aRight];
+  const auto sort = [&] {
+    std::stable_sort(order.begin(), order.end(), [&keys](std::size_t aLeft, std::size_t aRight) {
+      return keys[aLeft] < keys[aRight];
+    });
   };
-  std::stable_sort(order.begin(), order.end(), isBefore);
-  if (aTeams.empty())
-    return order;
-  RankTeams(aStages, aTeams, order, keys);
-  std::stable_sort(order.begin(), order.end(), isBefore);
+  sort();
+  if (!aTeams.empty()) {
+    RankTeams(aStages, aTeams, order, keys);
+    sort();
+  }
+  TakeOutSurplus(aStages, order, aNow, keys);
+  sort();
   return order;
 }
 
@@ -156,17 +212,23 @@
   return isAbove;
 }
 
-std::size_t ChooseTurn(std::span<const StageDemand> aStages)
+std::size_t ChooseTurn(std::span<const StageDemand> aStages, Prospect aFirst)
 {
-  const auto isBefore = [](const StageDemand& aLeft, const StageDemand& aRight) {
-    return std::tie(aLeft.mTurnAt, aRight.mWaited) < std::tie(aRight.mTurnAt, aLeft.mWaited);
+  const auto getKey = [aFirst](const StageDemand& aStage) {
+    return std::pair(aStage.mProspect != aFirst, aStage.mUseUntil);
   };
   std::size_t chosen = aStages.size();
   for (std::size_t n = 0; n < aStages.size(); ++n)
-    if (aStages[n].mProspect == Prospect::Hopeless &&
-        (chosen == aStages.size() || isBefore(aStages[n], aStages[chosen])))
+    if (aStages[n].mProspect != Prospect::InTime && !aStages[n].mHasTurn &&
+        (chosen == aStages.size() || getKey(aStages[n]) < getKey(aStages[chosen])))
       chosen = n;
   return chosen;
 }
 
+Duration GetTurnInterval(const StageDemand& aStage)
+{
+  const std::chrono::duration<double> interval(aStage.mRemaining / kTurnShare);
+  return std::min(kMaxTurnInterval, std::chrono::duration_cast<Duration>(interval));
+}
+
 }  // namespace monsoon
--- a/src/policy/stage_order.h
+++ b/src/policy/stage_order.h
@@ -45,10 +45,14 @@
                                      Duration aRemaining,
                                      TimePoint aNow);
 
+// Returns until when the end of a job is of use to its callers.
+[[nodiscard]] TimePoint GetUseUntil(TimePoint aDueAt, Duration aTarget);
+
 inline constexpr std::uint32_t kNoTeam = std::numeric_limits<std::uint32_t>::max();
 
 struct StageDemand  // a stage with waiting tasks
 {
+  std::uint32_t mPool = 0;      // of workers
   bool mIsRestart = false;      // of lasting tasks that ran before
   bool mHasTurn = false;        // see ChooseTurn
   std::uint32_t mPriority = 0;  // of its queue; 0 is the most urgent
@@ -56,7 +60,8 @@
   Prospect mProspect = Prospect::InTime;
   TimePoint mDueAt{};
   Duration mWaited{};      // since its job was accepted
-  TimePoint mTurnAt{};     // when it last got the turn; zero: never
+  Duration mChain{};       // see JudgeProspect, aRemaining
+  TimePoint mUseUntil{};   // see GetUseUntil
   double mRemaining = 0;   // capacity times seconds that its job still takes: dominant share
   CapacityShare mRuns{};   // what its job's running tasks have
   CapacityShare mNeeds{};  // what its waiting tasks need
@@ -71,22 +76,27 @@
 
 // Returns the indexes of aStages, the one that gets capacity first in front. aTeams: by mTeam.
 //
-// Restarts come first, then the stage that has the turn; hopeless jobs come last. Between them, the
-// queue's priority decides, then how far the stage's team is above its share, then the prospect.
-// Jobs in time are ordered by due time. Others can't meet it any more: among these, the wait counts
-// against the capacity that the job still takes, so that short ones end soon and long ones are not
-// passed over for ever.
+// Restarts come first; hopeless jobs come last, unless they have a turn. Between them, the queue's
+// priority decides, then how far the stage's team is above its share, then turns, then the
+// prospect. Jobs in time are ordered by due time. If their pool can't end all of them in time, the
+// largest ones count as late, as few as possible. Among the others, the wait counts against the
+// capacity that the job still takes, so that short ones end soon and long ones are not passed over
+// for ever.
 [[nodiscard]] std::vector<std::size_t> OrderStages(std::span<const StageDemand> aStages,
-                                                   std::span<const TeamUse> aTeams);
+                                                   std::span<const TeamUse> aTeams,
+                                                   TimePoint aNow);
 
 // Returns for each team whether it has more running than its share.
 [[nodiscard]] std::vector<bool> FindTeamsAboveShare(std::span<const TeamUse> aTeams);
 
-// Returns the index of the hopeless stage that got no turn for longest, of several the one that has
-// waited longest; the number of stages if there is none. Under a lasting overload, hopeless stages
-// get a turn now and then, as they would wait for ever otherwise.
-[[nodiscard]] std::size_t ChooseTurn(std::span<const StageDemand> aStages);
+// Returns the index of the stage whose job gets the next turn: of jobs with prospect aFirst, if
+// there are any, otherwise of those that are late or hopeless, the one that is of use for the
+// shortest time; the number of stages if there is none. Turns leave a part of the capacity to jobs
+// that yield, or they would wait until they are lost, and hopeless ones for ever under a lasting
+// overload.
+[[nodiscard]] std::size_t ChooseTurn(std::span<const StageDemand> aStages, Prospect aFirst);
 
-inline constexpr Duration kTurnInterval = seconds(5);  // longest time that a stage has the turn
+// Returns the time from a turn to the next one.
+[[nodiscard]] Duration GetTurnInterval(const StageDemand& aStage);
 
 }  // namespace monsoon
