Teams on the platform: keys, visibility of jobs, and limits over all workers

Cause: keys, anonymous queues and limits of teams were read nowhere.

Change: entry processes answer 401 to unknown keys; a job belongs to the team whose key submitted it, other teams get 410 for it, or 409 for a job of the same id. Members read a newer configuration from the holder when the store does not deliver it, and an isolated process refuses all calls. The holder counts what each team's tasks have, or may have, on all workers, unseen starts and workers of an earlier epoch included, and starts nothing above the team's limit.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -138,16 +138,20 @@
   }
 }
 
-void Entry::ApplyConfig(const StoreItem& aItem)
+void Entry::ApplyConfigItem(const StoreItem& aItem)
 {
-  if (aItem.mKey != platform::kConfigKey || aItem.mDeleted)
-    return;
-  auto config = platform::ParseConfig(aItem.mValue);
+  if (aItem.mKey == platform::kConfigKey && !aItem.mDeleted)
+    ApplyConfig(aItem.mValue, "store");
+}
+
+void Entry::ApplyConfig(std::string_view aText, std::string_view aSource)
+{
+  auto config = platform::ParseConfig(aText);
   if (!config) {
     Log(LogPart::Config,
         LogLevel::Error,
         "the configuration can't be parsed; the previous one stays in effect",
-        { { "what", config.error().mDetail } });
+        { { "what", config.error().mDetail }, { "source", aSource } });
     return;
   }
   if (config->mVersion <= mConfig.mVersion)
@@ -155,8 +159,13 @@
   Log(LogPart::Config,
       LogLevel::Info,
       "a new configuration takes effect",
-      { { "version", config->mVersion }, { "queues", config->mQueues.size() } });
+      { { "version", config->mVersion },
+        { "queues", config->mQueues.size() },
+        { "teams", config->mTeams.size() },
+        { "source", aSource } });
   mConfig = std::move(*config);
+  mConfigText = aText;
+  mTeamKeys.Set(mConfig);
   if (mHolder)
     mHolder->SetConfig(mConfig);
 }
@@ -191,7 +200,7 @@
     if (!page)
       continue;
     for (const StoreItem& it : page->mItems)
-      ApplyConfig(it);
+      ApplyConfigItem(it);
   }
 }
 
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -9,6 +9,7 @@
 
 #include "fleet/holder.h"
 #include "fleet/settings.h"
+#include "fleet/team_keys.h"
 #include "http/server.h"
 #include "observe/metrics.h"
 
@@ -42,9 +43,12 @@
 
   // Callers
   Async<HttpResponse> HandleCaller(HttpRequest aRequest);
-  Async<HttpResponse> Submit(const QueueConfig& aQueue, std::string aId, HttpRequest aRequest);
-  Async<HttpResponse> ShowState(std::string aId, Duration aBudget);
-  Async<HttpResponse> Cancel(std::string aId, Duration aBudget);
+  Async<HttpResponse> Submit(const QueueConfig& aQueue,
+                             CallerAccess aAccess,
+                             std::string aId,
+                             HttpRequest aRequest);
+  Async<HttpResponse> ShowState(CallerAccess aAccess, std::string aId, Duration aBudget);
+  Async<HttpResponse> Cancel(CallerAccess aAccess, std::string aId, Duration aBudget);
   Async<HttpResponse> ShowPending(std::string aQueue);
   Async<Result<bool>> StoreJob(std::string aId, const std::string& aValue, Duration aDeadline);
   HttpResponse HandleReady(const HttpRequest& aRequest);
@@ -70,7 +74,9 @@
   Async<void> WatchConfig();
   Async<void> WatchHolder();
   Async<void> Campaign();
-  void ApplyConfig(const platform::StoreItem& aItem);
+  void ApplyConfigItem(const platform::StoreItem& aItem);
+  void ApplyConfig(std::string_view aText, std::string_view aSource);
+  Async<void> CatchUpConfig(std::uint64_t aVersion);
   void ApplyHolderItem(const platform::StoreItem& aItem);
   void SetHolder(HolderRecord aRecord);
   [[nodiscard]] bool IsSelf(const HolderRecord& aRecord) const;
@@ -93,6 +99,9 @@
   HttpClient mClient{};
   platform::Store mStore;
   FleetConfig mConfig{};
+  std::string mConfigText{};        // as stored, for members that the store does not serve
+  std::uint64_t mAheadVersion = 0;  // of a configuration that the holder has and this process not
+  TeamKeys mTeamKeys{};
   HolderView mView{};
   std::shared_ptr<Holder> mHolder{};
   std::optional<TimePoint> mHolderFailingSince{};  // first failed call since its last answer
--- a/src/fleet/entry_callers.cpp
+++ b/src/fleet/entry_callers.cpp
@@ -1,7 +1,6 @@
 // Requests of callers: submit, query and cancel jobs, and count a queue's pending jobs.
 #include <algorithm>
-#include <fstream>
-#include <sstream>
+#include <span>
 
 #include "core/json.h"
 #include "fleet/entry_impl.h"
@@ -31,6 +30,25 @@
   return std::max<Duration>(milliseconds(100), milliseconds(std::min(ms, 60'000L)) - kAnswerMargin);
 }
 
+// Returns whether the caller may see a stored job. One that can't be decoded names no team.
+bool MayAccessStored(const CallerAccess& aAccess, std::string_view aJob)
+{
+  if (aAccess.mSeesAllJobs)
+    return true;
+  const auto spec = DecodeMessage<JobSpec>(aJob);
+  return !spec || MayAccess(aAccess, spec->mTeam, spec->mQueue);
+}
+
+// Returns whether the job that is stored in the place of aJob was submitted by another team.
+bool IsJobOfAnotherTeam(std::span<const StoreItem> aStored, std::string_view aJob)
+{
+  const auto job = DecodeMessage<JobSpec>(aJob);
+  if (!job || job->mTeam.empty() || aStored.empty())
+    return false;
+  const auto stored = DecodeMessage<JobSpec>(aStored.front().mValue);
+  return stored && !stored->mTeam.empty() && stored->mTeam != job->mTeam;
+}
+
 }  // namespace
 
 const QueueConfig* Entry::FindQueue(std::string_view aHost, std::string_view aPath) const
@@ -54,6 +72,14 @@
   const QueueConfig* queue = FindQueue(host, path);
   if (!queue)
     co_return MakeEmptyResponse(http::status::not_found);
+  if (mConfig.mNeedsKeys && IsIsolated())
+    co_return MakeRefusal(http::status::service_unavailable);  // keys may have changed unseen
+  CallerAccess access =
+    GetAccess(mConfig, mTeamKeys, *queue, std::string_view(aRequest[http::field::authorization]));
+  if (!access.mIsKnown) {
+    mMetrics.GetCounter("fleet_unknown_keys_total").Add();
+    co_return MakeEmptyResponse(http::status::unauthorized);
+  }
   std::string id(path.substr(queue->mPrefix.size()));
   const Duration budget = ReadBudget(aRequest);
   if (id.empty() && aRequest.method() == http::verb::get)
@@ -64,11 +90,11 @@
   const TimePoint startedAt = BootClock::now();
   HttpResponse response = MakeEmptyResponse(http::status::method_not_allowed);
   if (verb == http::verb::post)
-    response = co_await Submit(*queue, std::move(id), std::move(aRequest));
+    response = co_await Submit(*queue, std::move(access), std::move(id), std::move(aRequest));
   else if (verb == http::verb::get)
-    response = co_await ShowState(std::move(id), budget);
+    response = co_await ShowState(std::move(access), std::move(id), budget);
   else if (verb == http::verb::delete_)
-    response = co_await Cancel(std::move(id), budget);
+    response = co_await Cancel(std::move(access), std::move(id), budget);
   const std::string labels = "method=\"" + std::string(http::to_string(verb)) + "\",code=\"" +
                              std::to_string(response.result_int()) + "\"";
   mMetrics.GetCounter("fleet_requests_total", labels).Add();
@@ -77,7 +103,8 @@
 }
 
 // Creates the job's key. Returns true if the job is stored, now or by an earlier call. Fails with
-// StoreUnavailable (it isn't stored and won't be) or WriteUnknown.
+// StoreUnavailable (it isn't stored and won't be), WriteUnknown, or Conflict: another team has a
+// job of this id.
 Async<Result<bool>> Entry::StoreJob(std::string aId, const std::string& aValue, Duration aDeadline)
 {
   StoreTransaction transaction;
@@ -86,10 +113,15 @@
   auto outcome = co_await mStore.Commit(std::move(transaction), aDeadline);
   if (!outcome)
     co_return outcome.error();
+  if (!outcome->mCommitted && IsJobOfAnotherTeam(outcome->mCurrent, aValue))
+    co_return MakeFailure(FailureKind::Conflict, "another team has a job of this id");
   co_return true;  // committed now, or the key already exists
 }
 
-Async<HttpResponse> Entry::Submit(const QueueConfig& aQueue, std::string aId, HttpRequest aRequest)
+Async<HttpResponse> Entry::Submit(const QueueConfig& aQueue,
+                                  CallerAccess aAccess,
+                                  std::string aId,
+                                  HttpRequest aRequest)
 {
   const TimePoint deadline = BootClock::now() + ReadBudget(aRequest);
   auto spec = platform::ParseJob(aRequest.body());
@@ -103,6 +135,7 @@
   spec->mId = aId;
   spec->mQueue = aQueue.mName;
   spec->mService = aQueue.mService;
+  spec->mTeam = aAccess.mTeam;
   spec->mTerms = aQueue;  // a later configuration may not have this queue
   spec->mAcceptedMs = ReadWallMillis();
   const std::string value = EncodeMessage(*spec);
@@ -136,6 +169,8 @@
       }
       co_return MakeJsonResponse(http::status::ok, "{}");
     }
+    if (stored.error().mKind == FailureKind::Conflict)
+      co_return MakeEmptyResponse(http::status::conflict);
     mayBeStored = mayBeStored || stored.error().mKind == FailureKind::WriteUnknown;
     why = stored.error().mDetail;
     if (!IsHolder()) {
@@ -146,6 +181,8 @@
         Log(LogPart::Request, LogLevel::Info, "accepted through the holder", { { "job", aId } });
         co_return MakeJsonResponse(http::status::ok, "{}");
       }
+      if (relayed.error().mKind == FailureKind::Conflict)
+        co_return MakeEmptyResponse(http::status::conflict);
       mayBeStored = mayBeStored || relayed.error().mKind != FailureKind::StoreUnavailable;
     }
     if (!mayBeStored || IsIsolated())
@@ -163,7 +200,8 @@
   co_return MakeJsonResponse(kCloseWithoutResponse, "");
 }
 
-Async<HttpResponse> Entry::ShowState(std::string aId, Duration aBudget)
+// Shows another team's job as one that does not exist.
+Async<HttpResponse> Entry::ShowState(CallerAccess aAccess, std::string aId, Duration aBudget)
 {
   const TimePoint deadline = BootClock::now() + aBudget;
   while (BootClock::now() < deadline && !IsIsolated()) {
@@ -172,13 +210,15 @@
       auto answer = co_await CallHolder("/state", EncodeMessage(aId), kPeerDeadline);
       if (answer) {
         auto reply = DecodeMessage<StateReply>(*answer);
+        if (reply && reply->mIsKnown && !MayAccess(aAccess, reply->mTeam, reply->mQueue))
+          co_return MakeEmptyResponse(http::status::gone);
         if (reply && reply->mIsKnown)
           co_return MakeJsonResponse(http::status::ok,
                                      platform::FormatState(static_cast<JobState>(reply->mState)));
       }
     }
     auto job = co_await mStore.Get(MakeJobKey(aId), platform::kStoreDeadline);
-    if (job && !*job)
+    if (job && !(*job && MayAccessStored(aAccess, (*job)->mValue)))
       co_return MakeEmptyResponse(http::status::gone);
     if (job) {
       auto progress = co_await mStore.Get(MakeProgressKey(aId), platform::kStoreDeadline);
@@ -195,12 +235,12 @@
   co_return MakeRefusal(http::status::service_unavailable);
 }
 
-Async<HttpResponse> Entry::Cancel(std::string aId, Duration aBudget)
+Async<HttpResponse> Entry::Cancel(CallerAccess aAccess, std::string aId, Duration aBudget)
 {
   const TimePoint deadline = BootClock::now() + aBudget;
   while (BootClock::now() < deadline) {
     auto job = co_await mStore.Get(MakeJobKey(aId), platform::kStoreDeadline);
-    if (job && !*job)
+    if (job && !(*job && MayAccessStored(aAccess, (*job)->mValue)))
       co_return MakeEmptyResponse(http::status::gone);
     if (job) {
       StoreTransaction transaction;
@@ -218,7 +258,8 @@
       }
     }
     if (!IsHolder()) {
-      auto relayed = co_await CallHolder("/cancel", EncodeMessage(aId), kPeerDeadline);
+      const CancelRequest request{ aId, aAccess };
+      auto relayed = co_await CallHolder("/cancel", EncodeMessage(request), kPeerDeadline);
       if (relayed)
         co_return MakeEmptyResponse(relayed->empty() ? http::status::ok : http::status::gone);
     }
--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -86,7 +86,7 @@
   auto config = co_await mStore.List(std::string(platform::kConfigKey), platform::kStoreDeadline);
   if (config)
     for (const StoreItem& it : config->mItems)
-      ApplyConfig(it);
+      ApplyConfigItem(it);
 }
 
 bool Entry::IsSelf(const HolderRecord& aRecord) const
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -45,6 +45,8 @@
     co_return MakeFailure(FailureKind::StoreUnavailable, "the process no longer holds the lease");
   if (response->result() == http::status::service_unavailable)
     co_return MakeFailure(FailureKind::StoreUnavailable, "the holder can't serve the request");
+  if (response->result() == http::status::conflict)
+    co_return MakeFailure(FailureKind::Conflict, "the holder refused the request");
   if (response->result() != http::status::ok)
     co_return MakeFailure(FailureKind::PeerUnknown, std::to_string(response->result_int()));
   co_return std::move(response->body());
@@ -67,6 +69,8 @@
     co_return answer(EncodeMessage(ResignReply{ static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(GetQuietTime()).count()) }));
   }
+  if (path == "/config")
+    co_return answer(mConfigText);
   if (path == "/probe") {
     auto request = DecodeMessage<ProbeRequest>(aRequest.body());
     if (!request)
@@ -118,6 +122,8 @@
     if (IsStoreDown())
       co_return MakeEmptyResponse(http::status::service_unavailable);
     auto stored = co_await StoreJob(request->mId, request->mValue, kStoreWriteDeadline);
+    if (!stored && stored.error().mKind == FailureKind::Conflict)
+      co_return MakeEmptyResponse(http::status::conflict);
     if (!stored)
       co_return MakeEmptyResponse(stored.error().mKind == FailureKind::WriteUnknown
                                     ? http::status::gateway_timeout
@@ -140,10 +146,11 @@
     co_return answer({});
   }
   if (path == "/cancel") {
-    auto id = DecodeMessage<std::string>(aRequest.body());
-    if (!id)
+    auto request = DecodeMessage<CancelRequest>(aRequest.body());
+    if (!request)
       co_return MakeEmptyResponse(http::status::bad_request);
-    const HttpResponse response = co_await Cancel(std::move(*id), kStoreWriteDeadline);
+    const HttpResponse response =
+      co_await Cancel(std::move(request->mAccess), std::move(request->mId), kStoreWriteDeadline);
     if (response.result() == http::status::gone)
       co_return answer("gone");
     co_return response.result() == http::status::ok
@@ -163,6 +170,28 @@
         { { "what", aPath }, { "why", notified.error().mDetail } });
 }
 
+// Reads a newer configuration from the holder, unless the store delivers it until the next poll:
+// the store may not serve this process, and a key that was taken away must not work here for long.
+Async<void> Entry::CatchUpConfig(std::uint64_t aVersion)
+{
+  if (aVersion <= mConfig.mVersion) {
+    mAheadVersion = 0;
+    co_return;
+  }
+  if (mAheadVersion == 0) {
+    mAheadVersion = aVersion;
+    co_return;
+  }
+  auto text = co_await CallHolder("/config", {}, kPeerDeadline);
+  if (text)
+    ApplyConfig(*text, "holder");
+  else
+    Log(LogPart::Config,
+        LogLevel::Warn,
+        "a newer configuration could not be read from the holder",
+        { { "version", aVersion }, { "why", text.error().mDetail } });
+}
+
 Async<void> Entry::PollHolder()
 {
   std::vector<AdviceResult> results;
@@ -199,6 +228,7 @@
     }
     if (!reply->mMembers.empty())
       mMembers = reply->mMembers;
+    co_await CatchUpConfig(reply->mConfigVersion);
     if (reply->mRequestsLeaseEnd && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
       // The holder can't reach the store to end its lease itself.
       co_await EndHolderLease(mView.mRecord->mLease);
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -304,11 +304,16 @@
     const Job* job = mSteppedDown ? nullptr : mScheduler.FindJob(aId);
     if (!job)
       co_return StateReply{};
+    StateReply reply{ true, static_cast<std::uint8_t>(job->mState) };
+    reply.mTeam = job->mSpec.mTeam;
+    reply.mQueue = job->mSpec.mQueue;
     if (!IsOver(job->mState) || job->mStoredState == job->mState)
-      co_return StateReply{ true, static_cast<std::uint8_t>(job->mState) };
+      co_return reply;
     // Reports the end of a job only once it is stored: after that no later holder can run it again.
-    if (n == kTries)
-      co_return StateReply{ true, static_cast<std::uint8_t>(JobState::Running) };
+    if (n == kTries) {
+      reply.mState = static_cast<std::uint8_t>(JobState::Running);
+      co_return reply;
+    }
     mStoreTimer.cancel();
     co_await Sleep(milliseconds(10));
   }
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -133,6 +133,7 @@
   Async<void> ExecutePace(std::string aId, PaceOrder aOrder);
   Async<void> CallPolicyServiceLocally(AdviceCall aCall);
   Async<void> LogStats();
+  void LogTeamsAtLimit();
   Async<void> ForgetEndedJobs();  // deletes jobs from the store some time after their end
   Async<void> YieldToLarger();
 
--- a/src/fleet/holder_advice.cpp
+++ b/src/fleet/holder_advice.cpp
@@ -136,6 +136,7 @@
   co_await ownTimer->async_wait(kNoThrow);
   Member& current = mMembers[aRequest.mName];
   reply.mRequestsLeaseEnd = mRequestsLeaseEnd;
+  reply.mConfigVersion = mConfig.mVersion;
   reply.mMembers = SampleMembers(aRequest.mName);
   if (current.mWaiting.get() != ownTimer)
     co_return reply;  // a newer poll of this member replaced this one
--- a/src/fleet/holder_stats.cpp
+++ b/src/fleet/holder_stats.cpp
@@ -10,6 +10,25 @@
 
 }  // namespace
 
+// Tells which teams' tasks wait for the team's own limit, so that a team can be told why.
+void Holder::LogTeamsAtLimit()
+{
+  for (const TeamAtLimit& it : mScheduler.TakeTeamsAtLimit()) {
+    mMetrics.GetCounter("fleet_held_by_team_limit_total", "team=\"" + it.mTeam + "\"")
+      .Add(it.mHeld);
+    Log(LogPart::Place,
+        LogLevel::Info,
+        "tasks of a team wait for its limit",
+        { { "team", it.mTeam },
+          { "millicores", it.mUsed.mMilliCores },
+          { "of", it.mLimit.mMilliCores },
+          { "mib", it.mUsed.mMemoryMiB },
+          { "of_mib", it.mLimit.mMemoryMiB },
+          { "accelerators", it.mUsed.mAccelerators },
+          { "of_accelerators", it.mLimit.mAccelerators } });
+  }
+}
+
 Async<void> Holder::LogStats()
 {
   auto self = shared_from_this();
@@ -37,6 +56,7 @@
           { "unstored_ends", backlog.mUnstoredEnds },
           { "unstored_jobs", backlog.mUnstoredJobs },
           { "max_loop_delay_ms", maxDelay } });
+    LogTeamsAtLimit();
     mStats = {};
     maxDelay = {};
     loggedAt = now;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -117,11 +117,11 @@
 }
 
 // Teams
-struct ResourceLimit  // over all workers; 0: unlimited
+struct TeamResources  // of a team's tasks, over all workers
 {
-  std::uint64_t mMilliCores = 0;
-  std::uint64_t mMemoryMiB = 0;
-  std::uint64_t mAccelerators = 0;
+  std::int64_t mMilliCores = 0;
+  std::int64_t mMemoryMiB = 0;
+  std::int64_t mAccelerators = 0;
 };
 
 struct TeamConfig
@@ -129,7 +129,7 @@
   std::string mName{};
   std::vector<std::string> mKeys{};  // that its callers send; any of them
   double mWeight = 1;                // its share of capacity, against other teams
-  ResourceLimit mLimit{};            // of what its tasks may have at one time
+  TeamResources mLimit{};            // of what its tasks may have at one time; 0: unlimited
 };
 
 // Queues
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -20,6 +20,7 @@
 
 #include "core/errors.h"
 #include "fleet/model.h"
+#include "fleet/team_keys.h"
 #include "http/client.h"
 
 namespace monsoon {
@@ -188,12 +189,15 @@
   std::vector<AdviceOrder> mOrders{};   // at most one
   std::vector<HttpAddress> mMembers{};  // a random sample of other members
   bool mRequestsLeaseEnd = false;       // the receiver is to end the holder's lease in the store
+  std::uint64_t mConfigVersion = 0;     // that the holder has; 0: not told
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mOrders, mMembers, mRequestsLeaseEnd);
   }
+  void SerializeAdded(auto& aArchive) { aArchive(mConfigVersion); }
+  void SerializeAdded(auto& aArchive) const { aArchive(mConfigVersion); }
 };
 
 // Probe
@@ -227,12 +231,36 @@
 {
   bool mIsKnown = false;
   std::uint8_t mState = 0;  // a JobState
+  std::string mTeam{};      // of the job; as in JobSpec
+  std::string mQueue{};     // of the job
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mIsKnown, mState);
   }
+  void SerializeAdded(auto& aArchive) { aArchive(mTeam, mQueue); }
+  void SerializeAdded(auto& aArchive) const { aArchive(mTeam, mQueue); }
+};
+
+struct CancelRequest  // relayed by a process that the store does not serve
+{
+  std::string mId{};
+  CallerAccess mAccess{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mId);
+  }
+  void SerializeAdded(auto& aArchive) { SerializeAccess(mAccess, aArchive); }
+  void SerializeAdded(auto& aArchive) const { SerializeAccess(mAccess, aArchive); }
+
+private:
+  static void SerializeAccess(auto& aAccess, auto& aArchive)
+  {
+    aArchive(aAccess.mIsKnown, aAccess.mSeesAllJobs, aAccess.mTeam, aAccess.mAnonymousQueue);
+  }
 };
 
 struct SubmitRequest  // relayed by a process that the store does not serve
--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -176,6 +176,7 @@
   mQueues.clear();
   for (const QueueConfig& it : aConfig.mQueues)
     mQueues[it.mName] = it;
+  mTeamLimits.SetTeams(aConfig.mTeams);
   mIsConfigured = mIsConfigured || aConfig.mVersion != 0 || !mQueues.empty();
   for (const auto& [id, job] : mActive)
     SetTerms(*job);
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -19,6 +19,7 @@
 #include <unordered_map>
 
 #include "fleet/scheduler_state.h"
+#include "fleet/team_limits.h"
 
 namespace monsoon::fleet {
 
@@ -70,6 +71,14 @@
   std::size_t mUnstoredEnds = 0;  // ends that workers have to list again
 };
 
+struct TeamAtLimit  // a team with tasks that waited for its limit
+{
+  std::string mTeam{};
+  TeamResources mUsed{};
+  TeamResources mLimit{};
+  std::size_t mHeld = 0;  // decisions against a start
+};
+
 enum class StartOutcome : std::uint8_t
 {
   Started,
@@ -191,6 +200,13 @@
   [[nodiscard]] bool HasProgress() const { return mDirtyCount > 0 || mHasNewEnds; }
   [[nodiscard]] std::size_t CountUnstoredJobs() const { return mDirtyCount; }
   [[nodiscard]] SchedulerBacklog GetBacklog() const;
+  // Returns the teams with tasks that waited for their limits since the last call.
+  [[nodiscard]] std::vector<TeamAtLimit> TakeTeamsAtLimit();
+  // Returns what the team's tasks have, and may still have, on all workers.
+  [[nodiscard]] TeamResources GetTeamUse(const std::string& aTeam) const
+  {
+    return mTeamLimits.GetUse(aTeam);
+  }
   [[nodiscard]] bool HasEndedJob() const { return mHasEndedJob; }
   // Returns the progress to be written in one transaction of at most aMaxEntries entries: a job
   // that has ended takes one entry, any other job two. The caller answers each batch with
@@ -265,6 +281,17 @@
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
   void CountFailure(Worker& aWorker, const std::string& aJob, TimePoint aNow);
   static void ResetFailStreak(Worker& aWorker);
+  void ChargeTeam(Run& aRun, const Job& aJob);
+  void DischargeTeam(const Run& aRun);
+  void AddPossibleUse(const Job& aJob,
+                      std::uint32_t aOccurrence,
+                      std::uint32_t aStage,
+                      bool aIsAny);
+  void CountPossibleTeamUse();
+  [[nodiscard]] bool IsWithinTeamLimit(const Ready& aReady, std::size_t aTasks);
+  [[nodiscard]] static bool IsStageUnblocked(const Job& aJob,
+                                             const Occurrence& aOccurrence,
+                                             std::uint32_t aStage);
   [[nodiscard]] bool IsStageReady(const Job& aJob,
                                   const Occurrence& aOccurrence,
                                   std::uint32_t aStage) const;
@@ -305,6 +332,10 @@
   Duration mTaskLease{};  // a worker kills tasks whose lease is not renewed in time
   std::map<std::string, QueueConfig> mQueues{};  // as configured now, by name
   bool mIsConfigured = false;                    // a configuration was read
+  TeamLimits mTeamLimits{};
+  // What teams may have on workers that have not answered in this epoch. Set by each plan.
+  std::map<std::string, TeamResources> mPossibleTeamUse{};
+  std::map<std::string, std::size_t> mHeldByLimit{};  // by team, since the last TakeTeamsAtLimit
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
   std::map<std::string, Job*> mActive{};  // jobs that have not ended
   std::map<std::string, Worker> mWorkers{};
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -44,6 +44,7 @@
   run.mLatencyTargetMs = aReady.mSpec->mLatencyTargetMs;
   run.mSentAt = aNow;
   run.mProgressAt = aNow;
+  ChargeTeam(run, *aReady.mJob);
   StartOrder order;
   order.mWorker = aWorker.mEntry.mId;
   order.mTask = run.mTask;
@@ -83,7 +84,7 @@
     if (task.mDone || !task.mWorker.empty() || MayRunSomewhere(ref) ||
         !MayStartAgain(task.mCrashes, GetUnresolved(ref)))
       continue;
-    Worker* worker = PickWorker(aReady, task, aNow);
+    Worker* worker = IsWithinTeamLimit(aReady, 1) ? PickWorker(aReady, task, aNow) : nullptr;
     if (!worker)
       return;
     PlaceTask(aReady, n, std::max(task.mRun, base) + 1, *worker, aNow, aOrders);
@@ -93,6 +94,8 @@
 void Scheduler::PlaceGang(const Ready& aReady, TimePoint aNow, Orders& aOrders)
 {
   const StageSpec& spec = *aReady.mSpec;
+  if (!IsWithinTeamLimit(aReady, aReady.mStage->mTasks.size()))
+    return;
   std::uint64_t run = (mSettings.mEpoch - 1) * kRunsPerEpoch;
   for (std::uint32_t n = 0; n < aReady.mStage->mTasks.size(); ++n) {
     const TaskRef ref{ aReady.mRef.mJob, aReady.mRef.mOccurrence, aReady.mRef.mStage, n };
@@ -135,7 +138,7 @@
     stage.mGangBrokenAt = aNow;
   for (std::uint32_t n = 0; n < stage.mTasks.size(); ++n) {
     Task& task = stage.mTasks[n];
-    if (!task.mWorker.empty())
+    if (!task.mWorker.empty() || !IsWithinTeamLimit(aReady, 1))
       continue;
     Worker* worker = PickWorker(aReady, task, aNow);
     if (worker && !Contains(task.mFailedOn, worker->mEntry.mId))
@@ -196,11 +199,18 @@
                      : std::max<std::size_t>(1, advisors * 3 / 4);
   std::size_t freeSlow = slowAdvisors > slowInFlight ? slowAdvisors - slowInFlight : 0;
   std::vector<Ready> yielding;
-  for (const Ready& ready : CollectReady(aNow, aWallMs)) {
+  std::set<std::string> askedAtLimit;
+  const std::vector<Ready> all = CollectReady(aNow, aWallMs);
+  CountPossibleTeamUse();
+  for (const Ready& ready : all) {
     if (!ready.mIsHeld)
       PlaceReady(ready, aNow, orders);
-    if (ready.mStage->mWaiting > 0 && ready.mTerms->mNeedsAdvice &&
-        !RequestAdvice(ready, aNow, true, aFreeAdvisors, freeSlow, orders))
+    if (ready.mStage->mWaiting == 0 || !ready.mTerms->mNeedsAdvice)
+      continue;
+    // At its limit, only a team's next stage obtains tickets.
+    if (!IsWithinTeamLimit(ready, 1) && !askedAtLimit.insert(ready.mJob->mSpec.mTeam).second)
+      continue;
+    if (!RequestAdvice(ready, aNow, true, aFreeAdvisors, freeSlow, orders))
       yielding.push_back(ready);
   }
   for (const Ready& ready : yielding)
--- a/src/fleet/scheduler_ready.cpp
+++ b/src/fleet/scheduler_ready.cpp
@@ -18,6 +18,18 @@
   return !mPossiblyRunning.empty() && mPossiblyRunning.contains(FormatTask(aRef));
 }
 
+// Returns whether all stages that this one waits for have completed.
+bool Scheduler::IsStageUnblocked(const Job& aJob,
+                                 const Occurrence& aOccurrence,
+                                 std::uint32_t aStage)
+{
+  const std::vector<std::uint32_t>& after = aJob.mSpec.mStages[aStage].mAfter;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t aIndex) {
+    return aIndex < aOccurrence.mStages.size() &&
+           aOccurrence.mStages[aIndex].mDone == aOccurrence.mStages[aIndex].mTasks.size();
+  });
+}
+
 bool Scheduler::IsStageReady(const Job& aJob,
                              const Occurrence& aOccurrence,
                              std::uint32_t aStage) const
@@ -28,10 +40,7 @@
   const StageSpec& spec = aJob.mSpec.mStages[aStage];
   if (spec.mGang && stage.mWaiting < stage.mTasks.size() && !IsGangRepairable(stage))
     return false;
-  return std::all_of(spec.mAfter.begin(), spec.mAfter.end(), [&](std::uint32_t aIndex) {
-    return aIndex < aOccurrence.mStages.size() &&
-           aOccurrence.mStages[aIndex].mDone == aOccurrence.mStages[aIndex].mTasks.size();
-  });
+  return IsStageUnblocked(aJob, aOccurrence, aStage);
 }
 
 // Returns whether the missing members of a gang's run can still be started with the same run
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -86,6 +86,7 @@
     aWorker.mUsedMilliCores += aRun.mMilliCores;
     aWorker.mUsedMemoryMiB += aRun.mMemoryMiB;
     aWorker.mUsedAccelerators += aRun.mAccelerators;
+    ChargeTeam(aRun, *job);
   }
   aRun.mFiller = spec.mFiller;
   aRun.mLongRunning = spec.mLongRunning;
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -68,6 +68,8 @@
   std::int64_t mLatencyTargetMs = 0;
   bool mFiller = false;
   bool mLongRunning = false;
+  std::string mTeam{};        // empty: of no team, or not sized yet
+  TeamResources mTeamNeed{};  // counted for the team; the cores of fillers as well
 };
 
 // Jobs
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -285,6 +285,7 @@
   aWorker.mUsedMilliCores -= run.mMilliCores;
   aWorker.mUsedMemoryMiB -= run.mMemoryMiB;
   aWorker.mUsedAccelerators -= run.mAccelerators;
+  DischargeTeam(run);
   Task* task = run.mKnown && !aNeverRan ? FindTask(run.mRef) : nullptr;
   if (task && task->mRun == run.mRun)
     task->mSeenAt = aWorker.mAnsweredAt;
