Fleet model: teams, limits that change, and a check of what a team uses

The model knew no teams, so nothing showed whether a team stays within its limit. Jobs may now be of a team; limits are set, halved, restored or doubled, and holders read them within 1 s.

--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -54,6 +54,41 @@
              [it, config = mConfig] { it->mScheduler->SetQueues(config); });
 }
 
+void FleetModel::SetTeam(TeamConfig aTeam)
+{
+  auto team = std::find_if(mConfig.mTeams.begin(), mConfig.mTeams.end(), [&](const auto& aItem) {
+    return aItem.mName == aTeam.mName;
+  });
+  if (team == mConfig.mTeams.end()) {
+    mTeamLimits[aTeam.mName].mFirst = aTeam.mLimit;
+    mConfig.mTeams.push_back(std::move(aTeam));
+  } else {
+    mTeamLimits[aTeam.mName].mFormer.emplace_back(mNow + kConfigLag, team->mLimit);
+    *team = std::move(aTeam);
+  }
+  ++mConfig.mVersion;
+  for (HolderRef it = mHolder; it; it = it->mPrevious)
+    Schedule(mTicking ? Draw(Duration::zero(), kConfigLag) : Duration::zero(),
+             [it, config = mConfig] {
+               if (config.mVersion > it->mConfigVersion)
+                 it->mScheduler->SetQueues(config);
+               it->mConfigVersion = std::max(it->mConfigVersion, config.mVersion);
+             });
+}
+
+void FleetModel::ChangeLimits()
+{
+  const std::vector<TeamConfig> teams = mConfig.mTeams;
+  for (TeamConfig team : teams) {
+    const ResourceLimit& first = mTeamLimits[team.mName].mFirst;
+    const std::uint64_t halves = std::uint64_t{ 1 } << (mRandom() % 3);
+    team.mLimit = { first.mMilliCores * halves / 2,
+                    first.mMemoryMiB * halves / 2,
+                    first.mAccelerators * halves / 2 };
+    SetTeam(std::move(team));
+  }
+}
+
 // While a previous holder goes on, it is told of the job, and the current one reads it later.
 void FleetModel::Submit(JobSpec aSpec)
 {
@@ -260,6 +295,7 @@
   mHolder->mRevisions = mProgressRevisions;
   Scheduler& scheduler = *mHolder->mScheduler;
   scheduler.SetQueues(mConfig);
+  mHolder->mConfigVersion = mConfig.mVersion;
   for (const auto& [id, spec] : mJobs) {
     auto progress = mProgress.find(id);
     scheduler.AddJob(
@@ -306,6 +342,8 @@
   InjectFaults();
   if (Happens(mFaults.mQueueChangePerS * std::chrono::duration<double>(kTick).count()))
     ReplaceQueue();
+  if (Happens(mFaults.mLimitChangePerS * std::chrono::duration<double>(kTick).count()))
+    ChangeLimits();
   for (HolderRef it = mHolder; it; it = it->mPrevious)
     if (!HasStopped(*it))
       PlanFor(it);
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -39,6 +39,9 @@
   // Times per second that the queue is replaced by one of another name. Holders read it within 1 s,
   // and jobs are accepted for the former queue meanwhile.
   double mQueueChangePerS = 0;
+  // Times per second that the limits of all teams are halved, restored or doubled. Holders read
+  // them within 1 s.
+  double mLimitChangePerS = 0;
   double mDrainPerS = 0;  // drains per second; the worker leaves 2 to 6 s later, another one joins
   double mStallPerS = 0;  // times per second that a worker's tasks make no progress for 0.5 to 6 s
   double mTakeoverPerS = 0;            // times per second that a new, empty scheduler takes over
@@ -64,6 +67,8 @@
   ~FleetModel();
 
   void SetQueue(QueueConfig aQueue);
+  // Adds a team, or changes it. Its former limit counts until all holders have read the new one.
+  void SetTeam(TeamConfig aTeam);
   void Submit(JobSpec aSpec);
   void Cancel(const std::string& aId);
   void RunFor(Duration aTime);
@@ -135,6 +140,7 @@
     std::set<std::string> mCutFrom{};                   // workers that it does not reach
     bool mStoring = false;                              // a write of progress has no answer yet
     std::map<std::string, std::uint64_t> mRevisions{};  // of progress, by job, as last seen
+    std::uint64_t mConfigVersion = 0;                   // that it has read
   };
   using HolderRef = std::shared_ptr<HolderState>;
   struct ReportRequest
@@ -161,6 +167,7 @@
   void RecordWorkers();
   [[nodiscard]] HolderRef MakeHolder();
   void ReplaceQueue();
+  void ChangeLimits();
   void ForEachHolder(const std::function<void(HolderState&)>& aAction);
 
   // Calls (fleet_model_calls.cpp)
@@ -184,6 +191,10 @@
   void EndRun(Node& aNode, std::size_t aIndex, EndKind aKind);
   void DeliverStart(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt);
   void CheckStart(const Node& aNode, const StartOrder& aOrder, TimePoint aSentAt);
+  void CheckTeamLimit(const StartOrder& aOrder, TimePoint aSentAt);
+  [[nodiscard]] std::uint64_t GetAllowedUse(const std::string& aTeam,
+                                            std::uint64_t ResourceLimit::*aResource,
+                                            TimePoint aSentAt) const;
   void Acknowledge(Node& aNode, std::uint64_t aNumber);
   void RemoveEntry(const std::string& aId);
   void WriteEntry(const WorkerEntry& aEntry);
@@ -228,6 +239,12 @@
   FleetConfig mConfig{};
   std::optional<QueueConfig> mFormerQueue{};
   TimePoint mQueueReplacedAt{};
+  struct TeamLimits
+  {
+    ResourceLimit mFirst{};                                     // before any fault
+    std::deque<std::pair<TimePoint, ResourceLimit>> mFormer{};  // may count for orders until then
+  };
+  std::map<std::string, TeamLimits> mTeamLimits{};
   std::map<std::string, JobSpec> mJobs{};
   std::map<std::string, std::string> mProgress{};
   std::map<std::string, std::uint64_t> mProgressRevisions{};
--- a/tests/unit/fleet_model_workers.cpp
+++ b/tests/unit/fleet_model_workers.cpp
@@ -240,6 +240,55 @@
     }
 }
 
+// Returns how much tasks of a team may use, by the highest limit that may be in force for an order
+// sent at aSentAt; 0: unlimited.
+std::uint64_t FleetModel::GetAllowedUse(const std::string& aTeam,
+                                        std::uint64_t ResourceLimit::*aResource,
+                                        TimePoint aSentAt) const
+{
+  const auto team = std::find_if(mConfig.mTeams.begin(),
+                                 mConfig.mTeams.end(),
+                                 [&](const TeamConfig& aItem) { return aItem.mName == aTeam; });
+  if (team == mConfig.mTeams.end())
+    return 0;
+  std::uint64_t highest = team->mLimit.*aResource;
+  for (const auto& [until, limit] : mTeamLimits.at(aTeam).mFormer)
+    if (aSentAt < until && highest != 0)
+      highest = limit.*aResource == 0 ? 0 : std::max(highest, limit.*aResource);
+  return highest;
+}
+
+// Checks what all tasks of a team use, on whatever worker, once this one has started. A tenth and
+// one task above the limit are allowed.
+void FleetModel::CheckTeamLimit(const StartOrder& aOrder, TimePoint aSentAt)
+{
+  const JobSpec* job = nullptr;
+  const StageSpec* stage = FindStage(aOrder.mTask, &job);
+  const ResourceLimit added{ stage->mMilliCores, stage->mMemoryMiB, stage->mAccelerators };
+  ResourceLimit used = added;
+  for (auto& [id, node] : mNodes) {
+    if (!node.mUp)
+      continue;
+    Advance(node);
+    for (const Running& it : node.mRunning) {
+      const JobSpec* other = nullptr;
+      const StageSpec* otherStage = FindStage(it.mOrder.mTask, &other);
+      if (other->mTeam != job->mTeam)
+        continue;
+      used.mMilliCores += otherStage->mMilliCores;
+      used.mMemoryMiB += otherStage->mMemoryMiB;
+      used.mAccelerators += otherStage->mAccelerators;
+    }
+  }
+  for (const auto resource :
+       { &ResourceLimit::mMilliCores, &ResourceLimit::mMemoryMiB, &ResourceLimit::mAccelerators }) {
+    const std::uint64_t allowed = GetAllowedUse(job->mTeam, resource, aSentAt);
+    if (allowed != 0 && used.*resource > allowed + allowed / 10 + added.*resource)
+      ReportViolation("over the limit of a team: " + job->mTeam + " with " + aOrder.mTask + ", " +
+                      std::to_string(used.*resource) + " of " + std::to_string(allowed));
+  }
+}
+
 // Carries out a start order on its worker.
 void FleetModel::DeliverStart(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt)
 {
@@ -269,6 +318,7 @@
     node.mLeaseUntil = aSentAt + kLease;
   node.mLeaseUntil = std::max(node.mLeaseUntil, aSentAt + kLease);
   CheckStart(node, aOrder, aSentAt);
+  CheckTeamLimit(aOrder, aSentAt);
   ++mStarts[aOrder.mTask];
   mLastStarts[aOrder.mTask] = mNow;
   if (mPoison.contains(aOrder.mTask))
