--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -12,6 +12,7 @@
   : mContext(aContext)
   , mOptions(aOptions)
   , mRandom(aOptions.mSeed)
+  , mTeams(aOptions.mTeams)
 {
 }
 
@@ -51,23 +52,39 @@
   return {};
 }
 
+// Returns a queue whose name is new in each version.
+json::object FleetStandin::MakeQueue(std::string aName, std::string aPrefix) const
+{
+  return { { "name", std::move(aName) + std::to_string(mConfigVersion) },
+           { "host", "127.0.0.1" },
+           { "prefix", std::move(aPrefix) },
+           { "service", "pool" },
+           { "max_attempts", 50 },
+           { "stretch", 2 },
+           { "target_latency_ms", 500 },
+           { "advice",
+             json::object{ { "decide_ms", 20 }, { "each_ms", 0.1 }, { "valid_ms", 2000 } } } };
+}
+
 // Writes the next version of the configuration.
 void FleetStandin::WriteConfig()
 {
   ++mConfigVersion;
-  const json::object queue{
-    { "name", "q" + std::to_string(mConfigVersion) },
-    { "host", "127.0.0.1" },
-    { "prefix", "/q/" },
-    { "service", "pool" },
-    { "max_attempts", 50 },
-    { "stretch", 2 },
-    { "target_latency_ms", 500 },
-    { "advice", json::object{ { "decide_ms", 20 }, { "each_ms", 0.1 }, { "valid_ms", 2000 } } }
-  };
-  const json::object config{ { "version", mConfigVersion },
-                             { "routes", json::array{ queue } },
-                             { "services", json::array{ json::object{ { "name", "pool" } } } } };
+  json::array queues{ MakeQueue("q", "/q/") };
+  json::object config{ { "version", mConfigVersion },
+                       { "services", json::array{ json::object{ { "name", "pool" } } } } };
+  if (!mTeams.empty()) {
+    queues.push_back(MakeQueue("open", "/open/"));
+    queues.back().as_object()["anonymous"] = true;
+    json::array teams;
+    for (const StandinTeam& it : mTeams)
+      teams.push_back(json::object{ { "name", it.mName },
+                                    { "api_keys", json::value_from(it.mKeys) },
+                                    { "weight", 1 },
+                                    { "max_count", json::object{ { "cpu", it.mMilliCores } } } });
+    config["tenants"] = teams;
+  }
+  config["routes"] = queues;
   PutText("op/config", json::serialize(config));
 }
 
@@ -77,6 +94,16 @@
   WriteConfig();
 }
 
+void FleetStandin::SetTeams(std::vector<StandinTeam> aTeams)
+{
+  const std::lock_guard lock(mLock);
+  const TimePoint until = BootClock::now() + mOptions.mLimitNotice;
+  for (const StandinTeam& it : mTeams)
+    mFormerLimits.emplace(it.mName, std::pair(until, it.mMilliCores));
+  mTeams = std::move(aTeams);
+  WriteConfig();
+}
+
 void FleetStandin::Complain(std::string aWhat)
 {
   if (mViolations.size() < 50)
@@ -138,9 +165,12 @@
   return most;
 }
 
-void FleetStandin::RegisterJob(const std::string& aId, std::vector<StandinStage> aStages)
+void FleetStandin::RegisterJob(const std::string& aId,
+                               std::vector<StandinStage> aStages,
+                               std::string aTeam)
 {
   const std::lock_guard lock(mLock);
+  mTeamsOfJobs[aId] = std::move(aTeam);
   mJobs[aId] = std::move(aStages);
 }
 
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -3,6 +3,7 @@
 // always hold, from the workers' side.
 //
 // Index
+//   StandinTeam           a team of callers
 //   FleetStandinOptions   size and rates
 //   StoreMode             how the store (mis)behaves
 //   ForeignEntry          what other writers write into the directory
@@ -22,6 +23,14 @@
 
 namespace monsoon::standin {
 
+// StandinTeam
+struct StandinTeam
+{
+  std::string mName{};
+  std::vector<std::string> mKeys{};
+  std::uint64_t mMilliCores = 0;  // limit of what its tasks use at one time; 0: none
+};
+
 // FleetStandinOptions
 struct FleetStandinOptions
 {
@@ -32,6 +41,9 @@
   double mAdmitted = 0.7;         // share of workers that may run a stage
   std::size_t mEndsListed = 500;  // ends in one report of a worker, at most
   std::uint64_t mSeed = 1;
+  std::vector<StandinTeam> mTeams{};  // none: callers need no keys
+  // Orders that arrive this much later than a change of a team's limit may still follow the former.
+  Duration mLimitNotice = seconds(3);
 };
 
 // StoreMode
@@ -74,7 +86,9 @@
   [[nodiscard]] std::uint16_t GetStorePort() const { return mStorePort; }
   [[nodiscard]] std::uint16_t GetAdvicePort() const { return mAdvicePort; }
 
-  void RegisterJob(const std::string& aId, std::vector<StandinStage> aStages);
+  void RegisterJob(const std::string& aId,
+                   std::vector<StandinStage> aStages,
+                   std::string aTeam = {});
   void SetStoreMode(StoreMode aMode) { mMode = aMode; }
   void SetLostAnswers(double aShare) { mLostAnswers = aShare; }  // of orders to workers
   void SetSilent(std::uint32_t aWorker, bool aSilent);           // it runs on and answers nothing
@@ -88,6 +102,8 @@
   void HideWorker(std::uint32_t aWorker, Duration aTime);  // it runs on and can't reach the store
   void WriteForeignEntry(std::uint32_t aWorker, ForeignEntry aKind);
   void ReplaceQueue();  // by one of another name that serves the same requests
+  // Replaces all teams. Callers need a key, except for the queue under /open/.
+  void SetTeams(std::vector<StandinTeam> aTeams);
 
   [[nodiscard]] std::vector<std::string> ReadViolations() const;
   [[nodiscard]] std::uint64_t CountStarts() const { return mStarts; }
@@ -122,16 +138,20 @@
   Async<HttpResponse> HandleStore(HttpRequest aRequest);
   Async<HttpResponse> HandleAdvice(HttpRequest aRequest);
   Async<HttpResponse> HandleWorker(std::uint32_t aWorker, HttpRequest aRequest);
-  Async<HttpResponse> CarryOut(std::uint32_t aWorker, HttpRequest aRequest);
+  Async<HttpResponse> CarryOut(std::uint32_t aWorker, HttpRequest aRequest, TimePoint aArrivedAt);
   static Async<HttpResponse> NeverAnswer();
   Async<HttpResponse> Watch(std::string aPrefix, std::uint64_t aAfter, Duration aWait);
   Async<HttpResponse> Hold(std::uint32_t aWorker, boost::json::value aBody);
   HttpResponse Commit(const boost::json::value& aBody);
   HttpResponse List(const std::string& aPrefix, const std::string& aAfter) const;
-  HttpResponse StartTask(std::uint32_t aWorker, const boost::json::value& aBody);
+  HttpResponse StartTask(std::uint32_t aWorker,
+                         const boost::json::value& aBody,
+                         TimePoint aArrivedAt);
   HttpResponse StopTask(std::uint32_t aWorker, const boost::json::value& aBody);
   Async<void> StartLate(std::uint32_t aWorker, std::uint32_t aLife, boost::json::value aBody);
   void CheckStart(const WorkerState& aWorker, const std::string& aTask, const StandinStage& aStage);
+  void CheckTeamLimit(const std::string& aTask, const StandinStage& aStage, TimePoint aArrivedAt);
+  [[nodiscard]] std::uint64_t GetAllowedUse(const std::string& aTeam, TimePoint aArrivedAt) const;
   void Acknowledge(WorkerState& aWorker, std::uint64_t aNumber);
   static bool AcceptToken(WorkerState& aWorker, const boost::json::value& aBody);
   [[nodiscard]] HttpResponse MakeReport(WorkerState& aWorker) const;
@@ -154,6 +174,7 @@
   [[nodiscard]] static boost::json::object MakeEntry(const WorkerState& aWorker);
   void Announce(std::uint32_t aWorker);
   void WriteConfig();
+  [[nodiscard]] boost::json::object MakeQueue(std::string aName, std::string aPrefix) const;
   void Complain(std::string aWhat);
   [[nodiscard]] static boost::json::object MakeItem(const std::string& aKey,
                                                     const StoredItem& aItem);
@@ -185,6 +206,10 @@
   std::uint64_t mConfigVersion = 0;
   std::vector<std::unique_ptr<WorkerState>> mWorkers{};
   std::map<std::string, std::vector<StandinStage>> mJobs{};
+  std::map<std::string, std::string> mTeamsOfJobs{};
+  std::vector<StandinTeam> mTeams{};
+  // Limits that were replaced, by team, with the last time at which an order may follow them.
+  std::multimap<std::string, std::pair<TimePoint, std::uint64_t>> mFormerLimits{};
   std::map<std::string, std::uint64_t> mCrashes{};  // task → workers that crashed while they ran it
   std::set<std::string> mDone{};                    // tasks with a good end
   std::set<std::string> mNoted{};                   // ... that was taken note of
--- a/standin/fleet_tasks.cpp
+++ b/standin/fleet_tasks.cpp
@@ -79,7 +79,41 @@
         Complain("a start before its predecessors: " + aTask);
 }
 
-HttpResponse FleetStandin::StartTask(std::uint32_t aWorker, const json::value& aBody)
+// Returns the highest limit of a team that an order may follow; 0: none.
+std::uint64_t FleetStandin::GetAllowedUse(const std::string& aTeam, TimePoint aArrivedAt) const
+{
+  const auto team = std::find_if(
+    mTeams.begin(), mTeams.end(), [&](const StandinTeam& aItem) { return aItem.mName == aTeam; });
+  std::uint64_t highest = team == mTeams.end() ? 0 : team->mMilliCores;
+  const auto [begin, end] = mFormerLimits.equal_range(aTeam);
+  for (auto it = begin; it != end && highest != 0; ++it)
+    if (aArrivedAt < it->second.first)
+      highest = it->second.second == 0 ? 0 : std::max(highest, it->second.second);
+  return highest;
+}
+
+// Checks what the tasks of a team use on all workers once aTask has started. A tenth and one task
+// above the limit are allowed.
+void FleetStandin::CheckTeamLimit(const std::string& aTask,
+                                  const StandinStage& aStage,
+                                  TimePoint aArrivedAt)
+{
+  const std::string& team = mTeamsOfJobs[GetJob(aTask)];
+  const std::uint64_t allowed = GetAllowedUse(team, aArrivedAt);
+  if (allowed == 0)
+    return;
+  std::uint64_t used = aStage.mMilliCores;
+  for (const auto& worker : mWorkers)
+    for (const Running& it : worker->mRunning)
+      used += mTeamsOfJobs[GetJob(it.mTask)] == team ? FindStage(it.mTask)->mMilliCores : 0;
+  if (used > allowed + allowed / 10 + aStage.mMilliCores)
+    Complain("over the limit of team " + team + " with " + aTask + ", " + std::to_string(used) +
+             " of " + std::to_string(allowed));
+}
+
+HttpResponse FleetStandin::StartTask(std::uint32_t aWorker,
+                                     const json::value& aBody,
+                                     TimePoint aArrivedAt)
 {
   WorkerState& worker = *mWorkers[aWorker];
   const TimePoint now = BootClock::now();
@@ -110,6 +144,7 @@
     return refuse("room");
   }
   CheckStart(worker, task, *stage);
+  CheckTeamLimit(task, *stage, aArrivedAt);
   // The payload says how long the tasks run, and in percent how many fail: "ms=200 fail=5".
   const std::string payload = GetString(aBody, "spec");
   long ms = 100;
@@ -226,6 +261,7 @@
 // Carries out a start order long after it was sent.
 Async<void> FleetStandin::StartLate(std::uint32_t aWorker, std::uint32_t aLife, json::value aBody)
 {
+  const TimePoint arrivedAt = BootClock::now();
   const bool isSoon = Happens(0.5);  // within the time that orders are valid
   co_await Sleep(isSoon ? Draw(milliseconds(50), seconds(2)) : Draw(seconds(2), seconds(12)));
   const std::lock_guard lock(mLock);
@@ -233,13 +269,14 @@
   if (worker.mLife != aLife || !AcceptToken(worker, aBody))
     co_return;
   Advance(worker);
-  if (StartTask(aWorker, aBody).result() == http::status::ok)
+  if (StartTask(aWorker, aBody, arrivedAt).result() == http::status::ok)
     ++mLateStarts;
 }
 
 // Delivers a call and its response, each of which may take long.
 Async<HttpResponse> FleetStandin::HandleWorker(std::uint32_t aWorker, HttpRequest aRequest)
 {
+  const TimePoint arrivedAt = BootClock::now();
   Duration there{};
   Duration back{};
   std::uint32_t life = 0;
@@ -255,13 +292,15 @@
     if (mWorkers[aWorker]->mLife != life)  // it was sent to a process that has ended
       co_return MakeJsonResponse(kCloseWithoutResponse, "");
   }
-  HttpResponse response = co_await CarryOut(aWorker, std::move(aRequest));
+  HttpResponse response = co_await CarryOut(aWorker, std::move(aRequest), arrivedAt);
   if (back > Duration::zero())
     co_await Sleep(back);
   co_return response;
 }
 
-Async<HttpResponse> FleetStandin::CarryOut(std::uint32_t aWorker, HttpRequest aRequest)
+Async<HttpResponse> FleetStandin::CarryOut(std::uint32_t aWorker,
+                                           HttpRequest aRequest,
+                                           TimePoint aArrivedAt)
 {
   const std::string path(aRequest.target());
   auto body = ParseJson(aRequest.body());
@@ -287,7 +326,7 @@
       Advance(worker);
       if (path == "/run-start" || path == "/run-stop") {
         HttpResponse response =
-          path == "/run-start" ? StartTask(aWorker, *body) : StopTask(aWorker, *body);
+          path == "/run-start" ? StartTask(aWorker, *body, aArrivedAt) : StopTask(aWorker, *body);
         if (Happens(mLostAnswers))
           co_return MakeJsonResponse(kCloseWithoutResponse, "");
         co_return response;
--- a/tests/integration/entry_fleet.cpp
+++ b/tests/integration/entry_fleet.cpp
@@ -116,10 +116,13 @@
 Async<Result<HttpResponse>> EntryFleet::Call(std::size_t aIndex,
                                              http::verb aVerb,
                                              std::string aTarget,
-                                             std::string aBody)
+                                             std::string aBody,
+                                             std::string aKey)
 {
   HttpRequest request(aVerb, aTarget, 11);
   request.body() = std::move(aBody);
+  if (!aKey.empty())
+    request.set(http::field::authorization, "Bearer " + aKey);
   HttpAddress address{ "127.0.0.1", mProcesses[aIndex].mCallers };
   co_return co_await mClient.Call(std::move(address), std::move(request), seconds(3));
 }
--- a/tests/integration/entry_fleet.h
+++ b/tests/integration/entry_fleet.h
@@ -58,7 +58,8 @@
   Async<Result<HttpResponse>> Call(std::size_t aIndex,
                                    http::verb aVerb,
                                    std::string aTarget,
-                                   std::string aBody);
+                                   std::string aBody,
+                                   std::string aKey = {});  // of the caller; empty: none
 
   [[nodiscard]] standin::FleetStandin& GetPlatform() const { return *mPlatform; }
   [[nodiscard]] EntryProcess& Get(std::size_t aIndex) { return mProcesses[aIndex]; }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 // change their capacity, fall silent, can't reach the store, lose answers or carry out orders late;
 // slow links to workers, so that starts take effect late and reports overtake each other;
 // other writers of the directory; configurations that replace the queue while it has jobs.
+// In a fifth of the seeds callers are of teams, whose keys and limits change; see soak_teams.h.
 // What must always hold is checked from what callers and workers see.
 //
 //   fleet_soak --seed 7 --seconds 20 --processes 5 --workers 8 --runs 10
@@ -12,88 +13,85 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
-#include <random>
 
 #include "core/json.h"
-#include "tests/integration/entry_fleet.h"
+#include "tests/soak/soak.h"
 
-using namespace monsoon;
+namespace monsoon {
 
 namespace {
 
-struct SoakOptions
-{
-  std::uint64_t mSeed = 1;
-  Duration mTime = seconds(20);
-  std::uint32_t mProcesses = 5;
-  std::uint32_t mWorkers = 8;
-  bool mFaults = true;
-  std::uint32_t mJobsPerS = 0;  // 0: 6 to 25
-  Duration mStoreDelay{};       // of all links to the store, unless another fault replaces it
-};
-
 constexpr Duration kSettle = seconds(90);  // for all accepted jobs to end once the faults are over
 constexpr Duration kAckTime = seconds(4);  // the platform's ack_ms
-constexpr std::uint64_t kMaxLateEndsShare = 5;  // a fifth of the ends, as its rules allow
-constexpr std::uint32_t kSizes[] = { 4'000, 8'000, 12'000, 16'000, 24'000 };  // of workers
+constexpr std::uint64_t kMaxLateEndsShare = 5;       // a fifth of the ends, as its rules allow
 constexpr std::uint64_t kCrashesThatMayEndAJob = 2;  // of workers, under the same task
+constexpr Duration kContact =
+  seconds(4);  // the platform's contact_ms: calm for so long is in touch
+// A holder that stays behind a fault may follow a former limit for this long.
+constexpr Duration kLimitNotice = seconds(10);
 
-struct Submission
-{
-  std::string mId{};
-  std::uint64_t mTasks = 0;
-  bool mAccepted = false;
-  bool mMaybe = false;  // some attempt's outcome is unknown
-};
-
-class Soak
-{
-public:
-  explicit Soak(SoakOptions aOptions);
-  bool Run();
-
-private:
-  Async<void> SubmitJobs();
-  Async<void> SubmitJob();
-  void CheckAcknowledgements();
-  Async<void> InjectFaults();
-  Async<void> InjectOne();
-  Async<void> InjectWorkerFaults();
-  Async<void> SlowLinks();
-  Async<void> CheckEnds();
-  Async<Result<HttpResponse>> Call(http::verb aVerb, std::string aId, std::string aBody);
-  std::uint64_t Draw(std::uint64_t aBound) { return mRandom() % aBound; }
-
-  SoakOptions mOptions;
-  std::mt19937_64 mRandom;
-  asio::io_context mContext{ 1 };
-  testing::EntryFleet mFleet;
-  std::vector<Submission> mSubmissions{};
-  std::vector<std::string> mFindings{};
-  bool mOver = false;
-};
+}  // namespace
 
-standin::FleetStandinOptions MakePlatformOptions(const SoakOptions& aOptions)
+standin::FleetStandinOptions Soak::MakePlatformOptions(const SoakOptions& aOptions,
+                                                       const SoakTeams& aTeams)
 {
   standin::FleetStandinOptions platform;
   platform.mWorkers = aOptions.mWorkers;
   platform.mSeed = aOptions.mSeed;
+  if (aOptions.mTeams)
+    platform.mTeams = aTeams.List();
+  if (aOptions.mFaults)
+    platform.mLimitNotice = kLimitNotice;
   return platform;
 }
 
 Soak::Soak(SoakOptions aOptions)
   : mOptions(aOptions)
   , mRandom(aOptions.mSeed)
+  , mTeams(aOptions.mSeed, aOptions.mKeyBound)
   , mFleet(mContext,
-           MakePlatformOptions(aOptions),
+           MakePlatformOptions(aOptions, mTeams),
            std::vector<double>(aOptions.mProcesses, 1.0),
            "fleet-soak")
+  , mCalm(aOptions.mProcesses)
+{
+}
+
+// Returns whether a process has been in touch since kContact before aSince.
+bool Soak::IsInTouch(std::size_t aIndex, TimePoint aSince) const
 {
+  for (const Calm& it : { mCalm[aIndex], mStoreCalm })
+    if (it.mFaults > 0 || aSince < it.mSince + kContact)
+      return false;
+  return true;
 }
 
-Async<Result<HttpResponse>> Soak::Call(http::verb aVerb, std::string aId, std::string aBody)
+Async<Result<HttpResponse>> Soak::Call(http::verb aVerb,
+                                       std::string aId,
+                                       std::string aBody,
+                                       std::string aTeam,
+                                       std::string aKey)
 {
-  co_return co_await mFleet.Call(Draw(mFleet.Count()), aVerb, "/q/" + aId, std::move(aBody));
+  const std::size_t index = Draw(mFleet.Count());
+  const std::string target = (mOptions.mTeams && aTeam.empty() ? "/open/" : "/q/") + aId;
+  KeyedCall call{ aKey, BootClock::now() };
+  auto response = co_await mFleet.Call(index, aVerb, target, std::move(aBody), aKey);
+  call.mInTouch = IsInTouch(index, call.mSentAt);
+  call.mAnswer = response ? response->result() : http::status::unknown;
+  if (auto wrong = call.mKey.empty() ? std::nullopt : mTeams.Check(call))
+    mFindings.push_back("entry-" + std::to_string(index) + ": " + *wrong);
+  co_return response;
+}
+
+// Calls for a job with the key of another team, or with none.
+Async<void> Soak::CallAsOther(Submission aSubmission, http::verb aVerb)
+{
+  const std::string team = mTeams.Draw(4) == 0 ? "" : mTeams.DrawOther(aSubmission.mTeam);
+  const std::string key = team.empty() ? "" : SoakTeams::GetLastingKey(team);
+  auto response = co_await Call(aVerb, aSubmission.mId, {}, team, key);
+  if (response && response->result() == http::status::ok)
+    mFindings.push_back(aSubmission.mId + ": a job of " + aSubmission.mTeam + " is open to " +
+                        (team.empty() ? "anybody" : team));
 }
 
 Async<void> Soak::SubmitJobs()
@@ -115,6 +113,8 @@
   char id[17];
   std::snprintf(id, sizeof id, "%016lx", static_cast<unsigned long>(mRandom()));
   Submission submission{ id };
+  if (mOptions.mTeams)
+    submission.mTeam = mTeams.DrawTeam();
   std::vector<standin::StandinStage> stages;
   boost::json::array steps;
   const std::uint64_t count = 1 + Draw(3);
@@ -135,143 +135,26 @@
     stages.push_back(stage);
     steps.push_back(step);
   }
-  mFleet.GetPlatform().RegisterJob(id, stages);
+  mFleet.GetPlatform().RegisterJob(id, stages, submission.mTeam);
   const std::string payload = "ms=" + std::to_string(millis) + " fail=3";
   const std::string body =
     boost::json::serialize(boost::json::object{ { "spec", payload }, { "steps", steps } });
   for (int n = 0; n < kTries && !submission.mAccepted; ++n) {
-    auto response = co_await Call(http::verb::post, id, body);
+    std::string key;
+    if (!submission.mTeam.empty())
+      key = mTeams.DrawKey(submission.mTeam);
+    auto response = co_await Call(http::verb::post, id, body, submission.mTeam, key);
     submission.mAccepted = response && response->result() == http::status::ok;
-    const bool notRun = response ? response->result() == http::status::service_unavailable
+    const bool notRun = response ? response->result() == http::status::service_unavailable ||
+                                     response->result() == http::status::unauthorized
                                  : response.error().mKind == FailureKind::EndpointUnreachable;
     submission.mMaybe = submission.mMaybe || (!submission.mAccepted && !notRun);
     if (!submission.mAccepted)
       co_await Sleep(milliseconds(200));
   }
-  mSubmissions.push_back(std::move(submission));
-}
-
-Async<void> Soak::InjectOne()
-{
-  const std::size_t index = Draw(mFleet.Count());
-  testing::EntryProcess& process = mFleet.Get(index);
-  const Duration time = milliseconds(300 + Draw(3500));
-  const auto worker = static_cast<std::uint32_t>(Draw(mOptions.mWorkers));
-  switch (Draw(11)) {
-    case 0:
-    case 1:
-      mFleet.End(index, SIGKILL);
-      co_await Sleep(time / 4);
-      mFleet.Start(index);
-      break;
-    case 2:
-      mFleet.Signal(index, SIGSTOP);
-      co_await Sleep(time);
-      mFleet.Signal(index, SIGCONT);
-      break;
-    case 3:
-      mFleet.Signal(index, SIGTERM);
-      co_await Sleep(seconds(6));
-      mFleet.End(index, SIGKILL);
-      mFleet.Start(index);
-      break;
-    case 4:
-      mFleet.GetPlatform().SetStoreMode(static_cast<standin::StoreMode>(1 + Draw(3)));
-      co_await Sleep(time);
-      mFleet.GetPlatform().SetStoreMode(standin::StoreMode::Serving);
-      break;
-    case 5:
-    case 6: {
-      testing::LinkFaults faults;
-      const std::uint64_t kind = Draw(3);
-      faults.mDelay = kind == 0 ? milliseconds(50 + Draw(200)) : milliseconds(0);
-      faults.mCut = kind == 1;
-      faults.mFrozen = kind == 2;
-      testing::Proxy& link = Draw(2) == 0 ? *process.mStoreLink : *process.mPeerLink;
-      link.SetFaults(faults);
-      co_await Sleep(time);
-      link.SetFaults({});
-      break;
-    }
-    case 7:
-      mFleet.GetPlatform().CrashWorker(worker);
-      break;
-    case 8:
-      mFleet.GetPlatform().SetSilent(worker, true);
-      co_await Sleep(2 * time);
-      mFleet.GetPlatform().SetSilent(worker, false);
-      break;
-    case 9:
-      mFleet.GetPlatform().ReplaceQueue();
-      break;
-    default:
-      mFleet.GetPlatform().SetLostAnswers(0.1);
-      co_await Sleep(time);
-      mFleet.GetPlatform().SetLostAnswers(0);
-      break;
-  }
-}
-
-Async<void> Soak::InjectFaults()
-{
-  while (!mOver) {
-    co_await Sleep(milliseconds(200 + Draw(1200)));
-    if (!mOver)
-      asio::co_spawn(mContext, InjectOne(), asio::detached);  // faults come in series and overlap
-  }
-}
-
-// Faults that workers have in a healthy cluster as well, so they come more often than the others.
-Async<void> Soak::InjectWorkerFaults()
-{
-  standin::FleetStandin& platform = mFleet.GetPlatform();
-  while (!mOver) {
-    co_await Sleep(milliseconds(100 + Draw(500)));
-    const auto worker = static_cast<std::uint32_t>(Draw(mOptions.mWorkers));
-    const std::uint32_t size = kSizes[Draw(std::size(kSizes))];
-    switch (Draw(10)) {
-      case 0:
-      case 1:
-      case 2:
-        platform.ResizeWorker(worker, size);
-        break;
-      case 3:
-      case 4:
-        platform.RestartWorker(worker, size);
-        break;
-      case 5:
-        platform.HideWorker(worker, milliseconds(1000 + Draw(9000)));
-        break;
-      case 6:
-      case 7:
-        platform.WriteForeignEntry(worker, static_cast<standin::ForeignEntry>(Draw(7)));
-        break;
-      default:
-        platform.SetLateOrders(Draw(2) == 0 ? 0.01 : 0.1);
-        break;
-    }
-  }
-  platform.SetLateOrders(0);
-}
-
-// Makes the links to a few workers slow for some seconds at a time. Draws by itself, so that the
-// other faults of a seed stay the same.
-Async<void> Soak::SlowLinks()
-{
-  std::mt19937_64 random(mOptions.mSeed + 1'000'000);
-  while (!mOver) {
-    const auto pause = milliseconds(500 + random() % 1500);
-    co_await Sleep(pause);
-    const auto first = static_cast<std::uint32_t>(random() % mOptions.mWorkers);
-    const std::uint32_t other = (first + mOptions.mWorkers / 2) % mOptions.mWorkers;
-    const double share = random() % 2 == 0 ? 0.3 : 0.9;
-    const auto time = milliseconds(2000 + random() % 3000);
-    for (const std::uint32_t worker : { first, other })
-      mFleet.GetPlatform().SetSlowCalls(worker, share);
-    co_await Sleep(time);
-    for (const std::uint32_t worker : { first, other })
-      mFleet.GetPlatform().SetSlowCalls(worker, 0);
-  }
+  mSubmissions.push_back(submission);
+  if (submission.mAccepted && !submission.mTeam.empty() && mTeams.Draw(5) == 0)
+    co_await CallAsOther(submission, http::verb::delete_);
 }
 
 // Without faults ends have to be acknowledged in time, whatever the load.
@@ -294,8 +177,13 @@
       continue;
     }
     std::string state;
+    std::string key;
+    if (!it.mTeam.empty()) {
+      key = SoakTeams::GetLastingKey(it.mTeam);
+      co_await CallAsOther(it, http::verb::get);
+    }
     while (BootClock::now() < deadline) {
-      auto response = co_await Call(http::verb::get, it.mId, {});
+      auto response = co_await Call(http::verb::get, it.mId, {}, it.mTeam, key);
       if (response && response->result() == http::status::gone)
         mFindings.push_back(it.mId + ": accepted, and now unknown");
       if (response && response->result() == http::status::ok)
@@ -323,6 +211,8 @@
   for (std::size_t n = 0; n < mFleet.Count(); ++n)
     mFleet.Get(n).mStoreLink->SetFaults({ .mDelay = mOptions.mStoreDelay });
   asio::co_spawn(mContext, SubmitJobs(), asio::detached);
+  if (mOptions.mTeams)
+    asio::co_spawn(mContext, ChangeTeams(), asio::detached);
   if (mOptions.mFaults) {
     asio::co_spawn(mContext, InjectFaults(), asio::detached);
     asio::co_spawn(mContext, InjectWorkerFaults(), asio::detached);
@@ -359,10 +249,11 @@
   return mFindings.empty();
 }
 
-}  // namespace
+}  // namespace monsoon
 
 int main(int argc, char** argv)
 {
+  using namespace monsoon;
   std::signal(SIGPIPE, SIG_IGN);
   TCLAP::CmdLine line("Runs entry processes under random faults and checks what must hold.");
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
@@ -374,6 +265,10 @@
   TCLAP::ValueArg<std::uint32_t> rate("", "jobs-per-s", "0: 6 to 25", false, 0, "N", line);
   TCLAP::ValueArg<std::uint32_t> delay(
     "", "store-delay-ms", "of each direction", false, 0, "MS", line);
+  TCLAP::ValueArg<int> teams(
+    "", "teams", "callers of teams; -1: in a fifth of the seeds", false, -1, "-1|0|1", line);
+  TCLAP::ValueArg<std::uint32_t> bound(
+    "", "key-bound-ms", "until a revoked key is refused", false, 3000, "MS", line);
   line.parse(argc, argv);
   int failed = 0;
   for (std::uint32_t n = 0; n < runs.getValue(); ++n) {
@@ -384,6 +279,8 @@
     options.mWorkers = workers.getValue();
     options.mFaults = faults.getValue() != 0;
     options.mJobsPerS = rate.getValue();
+    options.mTeams = teams.getValue() < 0 ? options.mSeed % 5 == 0 : teams.getValue() != 0;
+    options.mKeyBound = milliseconds(bound.getValue());
     options.mStoreDelay = milliseconds(delay.getValue());
     Soak soak(options);
     failed += soak.Run() ? 0 : 1;
