--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -19,7 +19,7 @@
   { "dev", "run a whole cell in this process and show what it does", &monsoon::RunDev },
   { "serve", "run one process of a cell", &monsoon::RunServe },
   { "entry", "run one entry process on the users' platform", &monsoon::RunEntry },
-  { "check", "read settings and print every error", &monsoon::RunCheck },
+  { "check", "read settings, or a desired state, and print every error", &monsoon::RunCheck },
   { "ctl", "run operators' commands", &monsoon::RunCtl },
   { "apply", "apply the declarations in a file to a cell", &monsoon::RunApply },
   { "load", "send work to a cell and measure how long it waits", &monsoon::RunLoadCommand },
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "app/check_desired.h"
 #include "app/commands.h"
 #include "app/node.h"
 #include "app/signals.h"
@@ -53,17 +54,28 @@
 
 int RunCheck(Arguments aArguments)
 {
-  TCLAP::CmdLine line("Reads settings and prints every error.", ' ', "0.1.0");
+  TCLAP::CmdLine line(
+    "Reads settings, or a desired state of the fleet, and prints every error.", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> config(
     "c", "config", "TOML settings of one process", false, "", "FILE", line);
+  TCLAP::ValueArg<std::string> desired(
+    "d", "desired", "desired state that is to be sent", false, "", "FILE", line);
+  TCLAP::ValueArg<std::string> inForce(
+    "f", "in-force", "desired state to compare it with", false, "", "FILE", line);
   TCLAP::SwitchArg reference("r", "reference", "print every settings key as Markdown", line);
   line.parse(aArguments);
   if (reference.getValue()) {
     std::cout << FormatReference();
     return kExitSuccess;
   }
+  if (inForce.isSet() && !desired.isSet()) {
+    std::cerr << "check: --in-force needs --desired\n";
+    return kExitUsageError;
+  }
+  if (desired.isSet())
+    return CheckDesired(desired.getValue(), inForce.getValue());
   if (!config.isSet()) {
-    std::cerr << "check: --config FILE or --reference is needed\n";
+    std::cerr << "check: --config FILE, --desired FILE or --reference is needed\n";
     return kExitUsageError;
   }
   if (!LoadSettingsOrPrintErrors(config.getValue()))
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -152,6 +152,7 @@
     false;  // teams are configured: callers of queues that aren't anonymous need a key
   std::vector<std::string> mServices{};
   std::size_t mMaxBodyBytes = 262'144;  // limit of a caller's request
+  Duration mIdleTimeout{};              // of a caller's connection; zero: not stated
 };
 
 // Workers
