--- a/src/fleet/scheduler.cpp
+++ b/src/fleet/scheduler.cpp
@@ -179,6 +179,7 @@
   mTeamWeights.clear();
   for (const TeamConfig& it : aConfig.mTeams)
     mTeamWeights[it.mName] = it.mWeight;
+  mTeamLimits.SetTeams(aConfig.mTeams);
   mIsConfigured = mIsConfigured || aConfig.mVersion != 0 || !mQueues.empty();
   for (const auto& [id, job] : mActive)
     SetTerms(*job);
--- a/src/fleet/scheduler_order.cpp
+++ b/src/fleet/scheduler_order.cpp
@@ -125,7 +125,9 @@
 
 }  // namespace
 
-StageDemand Scheduler::MakeDemand(const Ready& aReady, const PoolCapacity& aPool, TimePoint aNow)
+StageDemand Scheduler::MakeDemand(const Ready& aReady,
+                                  const PoolCapacity& aPool,
+                                  TimePoint aNow) const
 {
   const Job& job = *aReady.mJob;
   const Duration target = job.mOutline.mTarget;
@@ -139,7 +141,10 @@
   demand.mPool = aPool.mNumber;
   demand.mRuns = SumRuns(job, aPool);
   demand.mNeeds = GetTaskShare(*aReady.mSpec, aPool) * aReady.mStage->mWaiting;
-  if (aReady.mSpec->mLongRunning)
+  const StageSpec& spec = *aReady.mSpec;
+  demand.mIsLimited =
+    !mTeamLimits.Allows(job.mSpec.mTeam, { spec.mMilliCores, spec.mMemoryMiB, spec.mAccelerators });
+  if (spec.mLongRunning)
     return demand;  // never late: it earns for as long as it runs
   demand.mRemaining = EstimateRoom(job, *aReady.mOccurrence, aPool);
   demand.mChain = EstimateRemaining(job, *aReady.mOccurrence);
--- a/src/policy/stage_order.cpp
+++ b/src/policy/stage_order.cpp
@@ -127,7 +127,7 @@
   for (const std::size_t n : aOrder) {
     const StageDemand& stage = aStages[n];
     Key& key = aKeys[n];
-    if (key.mProspect != Prospect::InTime)
+    if (key.mProspect != Prospect::InTime || stage.mIsLimited)
       continue;
     Backlog& backlog = pools[stage.mPool];
     if (backlog.mClass != std::pair(key.mPriority, key.mRank)) {
@@ -220,6 +220,7 @@
   std::size_t chosen = aStages.size();
   for (std::size_t n = 0; n < aStages.size(); ++n)
     if (aStages[n].mProspect != Prospect::InTime && !aStages[n].mHasTurn &&
+        !aStages[n].mIsLimited &&
         (chosen == aStages.size() || getKey(aStages[n]) < getKey(aStages[chosen])))
       chosen = n;
   return chosen;
--- a/src/policy/stage_order.h
+++ b/src/policy/stage_order.h
@@ -55,6 +55,7 @@
   std::uint32_t mPool = 0;      // of workers
   bool mIsRestart = false;      // of lasting tasks that ran before
   bool mHasTurn = false;        // see ChooseTurn
+  bool mIsLimited = false;      // waits for its team's limit: takes no capacity now
   std::uint32_t mPriority = 0;  // of its queue; 0 is the most urgent
   std::uint32_t mTeam = kNoTeam;
   Prospect mProspect = Prospect::InTime;
