--- a/src/fleet/config_check.cpp
+++ b/src/fleet/config_check.cpp
@@ -37,7 +37,7 @@
   return FormatNumber(std::chrono::duration<double, std::milli>(aTime).count()) + " ms";
 }
 
-std::string FormatLimit(std::uint64_t aLimit)
+std::string FormatLimit(std::int64_t aLimit)
 {
   return aLimit == 0 ? "none" : std::to_string(aLimit);
 }
@@ -183,8 +183,8 @@
 std::string Compare(const TeamConfig& aBefore, const TeamConfig& aAfter)
 {
   std::string list;
-  const ResourceLimit& before = aBefore.mLimit;
-  const ResourceLimit& after = aAfter.mLimit;
+  const TeamResources& before = aBefore.mLimit;
+  const TeamResources& after = aAfter.mLimit;
   AddDifference(list, "weight", FormatNumber(aBefore.mWeight), FormatNumber(aAfter.mWeight));
   AddDifference(
     list, "limit of milli-cores", FormatLimit(before.mMilliCores), FormatLimit(after.mMilliCores));
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -80,8 +80,8 @@
 {
   const std::vector<TeamConfig> teams = mConfig.mTeams;
   for (TeamConfig team : teams) {
-    const ResourceLimit& first = mTeamLimits[team.mName].mFirst;
-    const std::uint64_t halves = std::uint64_t{ 1 } << (mRandom() % 3);
+    const TeamResources& first = mTeamLimits[team.mName].mFirst;
+    const std::int64_t halves = std::int64_t{ 1 } << (mRandom() % 3);
     team.mLimit = { first.mMilliCores * halves / 2,
                     first.mMemoryMiB * halves / 2,
                     first.mAccelerators * halves / 2 };
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -192,9 +192,9 @@
   void DeliverStart(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt);
   void CheckStart(const Node& aNode, const StartOrder& aOrder, TimePoint aSentAt);
   void CheckTeamLimit(const StartOrder& aOrder, TimePoint aSentAt);
-  [[nodiscard]] std::uint64_t GetAllowedUse(const std::string& aTeam,
-                                            std::uint64_t ResourceLimit::*aResource,
-                                            TimePoint aSentAt) const;
+  [[nodiscard]] std::int64_t GetAllowedUse(const std::string& aTeam,
+                                           std::int64_t TeamResources::*aResource,
+                                           TimePoint aSentAt) const;
   void Acknowledge(Node& aNode, std::uint64_t aNumber);
   void RemoveEntry(const std::string& aId);
   void WriteEntry(const WorkerEntry& aEntry);
@@ -241,8 +241,8 @@
   TimePoint mQueueReplacedAt{};
   struct TeamLimits
   {
-    ResourceLimit mFirst{};                                     // before any fault
-    std::deque<std::pair<TimePoint, ResourceLimit>> mFormer{};  // may count for orders until then
+    TeamResources mFirst{};                                     // before any fault
+    std::deque<std::pair<TimePoint, TeamResources>> mFormer{};  // may count for orders until then
   };
   std::map<std::string, TeamLimits> mTeamLimits{};
   std::map<std::string, JobSpec> mJobs{};
--- a/tests/unit/fleet_model_workers.cpp
+++ b/tests/unit/fleet_model_workers.cpp
@@ -242,16 +242,16 @@
 
 // Returns how much tasks of a team may use, by the highest limit that may be in force for an order
 // sent at aSentAt; 0: unlimited.
-std::uint64_t FleetModel::GetAllowedUse(const std::string& aTeam,
-                                        std::uint64_t ResourceLimit::*aResource,
-                                        TimePoint aSentAt) const
+std::int64_t FleetModel::GetAllowedUse(const std::string& aTeam,
+                                       std::int64_t TeamResources::*aResource,
+                                       TimePoint aSentAt) const
 {
   const auto team = std::find_if(mConfig.mTeams.begin(),
                                  mConfig.mTeams.end(),
                                  [&](const TeamConfig& aItem) { return aItem.mName == aTeam; });
   if (team == mConfig.mTeams.end())
     return 0;
-  std::uint64_t highest = team->mLimit.*aResource;
+  std::int64_t highest = team->mLimit.*aResource;
   for (const auto& [until, limit] : mTeamLimits.at(aTeam).mFormer)
     if (aSentAt < until && highest != 0)
       highest = limit.*aResource == 0 ? 0 : std::max(highest, limit.*aResource);
@@ -264,8 +264,8 @@
 {
   const JobSpec* job = nullptr;
   const StageSpec* stage = FindStage(aOrder.mTask, &job);
-  const ResourceLimit added{ stage->mMilliCores, stage->mMemoryMiB, stage->mAccelerators };
-  ResourceLimit used = added;
+  const TeamResources added{ stage->mMilliCores, stage->mMemoryMiB, stage->mAccelerators };
+  TeamResources used = added;
   for (auto& [id, node] : mNodes) {
     if (!node.mUp)
       continue;
@@ -281,8 +281,8 @@
     }
   }
   for (const auto resource :
-       { &ResourceLimit::mMilliCores, &ResourceLimit::mMemoryMiB, &ResourceLimit::mAccelerators }) {
-    const std::uint64_t allowed = GetAllowedUse(job->mTeam, resource, aSentAt);
+       { &TeamResources::mMilliCores, &TeamResources::mMemoryMiB, &TeamResources::mAccelerators }) {
+    const std::int64_t allowed = GetAllowedUse(job->mTeam, resource, aSentAt);
     if (allowed != 0 && used.*resource > allowed + allowed / 10 + added.*resource)
       ReportViolation("over the limit of a team: " + job->mTeam + " with " + aOrder.mTask + ", " +
                       std::to_string(used.*resource) + " of " + std::to_string(allowed));
