Refusals by the age of an outage, relays through members, and hopeless jobs

Cause: a refusal always said 2 s; a process whose holder could not serve a job either refused it though another member was served; a repeat of a stored job was refused while the store was away; a team's job that had no chance was stored and waited.

Change: the Retry-After follows the outage's age and spreads crowds (policy/return_time); RelayJob also goes through a member that the store has served since it failed this process, and the holder answers for jobs it knows (entry_refusals). The holder publishes a load summary with its poll replies (scheduler_load); an entry process refuses, before the job is stored and after a read that finds no such job, what can't be done by the most favourable estimate (policy/refusal).

Ruled out: holding last tries for the store's return.

Tests: with DecideRefusal returning None at once 'refusal: of many times ...' and three others fail.

--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration kProbeInterval = milliseconds(150);
+constexpr Duration kTallyAge = milliseconds(500);       // until members are asked again
 constexpr Duration kProbeDeadline = milliseconds(700);  // a slow store takes some 400 ms
 constexpr std::size_t kMaxConcurrentProbes = 5;  // kProbeDeadline / kProbeInterval, rounded up
 constexpr Duration kSettingsInterval = seconds(1);
@@ -130,8 +131,11 @@
       mTally.reset();
       continue;
     }
-    if (IsStoreDown() && !IsHolder() && mHolderFailingSince)
+    const bool isTallyOld = BootClock::now() - mTalliedAt > kTallyAge;
+    if (IsStoreDown() && !IsHolder() && (mHolderFailingSince || isTallyOld)) {
       mTally = co_await ProbeMembers(0);
+      mTalliedAt = BootClock::now();
+    }
     // An unresponsive store delays each call until its deadline, so probes overlap.
     if (mPendingProbes < kMaxConcurrentProbes)
       asio::co_spawn(mContext, ProbeStoreOnce(), asio::detached);
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <deque>
 #include <memory>
 #include <random>
 
@@ -11,6 +12,7 @@
 #include "fleet/settings.h"
 #include "http/server.h"
 #include "observe/metrics.h"
+#include "policy/return_time.h"
 
 namespace monsoon::fleet {
 
@@ -38,6 +40,7 @@
     std::size_t mAnswered = 0;
     std::size_t mReachHolder = 0;
     std::size_t mServedByStore = 0;
+    std::vector<HttpAddress> mServedMembers{};  // by the store, since it failed this process
   };
 
   // Callers
@@ -63,7 +66,15 @@
   Async<void> ProbeStoreOnce();
   [[nodiscard]] bool IsStoreDown() const;
   [[nodiscard]] bool IsIsolated() const;
-  [[nodiscard]] HttpResponse MakeRefusal(http::status aStatus) const;
+  // Refusals
+  [[nodiscard]] OutageView ViewOutage() const;
+  HttpResponse MakeRefusal(http::status aStatus);
+  Async<Result<void>> RelayJob(std::string aId, std::string aValue);
+  Async<Result<void>> StoreThroughMember(HttpAddress aMember, std::string aId, std::string aBody);
+  Async<HttpResponse> StoreRelayed(SubmitRequest aJob);
+  RefusalDecision JudgeJob(const JobSpec& aSpec);
+  Async<bool> MayBeStored(std::string aId);
+  HttpResponse MakeHopelessRefusal(const JobSpec& aSpec, const RefusalDecision& aRefusal);
   // Store and election
   Async<std::optional<platform::StorePage>> ReadChanges(std::string aPrefix,
                                                         std::uint64_t& aRevision);
@@ -98,6 +109,10 @@
   std::optional<TimePoint> mHolderFailingSince{};  // first failed call since its last answer
   std::vector<HttpAddress> mMembers{};             // a sample, from the holder's last poll reply
   std::optional<ProbeTally> mTally{};  // set while the store does not serve this process
+  TimePoint mTalliedAt{};              // when mTally was last taken
+  std::deque<TimePoint> mRefusedAt{};  // recent refusals
+  LoadSummary mLoad{};                 // as last published by the holder
+  TimePoint mLoadAt{};                 // when it was received
   std::size_t mPendingProbes = 0;      // calls of ProbeStoreOnce in progress
   bool mStopping = false;
   const TimePoint mStartedAt = BootClock::now();
--- a/src/fleet/entry_callers.cpp
+++ b/src/fleet/entry_callers.cpp
@@ -47,7 +47,7 @@
 Async<HttpResponse> Entry::HandleCaller(HttpRequest aRequest)
 {
   if (mConfig.mVersion == 0)
-    co_return MakeEmptyResponse(http::status::service_unavailable);
+    co_return MakeRefusal(http::status::service_unavailable);
   const std::string target(aRequest.target());
   const std::string host(aRequest[http::field::host]);
   const std::string_view path = GetPath(target);
@@ -105,6 +105,12 @@
   spec->mService = aQueue.mService;
   spec->mTerms = aQueue;  // a later configuration may not have this queue
   spec->mAcceptedMs = ReadWallMillis();
+  const RefusalDecision refusal = JudgeJob(*spec);
+  if (refusal.mReason != RefusalReason::None) {
+    const bool isRepeat = co_await MayBeStored(aId);
+    if (!isRepeat)
+      co_return MakeHopelessRefusal(*spec, refusal);
+  }
   const std::string value = EncodeMessage(*spec);
   bool mayBeStored = false;
   std::string why;
@@ -114,11 +120,6 @@
     Result<bool> stored = MakeFailure(FailureKind::StoreUnavailable, "the store is unavailable");
     if (!IsStoreDown())
       stored = co_await StoreJob(aId, value, left);
-    if (!stored && IsIsolated() && !mayBeStored &&
-        stored.error().mKind == FailureKind::StoreUnavailable) {
-      why = "this process is isolated";
-      break;
-    }
     if (stored) {
       Log(LogPart::Request,
           LogLevel::Info,
@@ -138,16 +139,10 @@
     }
     mayBeStored = mayBeStored || stored.error().mKind == FailureKind::WriteUnknown;
     why = stored.error().mDetail;
-    if (!IsHolder()) {
-      // The store may be unavailable to this process only.
-      const SubmitRequest relay{ aId, value };
-      auto relayed = co_await CallHolder("/submit", EncodeMessage(relay), kPeerDeadline);
-      if (relayed) {
-        Log(LogPart::Request, LogLevel::Info, "accepted through the holder", { { "job", aId } });
-        co_return MakeJsonResponse(http::status::ok, "{}");
-      }
-      mayBeStored = mayBeStored || relayed.error().mKind != FailureKind::StoreUnavailable;
-    }
+    auto relayed = co_await RelayJob(aId, value);
+    if (relayed)
+      co_return MakeJsonResponse(http::status::ok, "{}");
+    mayBeStored = mayBeStored || relayed.error().mKind != FailureKind::StoreUnavailable;
     if (!mayBeStored || IsIsolated())
       break;  // the job can't have run: the caller may try another process at once
     co_await Sleep(milliseconds(50));
@@ -238,31 +233,4 @@
   co_return MakeJsonResponse(http::status::ok, platform::FormatPending(*pending));
 }
 
-// Returns whether this process is partitioned: neither the store nor the holder serves it, and the
-// store serves other members or most members don't answer either. If most members answer and the
-// store serves none of them, the store is down.
-bool Entry::IsIsolated() const
-{
-  if (!IsStoreDown() || IsHolder())
-    return false;
-  const bool isHolderUnresponsive =
-    mHolderFailingSince && BootClock::now() - *mHolderFailingSince > kStoreDownAfter;
-  if (mView.mRecord && !isHolderUnresponsive)
-    return false;
-  if (!mTally || mTally->mAsked == 0)
-    return true;
-  const bool areMostUnresponsive = 2 * mTally->mAnswered < mTally->mAsked;
-  return mTally->mServedByStore > 0 || areMostUnresponsive;
-}
-
-// Makes a response whose Retry-After is long enough for an outage of the store, which lasts
-// seconds: a caller that retries too early uses up its retries. An isolated process sends callers
-// to another process at once.
-HttpResponse Entry::MakeRefusal(http::status aStatus) const
-{
-  HttpResponse response(aStatus, 11);
-  response.set(http::field::retry_after, IsIsolated() ? "0" : kRetryAfterOutage);
-  return response;
-}
-
 }  // namespace monsoon::fleet
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -73,11 +73,18 @@
       co_return MakeEmptyResponse(http::status::bad_request);
     ProbeReply reply;
     reply.mStoreServes = !IsStoreDown();
+    reply.mStoreServedAgoMs = (BootClock::now() - mStore.GetServedAt()) / milliseconds(1);
     reply.mHolder = mView.mRecord.value_or(HolderRecord{});
     if (request->mEpoch != 0)
       reply.mHolderAnswers = co_await PingHolder(request->mHolder, request->mEpoch);
     co_return answer(EncodeMessage(reply));
   }
+  if (path == "/store") {
+    auto request = DecodeMessage<SubmitRequest>(aRequest.body());
+    if (!request)
+      co_return MakeEmptyResponse(http::status::bad_request);
+    co_return co_await StoreRelayed(std::move(*request));
+  }
   if (!IsHolder())
     co_return MakeEmptyResponse(http::status::misdirected_request);
   auto holder = mHolder;
@@ -115,15 +122,7 @@
     auto request = DecodeMessage<SubmitRequest>(aRequest.body());
     if (!request)
       co_return MakeEmptyResponse(http::status::bad_request);
-    if (IsStoreDown())
-      co_return MakeEmptyResponse(http::status::service_unavailable);
-    auto stored = co_await StoreJob(request->mId, request->mValue, kStoreWriteDeadline);
-    if (!stored)
-      co_return MakeEmptyResponse(stored.error().mKind == FailureKind::WriteUnknown
-                                    ? http::status::gateway_timeout
-                                    : http::status::service_unavailable);
-    holder->OnJobAccepted(request->mId, request->mValue);
-    co_return answer({});
+    co_return co_await StoreRelayed(std::move(*request));
   }
   if (path == "/accepted") {
     auto job = DecodeMessage<SubmitRequest>(aRequest.body());
@@ -199,6 +198,8 @@
     }
     if (!reply->mMembers.empty())
       mMembers = reply->mMembers;
+    mLoad = std::move(reply->mLoad);
+    mLoadAt = BootClock::now();
     if (reply->mRequestsLeaseEnd && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
       // The holder can't reach the store to end its lease itself.
       co_await EndHolderLease(mView.mRecord->mLease);
@@ -244,7 +245,7 @@
 {
   HttpRequest request(http::verb::post, "/probe", 11);
   request.body() = std::move(aProbe);
-  auto response = co_await mClient.Call(std::move(aAddress), std::move(request), kProbeDeadline);
+  auto response = co_await mClient.Call(aAddress, std::move(request), kProbeDeadline);
   if (!response || response->result() != http::status::ok)
     co_return;
   auto reply = DecodeMessage<ProbeReply>(response->body());
@@ -258,6 +259,12 @@
   ++aTally->mAnswered;
   aTally->mReachHolder += reply->mHolderAnswers ? 1 : 0;
   aTally->mServedByStore += reply->mStoreServes ? 1 : 0;
+  // A member that sends few calls notices an outage late; only a call that it sent after the store
+  // failed this process shows that the store serves it.
+  const auto failingSince = mStore.GetFailingSince();
+  const TimePoint servedAt = BootClock::now() - milliseconds(reply->mStoreServedAgoMs);
+  if (reply->mStoreServes && failingSince && servedAt > *failingSince)
+    aTally->mServedMembers.push_back(aAddress);
   if (reply->mHolder.mEpoch > mView.mNewestEpoch && !IsHolder()) {
     Log(LogPart::Ownership,
         LogLevel::Info,
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -314,6 +314,14 @@
   }
 }
 
+// Jobs are added only once they are stored.
+bool Holder::KnowsJob(const std::string& aId, std::string_view aSpec) const
+{
+  const Job* job = mSteppedDown ? nullptr : mScheduler.FindJob(aId);
+  const auto spec = DecodeMessage<JobSpec>(aSpec);
+  return job && spec && job->mSpec.mTeam == spec->mTeam;
+}
+
 std::optional<std::size_t> Holder::CountPending(const std::string& aQueue) const
 {
   if (mSteppedDown || !mLoaded)
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -62,8 +62,11 @@
 
   // Calls by this entry process and by members
   Async<StateReply> GetState(std::string aId);
+  // Returns whether the job of an encoded JobSpec is known to be stored, for the same team.
+  [[nodiscard]] bool KnowsJob(const std::string& aId, std::string_view aSpec) const;
   [[nodiscard]] std::optional<std::size_t> CountPending(const std::string& aQueue) const;
   Async<PollReply> Poll(PollRequest aRequest);
+  [[nodiscard]] const LoadSummary& GetLoad();  // made lately
   [[nodiscard]] std::vector<HttpAddress> SampleMembers(const std::string& aExcept);
   void OnJobCancelled(const std::string& aId);
   void OnJobAccepted(const std::string& aId, std::string_view aValue);
@@ -178,6 +181,8 @@
   HolderGrant mGrant{};
   Scheduler mScheduler;
   FleetConfig mConfig{};
+  LoadSummary mLoad{};
+  TimePoint mLoadAt{};  // when mLoad was made
   bool mSteppedDown = false;
   bool mLoaded = false;
   bool mStoring = false;                  // StoreBatch is running
--- a/src/fleet/holder_advice.cpp
+++ b/src/fleet/holder_advice.cpp
@@ -113,6 +113,17 @@
   return addresses;
 }
 
+// Returns a summary of the load that is at most kLoadInterval old.
+const LoadSummary& Holder::GetLoad()
+{
+  const TimePoint now = BootClock::now();
+  if (now - mLoadAt > kLoadInterval) {
+    mLoad = mLoaded ? mScheduler.SummarizeLoad(mConfig.mTeams, now) : LoadSummary{};
+    mLoadAt = now;
+  }
+  return mLoad;
+}
+
 Async<PollReply> Holder::Poll(PollRequest aRequest)
 {
   auto self = shared_from_this();
@@ -137,6 +148,7 @@
   Member& current = mMembers[aRequest.mName];
   reply.mRequestsLeaseEnd = mRequestsLeaseEnd;
   reply.mMembers = SampleMembers(aRequest.mName);
+  reply.mLoad = GetLoad();
   if (current.mWaiting.get() != ownTimer)
     co_return reply;  // a newer poll of this member replaced this one
   if (current.mOrder)
--- a/src/fleet/holder_impl.h
+++ b/src/fleet/holder_impl.h
@@ -26,6 +26,7 @@
 inline constexpr Duration kPlanInterval = milliseconds(50);  // while no event wakes the planner
 // Longest time that the holder keeps a member's poll open; a member detects an unresponsive holder
 // by a late answer.
+inline constexpr Duration kLoadInterval = milliseconds(250);  // between summaries of the load
 inline constexpr Duration kPollWait = milliseconds(400);
 inline constexpr Duration kMemberAge = seconds(3);  // since its last poll; then it may be down
 
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cereal/archives/binary.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
@@ -21,6 +22,7 @@
 #include "core/errors.h"
 #include "fleet/model.h"
 #include "http/client.h"
+#include "policy/refusal.h"
 
 namespace monsoon {
 
@@ -30,6 +32,30 @@
   aArchive(aAddress.mHost, aAddress.mPort);
 }
 
+template<class Archive>
+void serialize(Archive& aArchive, CapacityLimit& aLimit)
+{
+  aArchive(aLimit.mMilliCores, aLimit.mMemoryMiB, aLimit.mAccelerators);
+}
+
+template<class Archive>
+void serialize(Archive& aArchive, PoolCapacity& aPool)
+{
+  aArchive(aPool.mPool, aPool.mMilliCores, aPool.mLargest);
+}
+
+template<class Archive>
+void serialize(Archive& aArchive, TeamBacklog& aBacklog)
+{
+  aArchive(aBacklog.mPool, aBacklog.mTeam, aBacklog.mPriority, aBacklog.mWork);
+}
+
+template<class Archive>
+void serialize(Archive& aArchive, LoadSummary& aLoad)
+{
+  aArchive(aLoad.mPools, aLoad.mBacklogs);
+}
+
 }  // namespace monsoon
 
 namespace monsoon::fleet {
@@ -188,12 +214,15 @@
   std::vector<AdviceOrder> mOrders{};   // at most one
   std::vector<HttpAddress> mMembers{};  // a random sample of other members
   bool mRequestsLeaseEnd = false;       // the receiver is to end the holder's lease in the store
+  LoadSummary mLoad{};                  // by which the receiver refuses jobs
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mOrders, mMembers, mRequestsLeaseEnd);
   }
+  void SerializeAdded(auto& aArchive) { aArchive(mLoad); }
+  void SerializeAdded(auto& aArchive) const { aArchive(mLoad); }
 };
 
 // Probe
@@ -214,12 +243,16 @@
   bool mHolderAnswers = false;  // a ping by the probed member
   bool mStoreServes = false;    // calls of the probed member
   HolderRecord mHolder{};       // as known to the probed member; epoch 0: none
+  // Since the probed member sent the newest call that the store served. Earlier releases don't say.
+  std::int64_t mStoreServedAgoMs = 3'600'000;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mHolderAnswers, mStoreServes, mHolder);
   }
+  void SerializeAdded(auto& aArchive) { aArchive(mStoreServedAgoMs); }
+  void SerializeAdded(auto& aArchive) const { aArchive(mStoreServedAgoMs); }
 };
 
 // Queries
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -15,10 +15,12 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 
 #include "fleet/scheduler_state.h"
+#include "policy/refusal.h"
 
 namespace monsoon::fleet {
 
@@ -82,6 +84,10 @@
   Unknown            // no answer: the task may have started, or may start later
 };
 
+// Load
+// Returns what decides whether the job is refused. It refers to aSpec.
+[[nodiscard]] JobDemand MakeDemand(const JobSpec& aSpec);
+
 // Scheduler
 class Scheduler
 {
@@ -155,6 +161,11 @@
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
 
+  // Load
+  // Returns what entry processes refuse jobs by. Empty while tasks of earlier holders may run, and
+  // without teams.
+  [[nodiscard]] LoadSummary SummarizeLoad(std::span<const TeamConfig> aTeams, TimePoint aNow) const;
+
   // Orders
   // Returns whether a planned start is still to be sent: its task may have ended elsewhere, or its
   // worker may have become unresponsive or announced its shutdown, while the order waited for its
@@ -298,6 +309,7 @@
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(Orders& aOrders);
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
+  void AddBacklog(const Job& aJob, TimePoint aNow, LoadSummary& aLoad) const;
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
 
