A probed member asks the store whether it serves it; a test of relays through members

Cause: a member that sends few calls answered that the store serves it by a call of up to 2 s ago, so a process cut off with the holder found no member to relay through before the holder was replaced.

--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "fleet/entry_impl.h"
+#include "fleet/keys.h"
 #include "observe/log.h"
 
 namespace monsoon::fleet {
@@ -11,6 +12,7 @@
 constexpr Duration kPollDeadline = milliseconds(700);   // the holder keeps a poll open for 400 ms
 constexpr Duration kProbeDeadline = milliseconds(350);  // includes a ping of the holder
 constexpr std::size_t kMembersToProbe = 3;
+constexpr Duration kServedFor = milliseconds(200);  // an answer of the store shows that it serves
 
 }  // namespace
 
@@ -72,6 +74,10 @@
     if (!request)
       co_return MakeEmptyResponse(http::status::bad_request);
     ProbeReply reply;
+    // A member that sends few calls notices an outage late.
+    if (request->mEpoch == 0 && !IsStoreDown() &&
+        BootClock::now() - mStore.GetServedAt() > kServedFor)
+      co_await mStore.Get(std::string(kHolderKey), kPingDeadline);
     reply.mStoreServes = !IsStoreDown();
     reply.mStoreServedAgoMs = (BootClock::now() - mStore.GetServedAt()) / milliseconds(1);
     reply.mHolder = mView.mRecord.value_or(HolderRecord{});
@@ -259,8 +265,7 @@
   ++aTally->mAnswered;
   aTally->mReachHolder += reply->mHolderAnswers ? 1 : 0;
   aTally->mServedByStore += reply->mStoreServes ? 1 : 0;
-  // A member that sends few calls notices an outage late; only a call that it sent after the store
-  // failed this process shows that the store serves it.
+  // Only a call that the member sent after the store failed this process shows that it is served.
   const auto failingSince = mStore.GetFailingSince();
   const TimePoint servedAt = BootClock::now() - milliseconds(reply->mStoreServedAgoMs);
   if (reply->mStoreServes && failingSince && servedAt > *failingSince)
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -197,6 +197,42 @@
   CheckJob(fleet, job, milliseconds(1000));  // a relayed write and a job of 50 ms
 }
 
+TEST_CASE(
+  "a job is stored through a member while the store serves neither its process nor the holder",
+  "[entry]")
+{
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(context, {}, std::vector<double>(5, 1.0), "entry-relay");
+  std::size_t other = 0;
+  const auto isRelayed = [&] {
+    return fleet.ReadLog(other).find("accepted through a member") != std::string::npos;
+  };
+  RunScript(context, [&]() -> Async<void> {
+    if (!co_await RunOneJob(fleet, "00000000000000d3", ListProcesses(fleet)))
+      co_return;
+    co_await Sleep(seconds(1));  // members learn of each other by their polls
+    const std::size_t holder = FindHolder(fleet);
+    if (holder == fleet.Count())
+      co_return;
+    other = (holder + 1) % fleet.Count();
+    testing::LinkFaults faults;
+    faults.mCut = true;
+    fleet.Get(holder).mStoreLink->SetFaults(faults);
+    fleet.Get(other).mStoreLink->SetFaults(faults);
+    // Until the holder is replaced, which then stores the job itself.
+    for (std::size_t n = 0; n < 20 && !isRelayed(); ++n) {
+      co_await Sleep(milliseconds(50));
+      const std::string id = "000000000000d4" + std::to_string(10 + n);
+      fleet.GetPlatform().RegisterJob(id, { standin::StandinStage{ 1, 1000, {} } });
+      co_await fleet.Call(other, http::verb::post, "/q/" + id, kOneTask);
+    }
+    fleet.Get(holder).mStoreLink->SetFaults({});
+    fleet.Get(other).mStoreLink->SetFaults({});
+  });
+  CHECK(isRelayed());
+  CHECK(fleet.GetPlatform().ReadViolations().empty());
+}
+
 TEST_CASE("small processes hand over to the largest within two elections", "[entry]")
 {
   asio::io_context context{ 1 };
