--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -47,6 +47,8 @@
     co_return MakeFailure(FailureKind::StoreUnavailable, "the process no longer holds the lease");
   if (response->result() == http::status::service_unavailable)
     co_return MakeFailure(FailureKind::StoreUnavailable, "the holder can't serve the request");
+  if (response->result() == http::status::conflict)
+    co_return MakeFailure(FailureKind::Conflict, "the holder refused the request");
   if (response->result() != http::status::ok)
     co_return MakeFailure(FailureKind::PeerUnknown, std::to_string(response->result_int()));
   co_return std::move(response->body());
@@ -69,6 +71,8 @@
     co_return answer(EncodeMessage(ResignReply{ static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(GetQuietTime()).count()) }));
   }
+  if (path == "/config")
+    co_return answer(mConfigText);
   if (path == "/probe") {
     auto request = DecodeMessage<ProbeRequest>(aRequest.body());
     if (!request)
@@ -145,10 +149,11 @@
     co_return answer({});
   }
   if (path == "/cancel") {
-    auto id = DecodeMessage<std::string>(aRequest.body());
-    if (!id)
+    auto request = DecodeMessage<CancelRequest>(aRequest.body());
+    if (!request)
       co_return MakeEmptyResponse(http::status::bad_request);
-    const HttpResponse response = co_await Cancel(std::move(*id), kStoreWriteDeadline);
+    const HttpResponse response =
+      co_await Cancel(std::move(request->mAccess), std::move(request->mId), kStoreWriteDeadline);
     if (response.result() == http::status::gone)
       co_return answer("gone");
     co_return response.result() == http::status::ok
@@ -168,6 +173,28 @@
         { { "what", aPath }, { "why", notified.error().mDetail } });
 }
 
+// Reads a newer configuration from the holder, unless the store delivers it until the next poll:
+// the store may not serve this process, and a key that was taken away must not work here for long.
+Async<void> Entry::CatchUpConfig(std::uint64_t aVersion)
+{
+  if (aVersion <= mConfig.mVersion) {
+    mAheadVersion = 0;
+    co_return;
+  }
+  if (mAheadVersion == 0) {
+    mAheadVersion = aVersion;
+    co_return;
+  }
+  auto text = co_await CallHolder("/config", {}, kPeerDeadline);
+  if (text)
+    ApplyConfig(*text, "holder");
+  else
+    Log(LogPart::Config,
+        LogLevel::Warn,
+        "a newer configuration could not be read from the holder",
+        { { "version", aVersion }, { "why", text.error().mDetail } });
+}
+
 Async<void> Entry::PollHolder()
 {
   std::vector<AdviceResult> results;
@@ -206,6 +233,7 @@
       mMembers = reply->mMembers;
     mLoad = std::move(reply->mLoad);
     mLoadAt = BootClock::now();
+    co_await CatchUpConfig(reply->mConfigVersion);
     if (reply->mRequestsLeaseEnd && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
       // The holder can't reach the store to end its lease itself.
       co_await EndHolderLease(mView.mRecord->mLease);
--- a/src/fleet/entry_refusals.cpp
+++ b/src/fleet/entry_refusals.cpp
@@ -120,6 +120,8 @@
   // An earlier release answers misdirected_request.
   if (status == http::status::service_unavailable || status == http::status::misdirected_request)
     co_return MakeFailure(FailureKind::StoreUnavailable, "the member can't store the job");
+  if (status == http::status::conflict)
+    co_return MakeFailure(FailureKind::Conflict, "another team has a job of this id");
   co_return MakeFailure(FailureKind::PeerUnknown, std::to_string(response->result_int()));
 }
 
@@ -133,6 +135,8 @@
   if (IsStoreDown())
     co_return MakeEmptyResponse(http::status::service_unavailable);
   auto stored = co_await StoreJob(aJob.mId, aJob.mValue, kStoreWriteDeadline);
+  if (!stored && stored.error().mKind == FailureKind::Conflict)
+    co_return MakeEmptyResponse(http::status::conflict);
   if (!stored)
     co_return MakeEmptyResponse(stored.error().mKind == FailureKind::WriteUnknown
                                   ? http::status::gateway_timeout
--- a/src/fleet/holder_advice.cpp
+++ b/src/fleet/holder_advice.cpp
@@ -147,6 +147,7 @@
   co_await ownTimer->async_wait(kNoThrow);
   Member& current = mMembers[aRequest.mName];
   reply.mRequestsLeaseEnd = mRequestsLeaseEnd;
+  reply.mConfigVersion = mConfig.mVersion;
   reply.mMembers = SampleMembers(aRequest.mName);
   reply.mLoad = GetLoad();
   if (current.mWaiting.get() != ownTimer)
