--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -15,11 +15,13 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 
 #include "fleet/scheduler_state.h"
 #include "fleet/team_limits.h"
+#include "policy/refusal.h"
 
 namespace monsoon::fleet {
 
@@ -99,6 +101,10 @@
 
 struct PoolCapacity;
 
+// Load
+// Returns what decides whether the job is refused. It refers to aSpec.
+[[nodiscard]] JobDemand MakeDemand(const JobSpec& aSpec);
+
 // Scheduler
 class Scheduler
 {
@@ -172,6 +178,11 @@
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
 
+  // Load
+  // Returns what entry processes refuse jobs by. Empty while tasks of earlier holders may run, and
+  // without teams.
+  [[nodiscard]] LoadSummary SummarizeLoad(std::span<const TeamConfig> aTeams, TimePoint aNow) const;
+
   // Orders
   // Returns whether a planned start is still to be sent: its task may have ended elsewhere, or its
   // worker may have become unresponsive or announced its shutdown, while the order waited for its
@@ -340,6 +351,8 @@
                                        TimePoint aNow) const;
   void CountWaiting(const std::vector<StageDemand>& aDemands, const std::vector<TeamUse>& aTeams);
   void GiveTurn(std::vector<Ready>& aReady, std::vector<StageDemand>& aDemands, TimePoint aNow);
+=======
+  void AddBacklog(const Job& aJob, TimePoint aNow, LoadSummary& aLoad) const;
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
 
