--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -346,12 +346,11 @@
   std::size_t FindUnansweredRuns(TimePoint aNow, TimePoint& aHeldUntil);
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
   void SortReady(std::vector<Ready>& aReady, TimePoint aNow);
-  [[nodiscard]] StageDemand MakeDemand(const Ready& aReady,
-                                       const PoolCapacity& aPool,
-                                       TimePoint aNow) const;
+  [[nodiscard]] StageDemand MakeStageDemand(const Ready& aReady,
+                                            const PoolCapacity& aPool,
+                                            TimePoint aNow) const;
   void CountWaiting(const std::vector<StageDemand>& aDemands, const std::vector<TeamUse>& aTeams);
   void GiveTurn(std::vector<Ready>& aReady, std::vector<StageDemand>& aDemands, TimePoint aNow);
-=======
   void AddBacklog(const Job& aJob, TimePoint aNow, LoadSummary& aLoad) const;
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
--- a/src/fleet/scheduler_order.cpp
+++ b/src/fleet/scheduler_order.cpp
@@ -125,9 +125,9 @@
 
 }  // namespace
 
-StageDemand Scheduler::MakeDemand(const Ready& aReady,
-                                  const PoolCapacity& aPool,
-                                  TimePoint aNow) const
+StageDemand Scheduler::MakeStageDemand(const Ready& aReady,
+                                       const PoolCapacity& aPool,
+                                       TimePoint aNow) const
 {
   const Job& job = *aReady.mJob;
   const Duration target = job.mOutline.mTarget;
@@ -198,7 +198,8 @@
   demands.reserve(aReady.size());
   for (const Ready& it : aReady) {
     const auto pool = pools.find(it.mService);
-    demands.push_back(MakeDemand(it, pool == pools.end() ? PoolCapacity{} : pool->second, aNow));
+    demands.push_back(
+      MakeStageDemand(it, pool == pools.end() ? PoolCapacity{} : pool->second, aNow));
     if (!mTeamWeights.empty())
       demands.back().mTeam = teams.Find(it.mJob->mSpec, mTeamWeights);
     Job& job = *it.mJob;
