--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -99,7 +99,7 @@
   Unknown            // no answer: the task may have started, or may start later
 };
 
-struct PoolCapacity;
+struct PoolTotal;
 
 // Load
 // Returns what decides whether the job is refused. It refers to aSpec.
@@ -347,7 +347,7 @@
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
   void SortReady(std::vector<Ready>& aReady, TimePoint aNow);
   [[nodiscard]] StageDemand MakeStageDemand(const Ready& aReady,
-                                            const PoolCapacity& aPool,
+                                            const PoolTotal& aPool,
                                             TimePoint aNow) const;
   void CountWaiting(const std::vector<StageDemand>& aDemands, const std::vector<TeamUse>& aTeams);
   void GiveTurn(std::vector<Ready>& aReady, std::vector<StageDemand>& aDemands, TimePoint aNow);
--- a/src/fleet/scheduler_order.cpp
+++ b/src/fleet/scheduler_order.cpp
@@ -7,7 +7,7 @@
 
 namespace monsoon::fleet {
 
-struct PoolCapacity  // of all listed workers of a service
+struct PoolTotal  // of all listed workers of a service
 {
   double mMilliCores = 0;
   double mMemoryMiB = 0;
@@ -20,17 +20,17 @@
 constexpr std::uint64_t kHopelessTurns =
   8;  // every n-th turn is one of hopeless jobs, if there are any
 
-using PoolCapacities = std::map<std::string_view, PoolCapacity>;
+using PoolTotals = std::map<std::string_view, PoolTotal>;
 
-PoolCapacities SumCapacities(const std::map<std::string, Worker>& aWorkers)
+PoolTotals SumPools(const std::map<std::string, Worker>& aWorkers)
 {
-  PoolCapacities pools;
+  PoolTotals pools;
   for (const auto& [id, worker] : aWorkers) {
     if (!worker.mListed)
       continue;
     const auto number = static_cast<std::uint32_t>(pools.size());
-    PoolCapacity& pool =
-      pools.try_emplace(worker.mEntry.mService, PoolCapacity{ .mNumber = number }).first->second;
+    PoolTotal& pool =
+      pools.try_emplace(worker.mEntry.mService, PoolTotal{ .mNumber = number }).first->second;
     pool.mMilliCores += worker.mEntry.mMilliCores;
     pool.mMemoryMiB += worker.mEntry.mMemoryMiB;
     pool.mAccelerators += worker.mEntry.mAccelerators;
@@ -39,7 +39,7 @@
 }
 
 // Returns which share of the pool one task of the stage takes.
-CapacityShare GetTaskShare(const StageSpec& aSpec, const PoolCapacity& aPool)
+CapacityShare GetTaskShare(const StageSpec& aSpec, const PoolTotal& aPool)
 {
   const auto divide = [](double aPart, double aAll) { return aAll > 0 ? aPart / aAll : 0; };
   return { divide(aSpec.mFiller ? 0 : aSpec.mMilliCores, aPool.mMilliCores),
@@ -53,7 +53,7 @@
 }
 
 // Returns what the running tasks of a job have.
-CapacityShare SumRuns(const Job& aJob, const PoolCapacity& aPool)
+CapacityShare SumRuns(const Job& aJob, const PoolTotal& aPool)
 {
   CapacityShare sum;
   for (const Occurrence& it : aJob.mOccurrences)
@@ -74,7 +74,7 @@
 }
 
 // Returns the capacity times seconds that the occurrence still takes.
-double EstimateRoom(const Job& aJob, const Occurrence& aOccurrence, const PoolCapacity& aPool)
+double EstimateRoom(const Job& aJob, const Occurrence& aOccurrence, const PoolTotal& aPool)
 {
   double sum = 0;
   for (std::size_t n = 0; n < aOccurrence.mStages.size(); ++n) {
@@ -126,7 +126,7 @@
 }  // namespace
 
 StageDemand Scheduler::MakeStageDemand(const Ready& aReady,
-                                       const PoolCapacity& aPool,
+                                       const PoolTotal& aPool,
                                        TimePoint aNow) const
 {
   const Job& job = *aReady.mJob;
@@ -188,7 +188,7 @@
 
 void Scheduler::SortReady(std::vector<Ready>& aReady, TimePoint aNow)
 {
-  const PoolCapacities pools = SumCapacities(mWorkers);
+  const PoolTotals pools = SumPools(mWorkers);
   TeamTable teams;
   if (!mTeamWeights.empty())
     for (const auto& [id, job] : mActive)
@@ -198,8 +198,7 @@
   demands.reserve(aReady.size());
   for (const Ready& it : aReady) {
     const auto pool = pools.find(it.mService);
-    demands.push_back(
-      MakeStageDemand(it, pool == pools.end() ? PoolCapacity{} : pool->second, aNow));
+    demands.push_back(MakeStageDemand(it, pool == pools.end() ? PoolTotal{} : pool->second, aNow));
     if (!mTeamWeights.empty())
       demands.back().mTeam = teams.Find(it.mJob->mSpec, mTeamWeights);
     Job& job = *it.mJob;
