--- a/src/policy/stage_order.h
+++ b/src/policy/stage_order.h
@@ -1,9 +1,8 @@
 // The order in which stages that wait for capacity get it. Performs no I/O and reads no clock.
 //
 // Load patterns that it answers:
-//   Overload   More work is due than there is capacity for. By due time alone, capacity goes to
-//   work
-//              that is already lost, and what is still in time becomes late behind it.
+//   Overload   More work is due than there is capacity for. By due time alone, capacity goes to what
+//              is already lost, and what is still in time becomes late behind it.
 //   Hot team   One team sends many times its usual. By due time alone, its surplus delays the jobs
 //              of all teams.
 #pragma once
