Scheduler: learns the speeds of workers, and places tasks by them

A trace on a copy (one line for each end of a run) shows that workers of kind b take 2.4 times as long as those of kind a, and that placement was blind to it. Policy calls, starts and reports cost 95, 22 and 20 ms a job.

Change: run times are compared within each completed stage, as estimates are wrong by factors, and give a factor for each worker with its kind as prior. Jobs with a due time prefer fast workers, lasting tasks slow ones; a job that is due late enough for slow workers takes them while fast ones run short. The same rank orders the workers that a policy call names. Where all workers are alike nothing changes.

--- a/src/fleet/holder_stats.cpp
+++ b/src/fleet/holder_stats.cpp
@@ -36,6 +36,9 @@
           { "stored_jobs", mStats.mStoredJobs },
           { "unstored_ends", backlog.mUnstoredEnds },
           { "unstored_jobs", backlog.mUnstoredJobs },
+          { "slow_workers", mScheduler.GetFleetSpeed().mSlowWorkers },
+          { "slow_factor", mScheduler.GetFleetSpeed().mSlow },
+          { "free_fast_percent", 100 * mScheduler.GetFleetSpeed().mFreeFast },
           { "max_loop_delay_ms", maxDelay } });
     mStats = {};
     maxDelay = {};
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -154,6 +154,7 @@
   void OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow);
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
+  [[nodiscard]] const FleetSpeed& GetFleetSpeed() const { return mFleetSpeed; }
 
   // Orders
   // Returns whether a planned start is still to be sent: its task may have ended elsewhere, or its
@@ -297,6 +298,11 @@
   void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow);
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(Orders& aOrders);
+  void RecordSpeed(const Worker& aWorker, const Run& aRun, TimePoint aNow);
+  void LearnSpeeds(StageRun& aStage, TimePoint aNow);
+  void RefreshSpeeds(TimePoint aNow);
+  void CountFreeFast();
+  [[nodiscard]] int RankWorker(const Worker& aWorker, const Ready& aReady) const;
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
@@ -331,6 +337,9 @@
   bool mHasEndedJob = false;
   std::uint64_t mNextAdvice = 1;
   bool mLastAdviceWithoutCapacity = false;          // the last policy call named full workers only
+  WorkerSpeeds mSpeeds{};
+  FleetSpeed mFleetSpeed{};
+  TimePoint mSpeedsAt{};                            // when they were last applied to the workers
   TimePoint mLastFastAdviceAt{};                    // last policy call that is not slow
   std::map<std::uint64_t, bool> mAdviceInFlight{};  // number of the call → whether it is a slow one
 };
--- a/src/fleet/scheduler_advice.cpp
+++ b/src/fleet/scheduler_advice.cpp
@@ -39,8 +39,10 @@
   const bool isSlow = aReady.mTerms->mAdviceBase >= kMinSlowAdvice;
   if (isSlow && aFreeSlow == 0)
     return true;
-  // -(free cores), worker; a slow worker counts as full.
-  std::vector<std::pair<std::int64_t, const std::string*>> candidates;
+  // Those with capacity first, then by speed, then the emptiest; a worker with stragglers counts as
+  // full.
+  using Score = std::tuple<bool, int, std::int64_t>;
+  std::vector<std::pair<Score, const std::string*>> candidates;
   std::size_t fitting = 0;
   const bool isFirst = stage.mTickets.empty() && stage.mExcluded.empty();
   for (const auto& [id, worker] : mWorkers) {
@@ -60,7 +62,8 @@
     fitting += fits ? 1 : 0;
     const std::int64_t freeCores =
       std::int64_t{ worker.mEntry.mMilliCores } - worker.mUsedMilliCores;
-    candidates.emplace_back(aNow < worker.mSlowUntil ? 0 : -freeCores, &id);
+    const bool isFull = !fits || aNow < worker.mSlowUntil;
+    candidates.emplace_back(Score(isFull, RankWorker(worker, aReady), -freeCores), &id);
   }
   if (candidates.empty() || (fitting == 0 && !aReady.mIsRestart))
     return true;
--- a/src/fleet/scheduler_ends.cpp
+++ b/src/fleet/scheduler_ends.cpp
@@ -50,6 +50,7 @@
   MarkDirty(aJob);
   if (aStage.mDone < aStage.mTasks.size())
     return;
+  LearnSpeeds(aStage, aNow);
   for (StageRun& it : aJob.mOccurrences[aRef.mOccurrence].mStages)
     it.mReadyAt = std::max(it.mReadyAt, aNow);
   CheckJobEnd(aJob, aNow);
@@ -68,6 +69,8 @@
   });
   const bool wasStopped = run != aWorker.mRuns.end() && run->mPhase == RunPhase::Stopping;
   const bool hasWorked = run != aWorker.mRuns.end() && run->mHasWorked;
+  if (run != aWorker.mRuns.end() && aRow.mKind == EndKind::Done)
+    RecordSpeed(aWorker, *run, aNow);
   if (run != aWorker.mRuns.end())
     DropRun(aWorker, static_cast<std::size_t>(run - aWorker.mRuns.begin()));
   if (!job) {
--- a/src/fleet/scheduler_outcomes.cpp
+++ b/src/fleet/scheduler_outcomes.cpp
@@ -49,6 +49,7 @@
       if (run->mPhase == RunPhase::Starting)
         run->mPhase = RunPhase::Running;
       run->mSentAt = aNow;
+      run->mStartedAt = aNow;
       if (!IsConfirmed(*run))
         run->mConfirmedAt = aNow;
       run->mProgressAt = aNow;
--- a/src/fleet/scheduler_pick.cpp
+++ b/src/fleet/scheduler_pick.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Added to the rank of workers far from a task's data, which takes half as long again there.
+constexpr int kRemoteRank = 1;
+
 template<class T>
 bool Contains(const std::vector<T>& aItems, const T& aItem)
 {
@@ -54,7 +57,7 @@
   ref.mIndex = static_cast<std::uint32_t>(&aTask - aReady.mStage->mTasks.data());
   const bool isSuspect = IsSuspect(aTask, ref);
   Worker* best = nullptr;
-  std::tuple<bool, bool, std::int64_t> bestScore;
+  std::tuple<bool, int, std::int64_t> bestScore;
   const auto consider = [&](const std::string& aId, Worker& aWorker) {
     if (!HasCapacity(aWorker, *aReady.mSpec) || !CanHost(aWorker, aReady, aNow))
       return;
@@ -68,11 +71,12 @@
                               (isSuspect && aWorker.mUnprovenCount > 0);
     const bool isFar =
       !aReady.mSpec->mDataRack.empty() && GetRack(aWorker) != aReady.mSpec->mDataRack;
+    const int rank = RankWorker(aWorker, aReady) + (isFar ? kRemoteRank : 0);
     const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } - aWorker.mUsedMilliCores -
                               aReady.mSpec->mMilliCores;
     // A filler goes where the most cores are free, any other task where the fewest are left (best
     // fit).
-    const std::tuple score(isLastChoice, isFar, aReady.mSpec->mFiller ? -left : left);
+    const std::tuple score(isLastChoice, rank, aReady.mSpec->mFiller ? -left : left);
     if (!best || score < bestScore) {
       best = &aWorker;
       bestScore = score;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -178,6 +178,8 @@
 {
   Orders orders;
   CountUnproven();
+  RefreshSpeeds(aNow);
+  CountFreeFast();
   if (aMayStart)
     PlanMoves(aNow);
   PlanStops(aNow, orders);
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -17,6 +17,7 @@
 #include "fleet/model.h"
 #include "policy/crash_budget.h"
 #include "policy/straggler.h"
+#include "policy/worker_speed.h"
 
 namespace monsoon::fleet {
 
@@ -56,6 +57,7 @@
   // that was requested later and does not list the run proves that it is gone.
   TimePoint mConfirmedAt{};
   TimePoint mSentAt{};       // when the start order was sent; later, when it was answered
+  TimePoint mStartedAt{};    // when the worker answered the start; zero: it did not
   TimePoint mStopSentAt{};   // zero: no stop order was sent
   TimePoint mStopAckedAt{};  // zero: no stop order was confirmed
   double mPercent = 0;
@@ -98,6 +100,7 @@
   std::set<std::uint64_t> mFailedGangRuns{};
   std::string mGangCheckpoint{};  // all members resume from the same checkpoint of any member
   TimePoint mGangBrokenAt{};      // since when a member is missing; zero: none is
+  std::vector<SpeedSample> mSamples{};  // its runs that tell how fast their workers are
 };
 
 struct Occurrence
@@ -211,6 +214,9 @@
   std::uint32_t mUnprovenCount = 0;
   std::uint32_t mSuspectCount = 0;
   std::uint32_t mUnsizedCount = 0;  // runs of unknown size; counted by each plan
+  // Run time of a task here, as a multiple of the fleet's mean, and its rank; see WorkerSpeeds.
+  double mRunTimeFactor = 1;
+  int mRunTimeRank = 0;
 };
 
 // Returns whether the directory lists the worker at an address where it has not answered.
--- a/src/fleet/scheduler_workers.cpp
+++ b/src/fleet/scheduler_workers.cpp
@@ -37,6 +37,7 @@
 std::map<std::string, Worker>::iterator Scheduler::EraseWorker(
   std::map<std::string, Worker>::iterator aIt)
 {
+  mSpeeds.Forget(aIt->first);
   mWorkersById.erase(aIt->first);
   return mWorkers.erase(aIt);
 }
@@ -162,6 +163,7 @@
     it.mStopSentAt = {};
     it.mStopAckedAt = {};
   }
+  mSpeeds.Forget(aWorker.mEntry.mId);
   aWorker.mBornMs = aReport.mBornMs;
   aWorker.mBornSeenAt = aNow;
   aWorker.mLastEnd = 0;
