Scheduler: tells stragglers from the other runs of their stage

Change: how long a task should take comes from the runs of its stage, ended or not, divided by the factors of their workers; from four runs on.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -204,6 +204,10 @@
 
 private:
   struct Ready;
+  struct SpeedCounts;
+  struct StageSpeed;
+  struct MeasuredRun;
+  using StageSpeeds = std::unordered_map<const StageRun*, StageSpeed>;
 
   Job* FindJobMutable(const std::string& aId);
   Task* FindTask(const TaskRef& aRef);
@@ -294,12 +298,16 @@
   void PlanStops(TimePoint aNow, Orders& aOrders);
   void PlanCopies(TimePoint aNow);
   void PlanMoves(TimePoint aNow);
+  std::vector<MeasuredRun> ListMeasuredRuns(StageSpeeds& aStages);
+  [[nodiscard]] Duration ExpectRunTime(const Run& aRun, std::vector<Duration> aWork) const;
+  void ReviewStraggler(const MeasuredRun& aRun, TimePoint aNow);
   void DetachRun(Run& aRun, Task& aTask);
   void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow);
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(Orders& aOrders);
+  [[nodiscard]] Duration GetWork(const SpeedSample& aRun) const;
   void RecordSpeed(const Worker& aWorker, const Run& aRun, TimePoint aNow);
-  void LearnSpeeds(StageRun& aStage, TimePoint aNow);
+  void LearnSpeeds(const Job& aJob, std::uint32_t aStage, StageRun& aRun, TimePoint aNow);
   void RefreshSpeeds(TimePoint aNow);
   void CountFreeFast();
   [[nodiscard]] int RankWorker(const Worker& aWorker, const Ready& aReady) const;
@@ -338,6 +346,7 @@
   std::uint64_t mNextAdvice = 1;
   bool mLastAdviceWithoutCapacity = false;          // the last policy call named full workers only
   WorkerSpeeds mSpeeds{};
+  EstimateErrors mEstimateErrors{};  // by image, or by queue and stage
   FleetSpeed mFleetSpeed{};
   TimePoint mSpeedsAt{};                            // when they were last applied to the workers
   TimePoint mLastFastAdviceAt{};                    // last policy call that is not slow
--- a/src/fleet/scheduler_ends.cpp
+++ b/src/fleet/scheduler_ends.cpp
@@ -50,7 +50,7 @@
   MarkDirty(aJob);
   if (aStage.mDone < aStage.mTasks.size())
     return;
-  LearnSpeeds(aStage, aNow);
+  LearnSpeeds(aJob, aRef.mStage, aStage, aNow);
   for (StageRun& it : aJob.mOccurrences[aRef.mOccurrence].mStages)
     it.mReadyAt = std::max(it.mReadyAt, aNow);
   CheckJobEnd(aJob, aNow);
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -45,6 +45,9 @@
   return std::max<Duration>(kMinEstimate, milliseconds(aSpec.mEstimateMs));
 }
 
+// Returns what the error of a stage's estimate depends on.
+[[nodiscard]] std::string GetEstimateKind(const Job& aJob, std::uint32_t aStage);
+
 // A lasting task runs again within this time after its worker crashed.
 inline constexpr Duration kMaxLastingAway = seconds(9);
 // From the release of a task to its next start: a slow policy call and the order.
--- a/src/fleet/scheduler_speed.cpp
+++ b/src/fleet/scheduler_speed.cpp
@@ -14,6 +14,20 @@
 
 }  // namespace
 
+std::string GetEstimateKind(const Job& aJob, std::uint32_t aStage)
+{
+  const std::string& image = aJob.mSpec.mStages[aStage].mImage;
+  return image.empty() ? aJob.mSpec.mQueue + "/" + std::to_string(aStage) : "image " + image;
+}
+
+// Returns how long the run would have taken on a worker with factor 1.
+Duration Scheduler::GetWork(const SpeedSample& aRun) const
+{
+  const auto worker = mWorkers.find(aRun.mWorker);
+  const double factor = worker == mWorkers.end() ? 1 : worker->second.mRunTimeFactor;
+  return std::chrono::duration_cast<Duration>(aRun.mRan / factor);
+}
+
 // Keeps the run time of a run that ended with success until its stage is done. A filler runs as
 // fast as others leave cores idle, a gang waits for its members, and a task that resumes from a
 // checkpoint has less to do.
@@ -28,10 +42,19 @@
   stage->mSamples.push_back({ aWorker.mEntry.mId, GetKind(aWorker), aNow - aRun.mStartedAt });
 }
 
-void Scheduler::LearnSpeeds(StageRun& aStage, TimePoint aNow)
+void Scheduler::LearnSpeeds(const Job& aJob,
+                            std::uint32_t aStage,
+                            StageRun& aRun,
+                            TimePoint aNow)
 {
-  mSpeeds.Observe(aStage.mSamples, aNow);
-  aStage.mSamples = {};
+  std::vector<Duration> work;
+  for (const SpeedSample& it : aRun.mSamples)
+    work.push_back(GetWork(it));
+  const StageSpec& spec = aJob.mSpec.mStages[aStage];
+  if (const Duration typical = EstimateStage(std::move(work)); typical > Duration::zero())
+    mEstimateErrors.Record(GetEstimateKind(aJob, aStage), GetProgressEstimate(spec), typical);
+  mSpeeds.Observe(aRun.mSamples, aNow);
+  aRun.mSamples = {};
 }
 
 // Applies what was learned to the workers.
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -16,6 +16,7 @@
 
 #include "fleet/model.h"
 #include "policy/crash_budget.h"
+#include "policy/estimate_error.h"
 #include "policy/straggler.h"
 #include "policy/worker_speed.h"
 
--- a/src/policy/worker_speed.cpp
+++ b/src/policy/worker_speed.cpp
@@ -17,6 +17,7 @@
 // A single run changes nothing by more than this factor: it may have stalled.
 constexpr double kMaxDeviation = 2.5;
 constexpr Duration kMinRun = milliseconds(20);  // shorter runs are measured too roughly
+constexpr std::size_t kMinStageRuns = 4;        // that a stage's work can be told from
 constexpr double kSlowFactor = 1.25;            // see IsSlowWorker
 constexpr double kRankStep = 1.5;               // run times that differ by less share a rank
 constexpr double kMinFreeFast = 1.0 / 3;        // below this share fast workers run short
@@ -88,7 +89,15 @@
     kind.Add(known + deviation, aNow, kKindHalfLife);
     mWorkers[it.mWorker].Add(known + deviation - kindFactor, aNow, kWorkerHalfLife);
   }
-  mObserved += aStage.size();
+}
+
+Duration EstimateStage(std::vector<Duration> aWork)
+{
+  if (aWork.size() < kMinStageRuns)
+    return Duration::zero();
+  const auto middle = aWork.begin() + static_cast<std::ptrdiff_t>(aWork.size() / 2);
+  std::nth_element(aWork.begin(), middle, aWork.end());
+  return *middle;
 }
 
 bool IsSlowWorker(double aFactor)
--- a/src/policy/worker_speed.h
+++ b/src/policy/worker_speed.h
@@ -5,7 +5,7 @@
 // runs are compared within their stage, never with the estimate.
 //
 // Index
-//   Learning    speeds of workers and of their kinds
+//   Learning    speeds of workers and of their kinds, work of stages
 //   Preference  which workers a stage is to run on
 #pragma once
 
@@ -39,7 +39,6 @@
                                         const std::string& aKind,
                                         TimePoint aNow) const;
   void Forget(const std::string& aWorker) { mWorkers.erase(aWorker); }
-  [[nodiscard]] std::size_t CountObserved() const { return mObserved; }
 
 private:
   struct Average  // of logarithms; its weight is halved in each half-life
@@ -57,9 +56,12 @@
 
   std::map<std::string, Average> mKinds{};    // logarithm of the factor
   std::map<std::string, Average> mWorkers{};  // the same, above that of the kind
-  std::size_t mObserved = 0;                  // runs
 };
 
+// Returns the run time of a stage's tasks on a worker with factor 1, from aWork: those of single
+// runs, divided by the factors of their workers. Zero if there are too few to tell.
+[[nodiscard]] Duration EstimateStage(std::vector<Duration> aWork);
+
 // Preference
 // Run time factors of workers are compared with their mean over the fleet, as factors of 1 mean
 // nothing by themselves.
