Tests: speeds of workers, errors of estimates, and short jobs on an uneven fleet

A worker's earlier runs count less beyond eight, so that one that turns slow is told within a few runs.

--- a/src/policy/worker_speed.cpp
+++ b/src/policy/worker_speed.cpp
@@ -12,10 +12,13 @@
 constexpr Duration kWorkerHalfLife = seconds(8);
 constexpr Duration kKindHalfLife = seconds(60);
 // The kind counts as much as this many runs of a worker, and 1 as much as these runs of a kind.
-constexpr double kKindWeight = 6;
+constexpr double kKindWeight = 4;
 constexpr double kUnknownWeight = 12;
+// Earlier runs count less and less beyond as many.
+constexpr double kMaxWorkerWeight = 8;
+constexpr double kMaxKindWeight = 500;
 // A single run changes nothing by more than this factor: it may have stalled.
-constexpr double kMaxDeviation = 2.5;
+constexpr double kMaxDeviation = 4;
 constexpr Duration kMinRun = milliseconds(20);  // shorter runs are measured too roughly
 constexpr std::size_t kMinStageRuns = 4;        // that a stage's work can be told from
 constexpr double kSlowFactor = 1.25;            // see IsSlowWorker
@@ -35,9 +38,13 @@
   return std::exp2(-std::max(0.0, passed) / std::chrono::duration<double>(aHalfLife).count());
 }
 
-void WorkerSpeeds::Average::Add(double aValue, TimePoint aNow, Duration aHalfLife)
+void WorkerSpeeds::Average::Add(double aValue,
+                                TimePoint aNow,
+                                Duration aHalfLife,
+                                double aMaxWeight)
 {
-  const double decay = GetDecay(aNow, aHalfLife);
+  const double decay =
+    std::min(GetDecay(aNow, aHalfLife), (aMaxWeight - 1) / std::max(mWeight, 1.0));
   mSum = mSum * decay + aValue;
   mWeight = mWeight * decay + 1;
   mAt = aNow;
@@ -86,8 +93,8 @@
     const double known = GetLogFactor(it.mWorker, it.mKind, aNow);
     Average& kind = mKinds[it.mKind];
     const double kindFactor = kind.mSum / (kind.mWeight + kUnknownWeight);
-    kind.Add(known + deviation, aNow, kKindHalfLife);
-    mWorkers[it.mWorker].Add(known + deviation - kindFactor, aNow, kWorkerHalfLife);
+    kind.Add(known + deviation, aNow, kKindHalfLife, kMaxKindWeight);
+    mWorkers[it.mWorker].Add(known + deviation - kindFactor, aNow, kWorkerHalfLife, kMaxWorkerWeight);
   }
 }
 
--- a/src/policy/worker_speed.h
+++ b/src/policy/worker_speed.h
@@ -46,7 +46,7 @@
     double mSum = 0;
     double mWeight = 0;
     TimePoint mAt{};
-    void Add(double aValue, TimePoint aNow, Duration aHalfLife);
+    void Add(double aValue, TimePoint aNow, Duration aHalfLife, double aMaxWeight);
     [[nodiscard]] double GetDecay(TimePoint aNow, Duration aHalfLife) const;
   };
 
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -73,6 +73,8 @@
   [[nodiscard]] std::size_t CountStarts(const std::string& aTask) const;
   [[nodiscard]] Scheduler& GetScheduler();
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
+  // Makes tasks run longer by these factors, by worker in turn. Those with one factor are of a kind.
+  void SetRunTimeFactors(const std::vector<double>& aFactors);
   // Makes each worker that starts this task crash; it restarts 3 s later, with a new id.
   void SetPoison(std::string aTask) { mPoison.insert(std::move(aTask)); }
   // Makes the worker that runs this task answer nothing for aTime, while its tasks go on.
@@ -106,6 +108,7 @@
     WorkerEntry mEntry{};
     bool mUp = true;
     std::uint32_t mLife = 0;  // tickets are valid for one
+    double mRunTimeFactor = 1;
     TimePoint mUnresponsiveUntil{};
     TimePoint mPartitionedUntil{};  // from the current holder
     TimePoint mStalledUntil{};
--- a/tests/unit/fleet_model_workers.cpp
+++ b/tests/unit/fleet_model_workers.cpp
@@ -241,6 +241,17 @@
 }
 
 // Carries out a start order on its worker.
+void FleetModel::SetRunTimeFactors(const std::vector<double>& aFactors)
+{
+  std::size_t n = 0;
+  for (auto& [id, node] : mNodes) {
+    node.mRunTimeFactor = aFactors[n++ % aFactors.size()];
+    node.mEntry.mLabels = { "kind-" + std::to_string(node.mRunTimeFactor) };
+    mDirectory[id] = node.mEntry;
+    mHolder->mScheduler->ListWorker(node.mEntry, true, mNow);
+  }
+}
+
 void FleetModel::DeliverStart(const StartOrder& aOrder, std::uint64_t aEpoch, TimePoint aSentAt)
 {
   auto found = mNodes.find(aOrder.mWorker);
@@ -274,8 +285,9 @@
   if (mPoison.contains(aOrder.mTask))
     Schedule(milliseconds(10), [this, id = aOrder.mWorker] { CrashUnderTask(id); });
   auto runTime = mRunTimes.find(job->mId);
-  const Duration planned =
+  const Duration nominal =
     runTime != mRunTimes.end() ? runTime->second : Duration(milliseconds(200 + mRandom() % 1500));
+  const auto planned = std::chrono::duration_cast<Duration>(nominal * node.mRunTimeFactor);
   Running it;
   it.mOrder = aOrder;
   it.mEnd = Happens(mFaults.mFailure) ? EndKind::Failed : EndKind::Done;
