Policy calls name as many workers as a stage needs

Cause: a first call named 60 workers, 51 ms for a short job's stage of which 27 are the call itself; half of the jobs started within 97 ms. Each ticket of the answer is looked at again for each task that is placed.

Change: a first call names workers, those with room and fast ones first, until they have room for three times the waiting tasks by the share that the queue's calls usually admit; 16 at least. Lasting stages and gangs, which may wait for room, name as many as before. Stragglers are looked for each 40 ms: speeds are measured over 250 ms or more.

--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -19,6 +19,7 @@
 #include <unordered_map>
 
 #include "fleet/scheduler_state.h"
+#include "policy/admitted_share.h"
 
 namespace monsoon::fleet {
 
@@ -310,7 +311,8 @@
   void LearnSpeeds(const Job& aJob, std::uint32_t aStage, StageRun& aRun, TimePoint aNow);
   void RefreshSpeeds(TimePoint aNow);
   void CountFreeFast();
-  [[nodiscard]] int RankWorker(const Worker& aWorker, const Ready& aReady) const;
+  // Of an order by Worker::mRunTimeRank, the fast ones first: 1, or -1 for the slow ones.
+  [[nodiscard]] int GetRankSign(const Ready& aReady) const;
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
@@ -344,10 +346,12 @@
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
   std::uint64_t mNextAdvice = 1;
-  bool mLastAdviceWithoutCapacity = false;          // the last policy call named full workers only
+  bool mLastAdviceWithoutCapacity = false;  // the last policy call named full workers only
   WorkerSpeeds mSpeeds{};
+  AdmittedShares mAdmittedShares{};  // of workers, in policy calls
   EstimateErrors mEstimateErrors{};  // by image, or by queue and stage
   FleetSpeed mFleetSpeed{};
+  TimePoint mMovesAt{};                             // when stragglers were last looked for
   TimePoint mSpeedsAt{};                            // when they were last applied to the workers
   TimePoint mLastFastAdviceAt{};                    // last policy call that is not slow
   std::map<std::uint64_t, bool> mAdviceInFlight{};  // number of the call → whether it is a slow one
--- a/src/fleet/scheduler_advice.cpp
+++ b/src/fleet/scheduler_advice.cpp
@@ -1,5 +1,6 @@
 // Scheduler: which workers a call of the policy service names, and the tickets that it returns.
 #include <algorithm>
+#include <limits>
 
 #include "fleet/scheduler_impl.h"
 
@@ -14,6 +15,27 @@
 constexpr Duration kAdviceRetryDelay = milliseconds(150);  // after a policy call that failed
 constexpr Duration kDefaultAdviceValid = seconds(1);       // if nothing states the validity
 
+// A first call names workers with room for this many times the waiting tasks, by the share usually
+// admitted, as other stages are told of the same room.
+constexpr double kRoomMargin = 3;
+constexpr std::size_t kMinNamed = 16;
+
+// Returns how many tasks of the stage the worker has room for.
+std::uint32_t CountRoom(const Worker& aWorker, const StageSpec& aSpec)
+{
+  const auto divide = [](std::uint32_t aAll, std::uint32_t aUsed, std::uint32_t aOne) {
+    return aOne == 0 ? std::numeric_limits<std::uint32_t>::max()
+                     : (aAll - std::min(aAll, aUsed)) / aOne;
+  };
+  const WorkerEntry& entry = aWorker.mEntry;
+  std::uint32_t room = divide(entry.mMemoryMiB, aWorker.mUsedMemoryMiB, aSpec.mMemoryMiB);
+  if (!aSpec.mFiller)
+    room = std::min(room, divide(entry.mMilliCores, aWorker.mUsedMilliCores, aSpec.mMilliCores));
+  room =
+    std::min(room, divide(entry.mAccelerators, aWorker.mUsedAccelerators, aSpec.mAccelerators));
+  return aSpec.mMaxPerWorker != 0 ? std::min(room, aSpec.mMaxPerWorker) : room;
+}
+
 // Returns whether an idle worker of this size has the capacity for a task.
 bool IsLargeEnough(const Worker& aWorker, const StageSpec& aSpec)
 {
@@ -42,7 +64,8 @@
   // Those with capacity first, then by speed, then the emptiest; a worker with stragglers counts as
   // full.
   using Score = std::tuple<bool, int, std::int64_t>;
-  std::vector<std::pair<Score, const std::string*>> candidates;
+  std::vector<std::pair<Score, const Worker*>> candidates;
+  const int rankSign = GetRankSign(aReady);
   std::size_t fitting = 0;
   const bool isFirst = stage.mTickets.empty() && stage.mExcluded.empty();
   for (const auto& [id, worker] : mWorkers) {
@@ -63,7 +86,7 @@
     const std::int64_t freeCores =
       std::int64_t{ worker.mEntry.mMilliCores } - worker.mUsedMilliCores;
     const bool isFull = !fits || aNow < worker.mSlowUntil;
-    candidates.emplace_back(Score(isFull, RankWorker(worker, aReady), -freeCores), &id);
+    candidates.emplace_back(Score(isFull, rankSign * worker.mRunTimeRank, -freeCores), &worker);
   }
   if (candidates.empty() || (fitting == 0 && !aReady.mIsRestart))
     return true;
@@ -78,15 +101,26 @@
                     candidates.begin() + static_cast<std::ptrdiff_t>(n),
                     candidates.end(),
                     [](const auto& aLeft, const auto& aRight) {
-                      return std::tie(aLeft.first, *aLeft.second) <
-                             std::tie(aRight.first, *aRight.second);
+                      return std::tie(aLeft.first, aLeft.second->mEntry.mId) <
+                             std::tie(aRight.first, aRight.second->mEntry.mId);
                     });
   candidates.resize(n);
+  // Each worker named makes the call longer. Lasting tasks and gangs may wait for room, and use all
+  // tickets then.
+  double room = 0;
+  if (isFirst && !aReady.mSpec->mLongRunning && !aReady.mSpec->mGang) {
+    const double wanted =
+      kRoomMargin * stage.mWaiting / mAdmittedShares.Get(aReady.mJob->mSpec.mQueue);
+    std::size_t named = 0;
+    while (named < n && (named < kMinNamed || room < wanted))
+      room += CountRoom(*candidates[named++].second, *aReady.mSpec);
+    candidates.resize(named);
+  }
   AdviceOrder order;
   order.mNumber = mNextAdvice++;
   order.mStage = FormatStage(aReady.mRef);
-  for (const auto& [left, id] : candidates)
-    order.mWorkers.push_back(*id);
+  for (const auto& [score, worker] : candidates)
+    order.mWorkers.push_back(worker->mEntry.mId);
   const Duration expected =
     aReady.mTerms->mAdviceBase + order.mWorkers.size() * aReady.mTerms->mAdvicePerWorker;
   order.mExpectedMs = std::chrono::duration_cast<milliseconds>(expected).count();
@@ -119,7 +153,9 @@
     stage->mAdviceRetryAt = aNow + kAdviceRetryDelay;
     return;
   }
-  const std::optional<QueueTerms>& terms = FindJob(ref.mJob)->mSpec.mTerms;
+  const Job& job = *FindJob(ref.mJob);
+  const std::optional<QueueTerms>& terms = job.mSpec.mTerms;
+  mAdmittedShares.Record(job.mSpec.mQueue, aOrder.mWorkers.size(), aAdmitted->size());
   if (aValid <= Duration::zero() && terms)  // the answer states no validity
     aValid = terms->mAdviceValid > Duration::zero() ? terms->mAdviceValid : kDefaultAdviceValid;
   for (const std::string& id : aOrder.mWorkers)
--- a/src/fleet/scheduler_moves.cpp
+++ b/src/fleet/scheduler_moves.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kMinSlowStageStragglers = 3;
 // With this many tasks of normal speed on a straggler's worker, the task is slow, not the worker.
 constexpr std::size_t kMinNormalRuns = 2;
+constexpr Duration kReviewInterval = milliseconds(40);  // speeds are measured over longer windows
 
 Duration Multiply(Duration aTime, double aFactor)
 {
@@ -130,8 +131,7 @@
   const Duration overhead =
     hasTarget ? kMoveOverhead : kMoveOverhead + terms->mAdviceBase + 30 * terms->mAdvicePerWorker;
   const double saved = spec.mCheckpointed && !spec.mSpeculative ? run.mProgress.mPercent : 0;
-  const Duration expected =
-    Multiply(aRun.mStage->mRunTime, hasTarget ? target->mRunTimeFactor : 1);
+  const Duration expected = Multiply(aRun.mStage->mRunTime, hasTarget ? target->mRunTimeFactor : 1);
   if (IsRestartSooner(run.mProgress, expected, saved, overhead))
     MoveTask(worker, run, *task, aNow);
 }
@@ -141,6 +141,9 @@
 // its stage has several stragglers and more of them than tasks of normal speed.
 void Scheduler::PlanMoves(TimePoint aNow)
 {
+  if (aNow - mMovesAt < kReviewInterval)
+    return;
+  mMovesAt = aNow;
   StageSpeeds stages;
   std::unordered_map<const Worker*, SpeedCounts> byWorker;
   std::vector<MeasuredRun> runs = ListMeasuredRuns(stages);
--- a/src/fleet/scheduler_pick.cpp
+++ b/src/fleet/scheduler_pick.cpp
@@ -56,6 +56,7 @@
   TaskRef ref = aReady.mRef;
   ref.mIndex = static_cast<std::uint32_t>(&aTask - aReady.mStage->mTasks.data());
   const bool isSuspect = IsSuspect(aTask, ref);
+  const int rankSign = GetRankSign(aReady);
   Worker* best = nullptr;
   std::tuple<bool, int, std::int64_t> bestScore;
   const auto consider = [&](const std::string& aId, Worker& aWorker) {
@@ -71,7 +72,7 @@
                               (isSuspect && aWorker.mUnprovenCount > 0);
     const bool isFar =
       !aReady.mSpec->mDataRack.empty() && GetRack(aWorker) != aReady.mSpec->mDataRack;
-    const int rank = RankWorker(aWorker, aReady) + (isFar ? kRemoteRank : 0);
+    const int rank = rankSign * aWorker.mRunTimeRank + (isFar ? kRemoteRank : 0);
     const std::int64_t left = std::int64_t{ aWorker.mEntry.mMilliCores } - aWorker.mUsedMilliCores -
                               aReady.mSpec->mMilliCores;
     // A filler goes where the most cores are free, any other task where the fewest are left (best
--- a/src/fleet/scheduler_speed.cpp
+++ b/src/fleet/scheduler_speed.cpp
@@ -42,10 +42,7 @@
   stage->mSamples.push_back({ aWorker.mEntry.mId, GetKind(aWorker), aNow - aRun.mStartedAt });
 }
 
-void Scheduler::LearnSpeeds(const Job& aJob,
-                            std::uint32_t aStage,
-                            StageRun& aRun,
-                            TimePoint aNow)
+void Scheduler::LearnSpeeds(const Job& aJob, std::uint32_t aStage, StageRun& aRun, TimePoint aNow)
 {
   std::vector<Duration> work;
   for (const SpeedSample& it : aRun.mSamples)
@@ -82,8 +79,7 @@
     slowSum += factors[n];
     ++mFleetSpeed.mSlowWorkers;
   }
-  mFleetSpeed.mSlow =
-    mFleetSpeed.mSlowWorkers > 0 ? slowSum / double(mFleetSpeed.mSlowWorkers) : 1;
+  mFleetSpeed.mSlow = mFleetSpeed.mSlowWorkers > 0 ? slowSum / double(mFleetSpeed.mSlowWorkers) : 1;
 }
 
 void Scheduler::CountFreeFast()
@@ -99,12 +95,11 @@
   mFleetSpeed.mFreeFast = all > used ? 1 - double(used) / double(all) : 0;
 }
 
-// Returns the rank of the worker's speed for a stage; lower is better.
-int Scheduler::RankWorker(const Worker& aWorker, const Ready& aReady) const
+int Scheduler::GetRankSign(const Ready& aReady) const
 {
   const SpeedNeed need =
     ChooseSpeedNeed(aReady.mSpec->mLongRunning, aReady.mTerms->mStretch, mFleetSpeed);
-  return need == SpeedNeed::Fast ? aWorker.mRunTimeRank : -aWorker.mRunTimeRank;
+  return need == SpeedNeed::Fast ? 1 : -1;
 }
 
 }  // namespace monsoon::fleet
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -99,8 +99,8 @@
   TimePoint mAdviceRetryAt{};         // earliest next policy call, after one that failed
   TimePoint mReadyAt{};               // when a stage of its occurrence last completed
   std::set<std::uint64_t> mFailedGangRuns{};
-  std::string mGangCheckpoint{};  // all members resume from the same checkpoint of any member
-  TimePoint mGangBrokenAt{};      // since when a member is missing; zero: none is
+  std::string mGangCheckpoint{};        // all members resume from the same checkpoint of any member
+  TimePoint mGangBrokenAt{};            // since when a member is missing; zero: none is
   std::vector<SpeedSample> mSamples{};  // its runs that tell how fast their workers are
 };
 
--- a/src/policy/estimate_error.cpp
+++ b/src/policy/estimate_error.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr double kMaxWeight = 200;  // earlier records count less and less beyond as many
-constexpr double kMinWeight = 8;    // records that a spread can be told from
+constexpr double kMaxWeight = 200;   // earlier records count less and less beyond as many
+constexpr double kMinWeight = 8;     // records that a spread can be told from
 constexpr double kDeviations = 1.6;  // exceeded by one in twenty
 constexpr std::size_t kMaxKinds = 1024;
 
--- a/src/policy/worker_speed.cpp
+++ b/src/policy/worker_speed.cpp
@@ -94,7 +94,8 @@
     Average& kind = mKinds[it.mKind];
     const double kindFactor = kind.mSum / (kind.mWeight + kUnknownWeight);
     kind.Add(known + deviation, aNow, kKindHalfLife, kMaxKindWeight);
-    mWorkers[it.mWorker].Add(known + deviation - kindFactor, aNow, kWorkerHalfLife, kMaxWorkerWeight);
+    mWorkers[it.mWorker].Add(
+      known + deviation - kindFactor, aNow, kWorkerHalfLife, kMaxWorkerWeight);
   }
 }
 
--- a/tests/unit/fleet_model.h
+++ b/tests/unit/fleet_model.h
@@ -73,7 +73,8 @@
   [[nodiscard]] std::size_t CountStarts(const std::string& aTask) const;
   [[nodiscard]] Scheduler& GetScheduler();
   void SetRunTime(std::string aJob, Duration aTime) { mRunTimes[std::move(aJob)] = aTime; }
-  // Makes tasks run longer by these factors, by worker in turn. Those with one factor are of a kind.
+  // Makes tasks run longer by these factors, by worker in turn. Those with one factor are of a
+  // kind.
   void SetRunTimeFactors(const std::vector<double>& aFactors);
   // Makes each worker that starts this task crash; it restarts 3 s later, with a new id.
   void SetPoison(std::string aTask) { mPoison.insert(std::move(aTask)); }
