--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -38,6 +38,9 @@
   std::optional<Duration> mOwnQuietTime{};
 };
 
+// A process with this many times the cores schedules instead.
+inline constexpr double kHandoverCoreRatio = 1.5;
+
 // Holder
 class Holder : public std::enable_shared_from_this<Holder>
 {
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -303,7 +303,7 @@
   [[nodiscard]] Duration ExpectRunTime(const Run& aRun, std::vector<Duration> aWork) const;
   void ReviewStraggler(const MeasuredRun& aRun, TimePoint aNow);
   void DetachRun(Run& aRun, Task& aTask);
-  void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow);
+  void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, Duration aExpected, TimePoint aNow);
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(Orders& aOrders);
   [[nodiscard]] Duration GetWork(const SpeedSample& aRun) const;
--- a/src/fleet/scheduler_moves.cpp
+++ b/src/fleet/scheduler_moves.cpp
@@ -48,7 +48,11 @@
   [[nodiscard]] Run& GetRun() const { return mWorker->mRuns[mRun]; }
 };
 
-void Scheduler::MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow)
+void Scheduler::MoveTask(Worker& aWorker,
+                         Run& aRun,
+                         Task& aTask,
+                         Duration aExpected,
+                         TimePoint aNow)
 {
   const StageSpec& spec = FindJob(aRun.mRef.mJob)->mSpec.mStages[aRun.mRef.mStage];
   ++aTask.mMoves;
@@ -67,6 +71,8 @@
         { "percent", aRun.mProgress.mPercent },
         { "percent_per_s", 1000 * aRun.mProgress.mPercentPerMs },
         { "estimate_ms", aRun.mEstimate },
+        { "expected_ms", aExpected },
+        { "factor", aWorker.mRunTimeFactor },
         { "seen_ago_ms", aNow - aRun.mProgress.mWindowStart } });
 }
 
@@ -133,7 +139,7 @@
   const double saved = spec.mCheckpointed && !spec.mSpeculative ? run.mProgress.mPercent : 0;
   const Duration expected = Multiply(aRun.mStage->mRunTime, hasTarget ? target->mRunTimeFactor : 1);
   if (IsRestartSooner(run.mProgress, expected, saved, overhead))
-    MoveTask(worker, run, *task, aNow);
+    MoveTask(worker, run, *task, expected, aNow);
 }
 
 // Moves stragglers off slow workers where a new run is expected to end sooner. A straggler is left
