--- a/src/fleet/holder_stats.cpp
+++ b/src/fleet/holder_stats.cpp
@@ -60,6 +60,9 @@
           { "waiting_hopeless", backlog.mWaitingHopeless },
           { "teams_above_share", backlog.mTeamsAboveShare },
           { "turns", backlog.mTurns },
+          { "slow_workers", mScheduler.GetFleetSpeed().mSlowWorkers },
+          { "slow_factor", mScheduler.GetFleetSpeed().mSlow },
+          { "free_fast_percent", 100 * mScheduler.GetFleetSpeed().mFreeFast },
           { "max_loop_delay_ms", maxDelay } });
     LogTeamsAtLimit();
     mStats = {};
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -21,6 +21,7 @@
 
 #include "fleet/scheduler_state.h"
 #include "fleet/team_limits.h"
+#include "policy/admitted_share.h"
 #include "policy/refusal.h"
 
 namespace monsoon::fleet {
@@ -177,6 +178,7 @@
   void OnReplaced(const std::string& aId, std::string_view aAddress, TimePoint aNow);
   [[nodiscard]] Worker* FindWorker(const std::string& aId);
   [[nodiscard]] const std::map<std::string, Worker>& GetWorkers() const { return mWorkers; }
+  [[nodiscard]] const FleetSpeed& GetFleetSpeed() const { return mFleetSpeed; }
 
   // Load
   // Returns what entry processes refuse jobs by. Empty while tasks of earlier holders may run, and
@@ -238,6 +240,10 @@
 
 private:
   struct Ready;
+  struct SpeedCounts;
+  struct StageSpeed;
+  struct MeasuredRun;
+  using StageSpeeds = std::unordered_map<const StageRun*, StageSpeed>;
 
   Job* FindJobMutable(const std::string& aId);
   Task* FindTask(const TaskRef& aRef);
@@ -339,11 +345,21 @@
   void PlanStops(TimePoint aNow, Orders& aOrders);
   void PlanCopies(TimePoint aNow);
   void PlanMoves(TimePoint aNow);
+  std::vector<MeasuredRun> ListMeasuredRuns(StageSpeeds& aStages);
+  [[nodiscard]] Duration ExpectRunTime(const Run& aRun, std::vector<Duration> aWork) const;
+  void ReviewStraggler(const MeasuredRun& aRun, TimePoint aNow);
   void DetachRun(Run& aRun, Task& aTask);
-  void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow);
+  void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, Duration aExpected, TimePoint aNow);
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
   void PlanPace(Orders& aOrders);
   std::size_t FindUnansweredRuns(TimePoint aNow, TimePoint& aHeldUntil);
+  [[nodiscard]] Duration GetWork(const SpeedSample& aRun) const;
+  void RecordSpeed(const Worker& aWorker, const Run& aRun, TimePoint aNow);
+  void LearnSpeeds(const Job& aJob, std::uint32_t aStage, StageRun& aRun, TimePoint aNow);
+  void RefreshSpeeds(TimePoint aNow);
+  void CountFreeFast();
+  // Of an order by Worker::mRunTimeRank, the fast ones first: 1, or -1 for the slow ones.
+  [[nodiscard]] int GetRankSign(const Ready& aReady) const;
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
   void SortReady(std::vector<Ready>& aReady, TimePoint aNow);
   [[nodiscard]] StageDemand MakeStageDemand(const Ready& aReady,
@@ -392,7 +408,13 @@
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
   std::uint64_t mNextAdvice = 1;
-  bool mLastAdviceWithoutCapacity = false;          // the last policy call named full workers only
+  bool mLastAdviceWithoutCapacity = false;  // the last policy call named full workers only
+  WorkerSpeeds mSpeeds{};
+  AdmittedShares mAdmittedShares{};  // of workers, in policy calls
+  EstimateErrors mEstimateErrors{};  // by image, or by queue and stage
+  FleetSpeed mFleetSpeed{};
+  TimePoint mMovesAt{};                             // when stragglers were last looked for
+  TimePoint mSpeedsAt{};                            // when they were last applied to the workers
   TimePoint mLastFastAdviceAt{};                    // last policy call that is not slow
   std::map<std::uint64_t, bool> mAdviceInFlight{};  // number of the call → whether it is a slow one
 };
