Tasks that disturb each other: learned from reports, placed apart, paced last

Cause: all fillers on a worker were paused when any serving task there was over 0.8 of its target and let go at full speed otherwise. The tail swung between both ends, harmless fillers paid, an order that got lost stayed lost, a new holder took a paused filler for one at full pace, and placement ignored images.

Change: policy/interference learns per pair of images how much a tail rises with the neighbor's load (decaying sums, bounded, forgotten within seconds); policy/pacing slows only fillers that disturb, step by step, and pauses all after 2 s over a target; the scheduler rates workers for fillers and serving tasks (EstimateDisturbance) and follows up on pace orders.

--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -147,6 +147,7 @@
                    std::string_view aAddress,
                    TimePoint aSentAt);
   void EnsureWatched(const std::string& aId);  // runs WatchWorker unless it runs already
+  void LogSharing();
   void WakePlan();
   void WakeWorker(const std::string& aId);  // polls it without further pause
   [[nodiscard]] bool IsClockReset(const Channel& aChannel,
--- a/src/fleet/holder_stats.cpp
+++ b/src/fleet/holder_stats.cpp
@@ -10,6 +10,30 @@
 
 }  // namespace
 
+// Logs how serving tasks fare beside others, where there are any.
+void Holder::LogSharing()
+{
+  const SharingStats sharing = mScheduler.TakeSharingStats();
+  mMetrics.GetGauge("fleet_sharing_pairs").Set(static_cast<double>(sharing.mPairs));
+  if (sharing.mTails + sharing.mPlacedApart + sharing.mPlacedClose + sharing.mPaceOrders == 0)
+    return;
+  mMetrics.GetCounter("fleet_serving_tails_total").Add(sharing.mTails);
+  mMetrics.GetCounter("fleet_serving_tails_over_target_total").Add(sharing.mOver);
+  mMetrics.GetCounter("fleet_placed_apart_total").Add(sharing.mPlacedApart);
+  mMetrics.GetCounter("fleet_placed_close_total").Add(sharing.mPlacedClose);
+  mMetrics.GetCounter("fleet_pace_orders_total").Add(sharing.mPaceOrders);
+  Log(LogPart::Place,
+      LogLevel::Info,
+      "serving tasks and what runs beside them",
+      { { "tails", sharing.mTails },
+        { "over_target", sharing.mOver },
+        { "over_beside_fillers", sharing.mOverBeside },
+        { "pairs", sharing.mPairs },
+        { "placed_apart", sharing.mPlacedApart },
+        { "placed_close", sharing.mPlacedClose },
+        { "pace_orders", sharing.mPaceOrders } });
+}
+
 Async<void> Holder::LogStats()
 {
   auto self = shared_from_this();
@@ -37,6 +61,7 @@
           { "unstored_ends", backlog.mUnstoredEnds },
           { "unstored_jobs", backlog.mUnstoredJobs },
           { "max_loop_delay_ms", maxDelay } });
+    LogSharing();
     mStats = {};
     maxDelay = {};
     loggedAt = now;
--- a/src/fleet/holder_workers.cpp
+++ b/src/fleet/holder_workers.cpp
@@ -199,13 +199,19 @@
 {
   auto self = shared_from_this();
   auto target = MakeTarget(aId);
-  if (!target || !MayRenewTaskLeases())
+  if (!target || !MayRenewTaskLeases()) {
+    mScheduler.OnPace(aOrder, false, BootClock::now());
     co_return;
+  }
   auto paced = co_await platform::PaceTask(mClient, std::move(*target), aOrder, kOrderDeadline);
+  if (mSteppedDown)
+    co_return;
+  mScheduler.OnPace(aOrder, paced.has_value(), BootClock::now());
   Log(LogPart::Task,
       LogLevel::Info,
       "set the pace of a filler task",
       { { "task", aOrder.mTask },
+        { "run", aOrder.mRun },
         { "worker", aId },
         { "percent", aOrder.mPercent },
         { "answer", paced ? std::string("200") : paced.error().mDetail } });
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -178,7 +178,7 @@
   std::uint64_t mRun = 0;
   std::string mCheckpoint{};
   double mPercent = 0;
-  double mTailLatencyMs = 0;  // of a serving task
+  double mActivity = 0;  // of a serving task: tail latency, ms; of any other: millicores in use
 };
 
 enum class EndKind : std::uint8_t
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -19,6 +19,7 @@
 #include <unordered_map>
 
 #include "fleet/scheduler_state.h"
+#include "policy/interference.h"
 
 namespace monsoon::fleet {
 
@@ -64,6 +65,25 @@
   std::vector<StoredEnds> mEnds{};
 };
 
+// How likely a task would push a serving task on a worker over its latency target.
+enum class Disturbance : std::uint8_t
+{
+  None,      // there is no such task, or it has room enough
+  Possible,  // it would come close to its target, or the effect is not known
+  Expected
+};
+
+struct SharingStats  // of serving tasks and what runs beside them, since they were last taken
+{
+  std::size_t mTails = 0;        // reported tails of serving tasks
+  std::size_t mOver = 0;         // those over their targets
+  std::size_t mOverBeside = 0;   // those with fillers at work beside them
+  std::size_t mPlacedApart = 0;  // serving tasks and fillers placed with Disturbance::None
+  std::size_t mPlacedClose = 0;  // those that found no such worker
+  std::size_t mPaceOrders = 0;
+  std::size_t mPairs = 0;  // of images, known now
+};
+
 struct SchedulerBacklog  // what is not stored yet
 {
   std::size_t mUnstoredJobs = 0;  // jobs whose progress has changed
@@ -162,6 +182,7 @@
   [[nodiscard]] bool IsStartWanted(const StartOrder& aOrder);
   void OnStart(const StartOrder& aOrder, StartOutcome aOutcome, TimePoint aNow);
   void OnStop(const StopOrder& aOrder, bool aAcked, TimePoint aNow);
+  void OnPace(const PaceOrder& aOrder, bool aAcked, TimePoint aNow);
   void OnAdvice(const AdviceOrder& aOrder,
                 const std::vector<AdmittedWorker>* aAdmitted,  // null: the call failed
                 Duration aValid,
@@ -187,6 +208,8 @@
   // later, counted from the election.
   void DropLapsed(TimePoint aNow);
 
+  [[nodiscard]] SharingStats TakeSharingStats();
+
   // Stored progress
   [[nodiscard]] bool HasProgress() const { return mDirtyCount > 0 || mHasNewEnds; }
   [[nodiscard]] std::size_t CountUnstoredJobs() const { return mDirtyCount; }
@@ -296,7 +319,21 @@
   void DetachRun(Run& aRun, Task& aTask);
   void MoveTask(Worker& aWorker, Run& aRun, Task& aTask, TimePoint aNow);
   [[nodiscard]] bool MayRunSomewhere(const TaskRef& aRef) const;
-  void PlanPace(Orders& aOrders);
+  void PlanPace(TimePoint aNow, Orders& aOrders);
+  void PlanWorkerPace(Worker& aWorker, TimePoint aNow, Orders& aOrders);
+  void ObserveSharing(Worker& aWorker, TimePoint aNow);
+  void LearnTail(const Worker& aWorker, const Run& aServing, TimePoint aNow);
+  [[nodiscard]] const StageSpec* FindSpec(const Run& aRun) const;
+  [[nodiscard]] std::optional<double> EstimateFillerRise(const Run& aServing,
+                                                         const Run& aFiller,
+                                                         TimePoint aNow) const;
+  [[nodiscard]] Disturbance EstimateDisturbance(const Worker& aWorker,
+                                                const StageSpec& aSpec,
+                                                TimePoint aNow) const;
+  [[nodiscard]] Disturbance EstimateDisturbanceOf(const Worker& aWorker,
+                                                  const StageSpec& aServing,
+                                                  TimePoint aNow) const;
+  void CountPlacement(const Worker& aWorker, const StageSpec& aSpec, TimePoint aNow);
   std::vector<Ready> CollectReady(TimePoint aNow, std::int64_t aWallMs);
   [[nodiscard]] std::string EncodeProgress(const Job& aJob) const;
   void DecodeProgress(Job& aJob, std::string_view aBytes, TimePoint aNow);
@@ -329,6 +366,10 @@
   std::size_t mBatchesInFlight = 0;
   bool mHasNewEnds = false;
   bool mHasEndedJob = false;
+  InterferenceTable mInterference{};
+  bool mHasServing = false;         // a serving task was reported in this epoch
+  std::set<std::string> mToPace{};  // workers with fillers whose pace is to be decided
+  SharingStats mSharing{};
   std::uint64_t mNextAdvice = 1;
   bool mLastAdviceWithoutCapacity = false;          // the last policy call named full workers only
   TimePoint mLastFastAdviceAt{};                    // last policy call that is not slow
--- a/src/fleet/scheduler_impl.h
+++ b/src/fleet/scheduler_impl.h
@@ -119,6 +119,9 @@
          aWorker.mUsedAccelerators > aWorker.mEntry.mAccelerators;
 }
 
+// Pace of an adopted filler, until it is known how the serving tasks beside it bear it.
+inline constexpr std::uint32_t kAdoptedPace = 25;
+
 // Lists, as TASK:RUN,..., the confirmed runs that the worker has not been seen to survive.
 [[nodiscard]] std::string FormatUnproven(const Worker& aWorker);
 
--- a/src/fleet/scheduler_pick.cpp
+++ b/src/fleet/scheduler_pick.cpp
@@ -54,7 +54,7 @@
   ref.mIndex = static_cast<std::uint32_t>(&aTask - aReady.mStage->mTasks.data());
   const bool isSuspect = IsSuspect(aTask, ref);
   Worker* best = nullptr;
-  std::tuple<bool, bool, std::int64_t> bestScore;
+  std::tuple<bool, Disturbance, bool, std::int64_t> bestScore;
   const auto consider = [&](const std::string& aId, Worker& aWorker) {
     if (!HasCapacity(aWorker, *aReady.mSpec) || !CanHost(aWorker, aReady, aNow))
       return;
@@ -72,7 +72,8 @@
                               aReady.mSpec->mMilliCores;
     // A filler goes where the most cores are free, any other task where the fewest are left (best
     // fit).
-    const std::tuple score(isLastChoice, isFar, aReady.mSpec->mFiller ? -left : left);
+    const Disturbance disturbance = EstimateDisturbance(aWorker, *aReady.mSpec, aNow);
+    const std::tuple score(isLastChoice, disturbance, isFar, aReady.mSpec->mFiller ? -left : left);
     if (!best || score < bestScore) {
       best = &aWorker;
       bestScore = score;
--- a/src/fleet/scheduler_plan.cpp
+++ b/src/fleet/scheduler_plan.cpp
@@ -68,6 +68,7 @@
   aWorker.mUsedMilliCores += run.mMilliCores;
   aWorker.mUsedMemoryMiB += run.mMemoryMiB;
   aWorker.mUsedAccelerators += run.mAccelerators;
+  CountPlacement(aWorker, *aReady.mSpec, aNow);
   ++aWorker.mUnprovenCount;
   aWorker.mSuspectCount += IsSuspect(task, run.mRef) ? 1 : 0;
   aWorker.mRuns.push_back(std::move(run));
@@ -183,7 +184,7 @@
   PlanStops(aNow, orders);
   if (!aMayStart)
     return orders;
-  PlanPace(orders);
+  PlanPace(aNow, orders);
   PlanCopies(aNow);
   std::size_t slowInFlight = 0;
   for (const auto& [number, isSlow] : mAdviceInFlight)
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -156,7 +156,7 @@
     aRun.mConfirmedAt = aNow;
   if (!isOutdated)
     ObserveProgress(aRun.mProgress, aRow.mPercent, aRun.mEstimate, aNow);
-  aRun.mTailLatencyMs = aRow.mTailLatencyMs;
+  aRun.mActivity = aRow.mActivity;
   // A lasting task that has survived its start tells of its worker what an end `done` of another
   // task does.
   if (aRun.mLongRunning && !aRun.mHasWorked && aSentAt - aRun.mConfirmedAt >= kWorkedFor) {
@@ -222,7 +222,9 @@
   run.mReported = true;
   run.mConfirmedAt = aNow;
   run.mPercent = aRow.mPercent;
-  run.mTailLatencyMs = aRow.mTailLatencyMs;
+  run.mActivity = aRow.mActivity;
+  run.mPace = kAdoptedPace;
+  run.mPaceUnsure = true;  // a previous holder may have ordered another
   run.mProgressAt = aNow;
   run.mSentAt = aSentAt;
   run.mPhase = RunPhase::Running;
@@ -308,6 +310,7 @@
   for (const auto& [key, row] : listed)
     if (!HasEnded(worker, *row))  // otherwise this report is older than the one of its end
       TrackListedRun(worker, *row, aSentAt, aNow);
+  ObserveSharing(worker, aNow);
 }
 
 }  // namespace monsoon::fleet
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -64,7 +64,12 @@
   RunProgress mProgress{};
   bool mDetached = false;     // another run of the task may start elsewhere
   std::uint32_t mPace = 100;  // last pace ordered for a filler, in percent
-  double mTailLatencyMs = 0;  // as last reported
+  bool mPaceUnsure = false;   // its worker may have another pace: it is ordered again
+  TimePoint mPaceCheckAt{};   // when to order it once more; zero: not needed
+  bool mPaceInFlight = false;
+  double mFullLoad = 1;    // cores that a filler uses at full pace, as a share of those it asks for
+  double mActivity = 0;    // as in RunningTask, as last reported
+  TimePoint mOverSince{};  // since when a serving task may be over its target; zero: it is not
   std::int64_t mLatencyTargetMs = 0;
   bool mFiller = false;
   bool mLongRunning = false;
@@ -211,6 +216,10 @@
   std::uint32_t mUnprovenCount = 0;
   std::uint32_t mSuspectCount = 0;
   std::uint32_t mUnsizedCount = 0;  // runs of unknown size; counted by each plan
+  TimePoint mTailsReadAt{};         // last report that lists serving tasks
+  std::size_t mSharingMix = 0;      // hash of the serving tasks and fillers that it listed
+  TimePoint mSharingChangedAt{};    // when these last changed
+  TimePoint mPacedAt{};  // when the pace of a filler was last ordered, or the order answered
 };
 
 // Returns whether the directory lists the worker at an address where it has not answered.
