--- a/src/fleet/scheduler_sharing.cpp
+++ b/src/fleet/scheduler_sharing.cpp
@@ -28,12 +28,19 @@
   return aServing.mActivity / double(aServing.mLatencyTargetMs);
 }
 
+// Returns whether a task may disturb serving tasks, or be disturbed. Any other one stays within the
+// cores that are reserved for it.
+bool IsSharing(const Run& aRun)
+{
+  return aRun.mFiller || IsServing(aRun);
+}
+
 // Returns the cores in use, as a share of those that the task asks for.
 double GetLoad(const Run& aRun, const StageSpec& aSpec)
 {
   if (IsServing(aRun))
     return 1;
-  const double pace = aRun.mFiller ? double(aRun.mPace) / kFullPace : 1;
+  const double pace = double(aRun.mPace) / kFullPace;
   const double used = aSpec.mMilliCores > 0 ? aRun.mActivity / aSpec.mMilliCores : pace;
   return pace > 0 ? std::clamp(used, kMinLoad * pace, kMaxLoad) : 0;
 }
@@ -48,7 +55,7 @@
 {
   std::size_t mix = 0;  // of a sum, as the order of runs tells nothing
   for (const Run& it : aWorker.mRuns)
-    if (it.mReported && (it.mFiller || IsServing(it)))
+    if (it.mReported && IsSharing(it))
       mix += std::hash<std::string>()(it.mTask) * (2 * it.mRun + 1);
   return mix;
 }
@@ -80,10 +87,10 @@
     return;
   std::vector<NeighborLoad> beside;
   for (const Run& it : aWorker.mRuns) {
-    const StageSpec* spec = &it == &aServing || !it.mReported ? nullptr : FindSpec(it);
-    if (!spec || spec->mImage.empty() || aNow - it.mConfirmedAt < kTailWindow)
+    if (&it == &aServing || !it.mReported || !IsSharing(it) || aNow - it.mConfirmedAt < kTailWindow)
       continue;
-    beside.push_back({ spec->mImage, GetLoad(it, *spec) });
+    if (const StageSpec* spec = FindSpec(it); spec && !spec->mImage.empty())
+      beside.push_back({ spec->mImage, GetLoad(it, *spec) });
   }
   ObserveTail(mInterference, serving->mImage, GetTail(aServing), beside, aNow);
 }
@@ -151,7 +158,7 @@
                                            const StageSpec& aSpec,
                                            TimePoint aNow) const
 {
-  if (!mHasServing)
+  if (!mHasServing || (!aSpec.mFiller && aSpec.mLatencyTargetMs == 0))
     return Disturbance::None;
   Disturbance worst =
     aSpec.mLatencyTargetMs > 0 ? EstimateDisturbanceOf(aWorker, aSpec, aNow) : Disturbance::None;
@@ -175,7 +182,7 @@
   double rises = 0;
   bool hasUnknown = false;
   for (const Run& it : aWorker.mRuns) {
-    const StageSpec* spec = FindSpec(it);
+    const StageSpec* spec = IsSharing(it) ? FindSpec(it) : nullptr;
     if (!spec)
       continue;
     if (const auto rise = EstimateRise(mInterference, aServing.mImage, spec->mImage, aNow))
