--- a/src/fleet/scheduler_pick.cpp
+++ b/src/fleet/scheduler_pick.cpp
@@ -58,7 +58,7 @@
   const bool isSuspect = IsSuspect(aTask, ref);
   const int rankSign = GetRankSign(aReady);
   Worker* best = nullptr;
-  std::tuple<bool, int, std::int64_t> bestScore;
+  std::tuple<bool, Disturbance, int, std::int64_t> bestScore;
   const auto consider = [&](const std::string& aId, Worker& aWorker) {
     if (!HasCapacity(aWorker, *aReady.mSpec) || !CanHost(aWorker, aReady, aNow))
       return;
@@ -77,7 +77,8 @@
                               aReady.mSpec->mMilliCores;
     // A filler goes where the most cores are free, any other task where the fewest are left (best
     // fit).
-    const std::tuple score(isLastChoice, rank, aReady.mSpec->mFiller ? -left : left);
+    const Disturbance disturbance = EstimateDisturbance(aWorker, *aReady.mSpec, aNow);
+    const std::tuple score(isLastChoice, disturbance, rank, aReady.mSpec->mFiller ? -left : left);
     if (!best || score < bestScore) {
       best = &aWorker;
       bestScore = score;
