Speeds: tasks with data in a rack tell nothing, and an even fleet has no slow workers to yield to

Cause: a task far from its data takes half as long again, whatever its worker; and with no slow worker known, a job that is due late enough was to prefer the slow ones, which changes nothing while all share a rank but is not meant.

--- a/src/fleet/scheduler_speed.cpp
+++ b/src/fleet/scheduler_speed.cpp
@@ -30,14 +30,15 @@
 
 // Keeps the run time of a run that ended with success until its stage is done. A filler runs as
 // fast as others leave cores idle, a gang waits for its members, and a task that resumes from a
-// checkpoint has less to do.
+// checkpoint has less to do, and one with data in a rack runs longer in others.
 void Scheduler::RecordSpeed(const Worker& aWorker, const Run& aRun, TimePoint aNow)
 {
   const Job* job = FindJob(aRun.mRef.mJob);
   StageRun* stage = job ? FindStage(aRun.mRef) : nullptr;
   if (!stage || aRun.mStartedAt == TimePoint{} || aRun.mEstimate == Duration::zero())
     return;
-  if (job->mSpec.mStages[aRun.mRef.mStage].mCheckpointed && aRun.mRun > 1)
+  const StageSpec& spec = job->mSpec.mStages[aRun.mRef.mStage];
+  if ((spec.mCheckpointed && aRun.mRun > 1) || !spec.mDataRack.empty())
     return;
   stage->mSamples.push_back({ aWorker.mEntry.mId, GetKind(aWorker), aNow - aRun.mStartedAt });
 }
--- a/src/policy/worker_speed.cpp
+++ b/src/policy/worker_speed.cpp
@@ -125,7 +125,7 @@
 {
   if (aLasting)
     return SpeedNeed::Slow;
-  const bool mayRunSlow = aStretch > aFleet.mSlow;
+  const bool mayRunSlow = aFleet.mSlowWorkers > 0 && aStretch > aFleet.mSlow;
   return mayRunSlow && aFleet.mFreeFast < kMinFreeFast ? SpeedNeed::Slow : SpeedNeed::Fast;
 }
 
