Limits of teams: unread jobs, an unread configuration, and tasks larger than what is left

Found in review of the limits: a holder that had read no configuration yet started tasks of teams without any limit; runs of jobs that a new holder has not read counted for nobody, so their team could get its limit twice; and a task larger than its team's limit, or than what a few small ones leave of it, waited for ever. Now nothing of a team starts until a configuration is read; a run of unknown size counts as one more task of the stage that is to be placed; and one task may start while its team uses up to half of its limit, which stays within one task above it.

--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -204,10 +204,12 @@
       if (ParseTask(it.mTask, ref))
         add(ref, it.mRun, it.mUnproven);
   }
+  mUnsizedRuns = 0;
   for (auto& [id, worker] : mWorkers) {
     worker.mUnprovenCount = 0;
     worker.mSuspectCount = 0;
     worker.mUnsizedCount = CountUnsized(worker);
+    mUnsizedRuns += worker.mUnsizedCount;
     if (!worker.mReachable)
       continue;
     for (const Run& it : worker.mRuns) {
--- a/src/fleet/scheduler_teams.cpp
+++ b/src/fleet/scheduler_teams.cpp
@@ -69,16 +69,24 @@
   }
 }
 
-// Returns whether the job's team may have aTasks more tasks of this size at work.
+// Returns whether the job's team may have aTasks more tasks of this size at work. Runs of jobs that
+// this holder has not read may be of the team; each counts as one more task. One task may start
+// while the team uses up to half of its limit, so that no task is too large to run.
 bool Scheduler::IsWithinTeamLimit(const Ready& aReady, std::size_t aTasks)
 {
   const std::string& team = aReady.mJob->mSpec.mTeam;
+  if (!mIsConfigured && !team.empty())
+    return false;  // the limits are not known
   if (!mTeamLimits.IsLimited(team))
     return true;
-  TeamResources need = Multiply(GetNeed(*aReady.mSpec), static_cast<std::int64_t>(aTasks));
+  const TeamResources task = GetNeed(*aReady.mSpec);
+  TeamResources unseen = Multiply(task, mUnsizedRuns);
   if (const auto it = mPossibleTeamUse.find(team); it != mPossibleTeamUse.end())
-    need = Add(need, it->second);
-  if (mTeamLimits.Allows(team, need))
+    unseen = Add(unseen, it->second);
+  const auto tasks = static_cast<std::int64_t>(aTasks);
+  if (mTeamLimits.Allows(team, Add(unseen, Multiply(task, tasks))))
+    return true;
+  if (aTasks == 1 && mTeamLimits.Allows(team, Add(mTeamLimits.GetUse(team), Multiply(unseen, 2))))
     return true;
   ++mHeldByLimit[team];
   return false;
