--- a/tests/unit/test_fleet_teams.cpp
+++ b/tests/unit/test_fleet_teams.cpp
@@ -215,6 +215,20 @@
   CHECK(scheduler.Plan(later, 0, true, 0).mStarts.size() == 4);
 }
 
+TEST_CASE("fleet: tasks of a cancelled job that may still run are left out of a team's use")
+{
+  Scheduler scheduler = MakeLimitedScheduler(8);
+  scheduler.AddJob(MakeTeamJob("x", "t", 4), {}, true, kStart);
+  scheduler.CancelJob("x", kStart);
+  for (std::size_t n = 4; n < 8; ++n)  // the others may run x
+    scheduler.OnReport("w" + std::to_string(n), {}, kStart, kStart);
+  scheduler.AddJob(MakeTeamJob("a", "t", 4), {}, false, kStart);
+  CHECK(scheduler.Plan(kStart, 0, true, 0).mStarts.empty());
+  for (std::size_t n = 0; n < 4; ++n)
+    scheduler.OnReport("w" + std::to_string(n), {}, kStart, kStart);
+  CHECK(scheduler.Plan(kStart, 0, true, 0).mStarts.size() == 4);
+}
+
 TEST_CASE("fleet: a task that is larger than the rest of its team's limit never starts")
 {
   // Of tasks of 3 cores each: the limit, and how many run at once.
