--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -416,7 +416,7 @@
   TeamLimits mTeamLimits{};
   // What teams may have on workers that have not answered in this epoch. Set by each plan.
   std::map<std::string, TeamResources> mPossibleTeamUse{};
-  std::int64_t mUnsizedRuns = 0;  // on all workers; counted by each plan
+  std::int64_t mUnsizedRuns = 0;                      // on all workers; counted by each plan
   std::map<std::string, std::size_t> mHeldByLimit{};  // by team, since the last TakeTeamsAtLimit
   std::unordered_map<std::string, std::unique_ptr<Job>> mJobs{};
   std::map<std::string, Job*> mActive{};  // jobs that have not ended
