The holder hands over to a process with 1.5 times its cores

With processes of 0.09, 0.3 and 0.5 cores, one with 0.3 kept scheduling, and was elected again after a kill.

Change: hand over from 1.5 times the cores (was 2); candidates with two thirds of the largest wait.

--- a/src/fleet/entry_election.cpp
+++ b/src/fleet/entry_election.cpp
@@ -175,7 +175,7 @@
       grant.mPreviousSeenAt = isSeen ? mView.mNewestSeenAt : BootClock::now();
     }
     const double largest = grant.mPreviousHolder ? grant.mPreviousHolder->mLargestCores : 0;
-    if (mSettings.mCores <= largest / 2 && !hasYielded) {
+    if (mSettings.mCores * kHandoverCoreRatio <= largest && !hasYielded) {
       hasYielded = true;
       co_await Sleep(kSmallVmDelay);
       continue;
--- a/src/fleet/holder.cpp
+++ b/src/fleet/holder.cpp
@@ -16,7 +16,6 @@
 constexpr Duration kPollTransitMargin =
   milliseconds(50);  // mStoreServedAt is late by a poll's network delay
 constexpr Duration kYieldCheckInterval = milliseconds(700);  // most members have polled by then
-constexpr double kHandoverCoreRatio = 2;  // hands over to a member with this many times the cores
 
 }  // namespace
 
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -39,6 +39,9 @@
 };
 
 // Holder
+// A holder hands over to a member with this many times its cores, and smaller candidates wait.
+inline constexpr double kHandoverCoreRatio = 1.5;
+
 class Holder : public std::enable_shared_from_this<Holder>
 {
 public:
--- a/tests/integration/test_entry_processes.cpp
+++ b/tests/integration/test_entry_processes.cpp
@@ -250,6 +250,14 @@
   CHECK(elections <= 2);
 }
 
+TEST_CASE("the holder hands over to a process with five thirds of its cores", "[entry]")
+{
+  asio::io_context context{ 1 };
+  testing::EntryFleet fleet(context, {}, { 0.3, 0.3, 0.3, 0.3, 0.5 }, "entry-five-thirds");
+  RunScript(context, [&]() -> Async<void> { co_await Sleep(seconds(4)); });
+  CHECK(FindHolder(fleet) == 4);
+}
+
 TEST_CASE("workers that restart smaller under their ids are not overcommitted", "[entry]")
 {
   constexpr std::uint32_t kWorkers = 6;
