--- a/src/fleet/entry_refusals.cpp
+++ b/src/fleet/entry_refusals.cpp
@@ -17,7 +17,9 @@
 {
   for (const TeamConfig& it : aConfig.mTeams)
     if (it.mName == aTeam)
-      return { it.mLimit.mMilliCores, it.mLimit.mMemoryMiB, it.mLimit.mAccelerators };
+      return { static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.mLimit.mMilliCores)),
+               static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.mLimit.mMemoryMiB)),
+               static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.mLimit.mAccelerators)) };
   return {};
 }
 
