--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -41,10 +41,6 @@
 // A process with this many times the cores schedules instead.
 inline constexpr double kHandoverCoreRatio = 1.5;
 
-// Holder
-// A holder hands over to a member with this many times its cores, and smaller candidates wait.
-inline constexpr double kHandoverCoreRatio = 1.5;
-
 class Holder : public std::enable_shared_from_this<Holder>
 {
 public:
