--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -38,7 +38,8 @@
   std::optional<Duration> mOwnQuietTime{};
 };
 
-// A process with this many times the cores schedules instead.
+// Holder
+// It hands over to a member with this many times its cores, and smaller candidates wait.
 inline constexpr double kHandoverCoreRatio = 1.5;
 
 class Holder : public std::enable_shared_from_this<Holder>
