A submission without a key does not pass for that of a team's job of the same id

Cause: a POST to an anonymous queue under the id of a team's job was answered 200, as if accepted. Change: it conflicts (409), unless that anonymous queue accepted the job. Found in review. Result: the new unit test passes; without the change it fails (the id of another queue).

--- a/src/fleet/entry_callers.cpp
+++ b/src/fleet/entry_callers.cpp
@@ -43,10 +43,10 @@
 bool IsJobOfAnotherTeam(std::span<const StoreItem> aStored, std::string_view aJob)
 {
   const auto job = DecodeMessage<JobSpec>(aJob);
-  if (!job || job->mTeam.empty() || aStored.empty())
+  if (!job || aStored.empty())
     return false;
   const auto stored = DecodeMessage<JobSpec>(aStored.front().mValue);
-  return stored && !stored->mTeam.empty() && stored->mTeam != job->mTeam;
+  return stored && IsOfAnotherTeam(*stored, *job);
 }
 
 }  // namespace
--- a/src/fleet/team_keys.cpp
+++ b/src/fleet/team_keys.cpp
@@ -62,4 +62,11 @@
          (!aQueue.empty() && aQueue == aAccess.mAnonymousQueue);
 }
 
+bool IsOfAnotherTeam(const JobSpec& aStored, const JobSpec& aJob)
+{
+  if (aStored.mTeam.empty() || aStored.mTeam == aJob.mTeam)
+    return false;
+  return !aJob.mTeam.empty() || aStored.mQueue != aJob.mQueue;
+}
+
 }  // namespace monsoon::fleet
--- a/src/fleet/team_keys.h
+++ b/src/fleet/team_keys.h
@@ -43,4 +43,8 @@
                              std::string_view aTeam,
                              std::string_view aQueue);
 
+// Returns whether a stored job was submitted by another team than one of the same id. A caller
+// without a key may repeat what an anonymous queue has accepted.
+[[nodiscard]] bool IsOfAnotherTeam(const JobSpec& aStored, const JobSpec& aJob);
+
 }  // namespace monsoon::fleet
--- a/tests/unit/test_team_keys.cpp
+++ b/tests/unit/test_team_keys.cpp
@@ -76,6 +76,22 @@
   CHECK(MayAccess(CallerAccess{}, "red", "closed"));  // no teams are configured
 }
 
+TEST_CASE("fleet: a submission does not pass for that of another team's job of the same id")
+{
+  const auto makeJob = [](std::string aTeam, std::string aQueue) {
+    JobSpec job;
+    job.mTeam = std::move(aTeam);
+    job.mQueue = std::move(aQueue);
+    return job;
+  };
+  const JobSpec stored = makeJob("red", "closed");
+  CHECK_FALSE(IsOfAnotherTeam(stored, makeJob("red", "closed")));
+  CHECK(IsOfAnotherTeam(stored, makeJob("blue", "closed")));
+  CHECK(IsOfAnotherTeam(stored, makeJob("", "open")));
+  CHECK_FALSE(IsOfAnotherTeam(makeJob("red", "open"), makeJob("", "open")));
+  CHECK_FALSE(IsOfAnotherTeam(makeJob("", "closed"), makeJob("blue", "closed")));
+}
+
 namespace {
 
 struct EarlierJobSpec : JobSpec  // reads and writes what the release before did
