--- a/tests/integration/test_entry_teams.cpp
+++ b/tests/integration/test_entry_teams.cpp
@@ -4,15 +4,13 @@
 
 #include <csignal>
 
-#include "tests/integration/entry_fleet.h"
+#include "tests/integration/entry_jobs.h"
 
 using namespace monsoon;
+using namespace monsoon::testing;
 
 namespace {
 
-constexpr const char* kOneTask =
-  R"({"spec":"ms=50","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":50}]})";
-constexpr Duration kMaxWait = seconds(15);    // a fleet starts slowly on a busy machine
 constexpr Duration kConfigTime = seconds(3);  // until a configuration is in effect
 
 struct TeamCall
@@ -59,19 +57,6 @@
   co_return false;
 }
 
-template<class F>
-void RunScript(asio::io_context& aContext, F aScript)
-{
-  asio::co_spawn(
-    aContext,
-    [&]() -> Async<void> {
-      co_await aScript();
-      aContext.stop();
-    },
-    asio::detached);
-  aContext.run();
-}
-
 }  // namespace
 
 TEST_CASE("a key opens the jobs of its team only", "[entry]")
