--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,83 +1,81 @@
-"""Runners of a lasting job leave as planned, one at a time, and the process that schedules is stopped as planned."""
+"""A requester gets no answer to a POST and cancels the job; the store carries the job's write out seconds later."""
 import asyncio
 import os
-import signal
 import sys
-import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "kit3"))
-from platform3 import Cell, Runner, main  # noqa: E402
+from platform3 import Cell, Runner, main, now  # noqa: E402
 
-RUNNERS = 16      # one of them at a time is 0.0625
-ROUNDS = 6
-AFTER = 4.9       # from the runner's end to the stop
+RUNNERS = 8
 JOB = "00000000000000a1"
+LATE = 5.0        # s, of 1 to 6
+CANCEL_MS, STOP_MS = 3000, 400
+WATCHED = 12.0    # s after the cancelling
 
 
 async def run(record, trouble):
     cell = Cell(record)
-    ledger = []
+    ledger, writes, lost = [], [], []
+    losing = False
     try:
-        await cell.start()
+        async def hook(method, path, query, obj):
+            if path != "/kv-txn" or not losing:
+                return None
+            writes.append(now())
+            if not any(JOB in it["key"] for it in obj.get("writes") or []):
+                return None
+            lost.append(now())
+            record("store: the answer to a write of the job is lost; it is carried out in %.1f s" % LATE)
+
+            async def later():
+                await asyncio.sleep(LATE)
+                status, _ = cell.store.transact(obj)
+                record("store: carried out the write of the job ->", status)
+            asyncio.create_task(later())
+            await asyncio.sleep(30)   # nothing further comes on this channel
+            return "close"
 
-        async def add(number, life=1):
-            runner = Runner("w%d-%d" % (number, life), cell.store, record, lambda r, it: None, ledger=ledger)
-            runner.number, runner.life = number, life
+        cell.store.hook = hook
+        await cell.start()
+        for n in range(RUNNERS):
+            runner = Runner("w%d" % n, cell.store, lambda *words: None,
+                            lambda r, it: None if it.task.startswith(JOB) else (0.5, "done"), ledger=ledger)
             await runner.start()
             cell.runners.append(runner)
+        await asyncio.sleep(2.0)
 
-        def host():
-            return next((it for it in cell.runners if it.alive and JOB + ".0.0.0" in it.runs), None)
-
-        async def leave(runner):
-            """Notice, then gone after 2 s; another comes 4 s later in its place."""
-            record("runner", runner.id, "is to leave in 2 s")
-            runner.state, runner.remaining = "draining", time.monotonic() + 2.0
-            runner.register()
-            await asyncio.sleep(2.0)
-            runner.crash()
-            record("runner", runner.id, "is gone")
-
-        for n in range(RUNNERS):
-            await add(n)
+        async def others():
+            """20 small jobs a second of other requesters."""
+            for n in range(80):
+                asyncio.create_task(cell.submit("%016x" % (0xb000 + n), [{"count": 1, "cpu": 100, "mem_mb": 64,
+                                                                         "estimate_ms": 500}], entry=n % 3))
+                await asyncio.sleep(0.05)
+        asyncio.create_task(others())
         await asyncio.sleep(1.5)
-        # Each task needs a whole runner, so that a runner that leaves can't be emptied before it is gone.
-        if await cell.submit(JOB, [{"count": RUNNERS, "cpu": 8000, "mem_mb": 1024, "estimate_ms": 400,
-                                    "long_running": True}]) != 200:
-            raise RuntimeError("the job was not accepted")
-        await asyncio.sleep(3.0)
-        shown = None
-        for n in range(ROUNDS):
-            it = host()
-            if it is None:
-                raise RuntimeError("task 0 does not run")
-            await (leave(it) if trouble else asyncio.sleep(2.0))
-            await asyncio.sleep(4.0)
-            if trouble:
-                await add(it.number, it.life + 1)
-            await asyncio.sleep(AFTER - 4.0)
-            if trouble:
-                holder = await cell.holder()
-                record("SIGTERM to the process that schedules,", cell.entries[holder].name)
-                cell.entries[holder].signal(signal.SIGTERM)
-                await cell.entries[holder].process.wait()
-                await asyncio.sleep(0.5)
-                await cell.entries[holder].start()
-            for _ in range(24):   # at most 12 s until task 0 runs again
-                if host():
-                    break
-                await asyncio.sleep(0.5)
-            await asyncio.sleep(1.0)
-            shown = (await cell.state(JOB, entry=n % 3))[1]
-            if shown != "running":
-                break
-        await asyncio.sleep(1.0)
-        shown = (await cell.state(JOB))[1]
-        failed = sum(1 for it in ledger if it[1] == "end" and it[5] == "failed")
-        record("shown as", shown, "- ends listed as failed:", failed,
-               "- tasks at work:", sum(len(it.runs) for it in cell.runners if it.alive))
-        return not (shown in ("failed", "cancelled") and failed == 0)
+        losing = trouble
+        step = {"count": 4, "cpu": 1000, "mem_mb": 1024, "estimate_ms": 400, "long_running": True}
+        # The requester waits for 0.6 s, and leaves.
+        await cell.submit(JOB, [step], entry=0, timeout=0.6)
+        await asyncio.sleep(0.3)   # the time that the POST named is over at its process too
+        gone = await cell.cancel(JOB, entry=1)
+        at = now()
+        await asyncio.sleep(0.3)
+        losing = False
+        record(len(lost), "of", len(writes), "writes lost in this time")
+        if gone not in (200, 410):
+            raise RuntimeError("the cancelling was not acknowledged")
+        await asyncio.sleep(CANCEL_MS / 1000 + LATE)
+        await cell.state(JOB, entry=2)
+        await asyncio.sleep(WATCHED - CANCEL_MS / 1000 - LATE)
+        await cell.state(JOB, entry=2)
+        late = [it for it in ledger if it[1] == "start" and it[3].startswith(JOB) and it[0] > at + CANCEL_MS / 1000]
+        active = [(it.id, task) for it in cell.runners for task in it.runs if task.startswith(JOB)]
+        for it in late:
+            record("UNASKED:", it[3], "run", it[4], "started on", it[2], "%.3f s after the cancelling was acknowledged"
+                   % (it[0] - at))
+        record(len(active), "tasks of the cancelled job run on, %.1f s after it was acknowledged" % (now() - at))
+        return not late and not active
     finally:
         await cell.stop()
 
