TWICE: the stored list of an unresponsive worker names the tasks whose end is not stored yet

Cause: the final list of an unresponsive worker was made from its runs. An end that was received removes its run at once, but its effect is stored by another transaction, seconds later with a slow store. In between the task was in neither record, and the next holder, which takes a final list for complete, started it.

Change: Scheduler::ListUnsettledTasks adds the tasks of ends whose effect is not stored. WorkerRecords and the model of the fleet use it; a holder logs each final list that it stores. The form of the record is as before. Ruled out: final lists that wait until the ends that they leave out are stored. They would be late for as long as ends lag, and hold back all jobs of earlier epochs after a takeover.

--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -137,7 +137,7 @@
 {
   std::string mAddress{};
   std::string mService{};
-  bool mIsFinal = false;  // it did not answer; mTasks lists all that it may run
+  bool mIsFinal = false;  // it did not answer; mTasks is as of Scheduler::ListUnsettledTasks
   std::vector<std::string> mTasks{};
   std::int64_t mBornMs = 0;             // as in WorkerEntry
   std::uint64_t mCreatedRevision = 0;   // as in WorkerEntry
--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -162,7 +162,7 @@
 
 void Scheduler::AddUnstoredEnd(Worker& aWorker, const EndedTask& aRow)
 {
-  UnstoredEnd end{ .mNumber = aRow.mNumber };
+  UnstoredEnd end{ .mNumber = aRow.mNumber, .mTask = aRow.mTask, .mKind = aRow.mKind };
   if (TaskRef ref; ParseTask(aRow.mTask, ref)) {
     const Job* job = FindJob(ref.mJob);
     end.mChange = job ? job->mChanges : 0;
@@ -184,6 +184,28 @@
   return !job || job->mCollectedChanges >= aEnd.mChange;
 }
 
+// Returns whether the end changes the stored progress of its job, as far as the job is known.
+bool Scheduler::HasStoredEffect(const UnstoredEnd& aEnd) const
+{
+  if (aEnd.mKind != EndKind::Done && aEnd.mKind != EndKind::Failed)
+    return false;
+  const Job* job = FindJob(aEnd.mJob);
+  TaskRef ref;
+  return !job || !ParseTask(aEnd.mTask, ref) || ref.mStage >= job->mSpec.mStages.size() ||
+         !job->mSpec.mStages[ref.mStage].mLongRunning;
+}
+
+std::vector<std::string> Scheduler::ListUnsettledTasks(const Worker& aWorker) const
+{
+  std::vector<std::string> tasks;
+  for (const Run& it : aWorker.mRuns)
+    tasks.push_back(it.mTask);
+  for (const UnstoredEnd& it : aWorker.mUnstoredEnds)
+    if (HasStoredEffect(it))
+      tasks.push_back(it.mTask);
+  return tasks;
+}
+
 // Adds jobs that have ended, or others, to a batch until it takes aMaxEntries.
 void Scheduler::CollectDirty(bool aEnded, std::size_t aMaxEntries, ProgressBatch& aBatch)
 {
--- a/src/fleet/scheduler.h
+++ b/src/fleet/scheduler.h
@@ -70,8 +70,11 @@
   void ListWorker(WorkerEntry aEntry, bool aRecorded, TimePoint aNow);
   // Lists the workers known at an address.
   [[nodiscard]] std::vector<std::string> ListWorkersAt(std::string_view aAddress) const;
-  // Sets the list, stored by a previous holder, of all tasks that an unresponsive worker may run.
-  // aSuspects: as listed by ListSuspects.
+  // Lists the tasks that may run on a worker, and those that ended there without the effect of the
+  // end being stored. A later holder that can't reach the worker must not start any of them.
+  [[nodiscard]] std::vector<std::string> ListUnsettledTasks(const Worker& aWorker) const;
+  // Sets the list that a previous holder stored of an unresponsive worker, as listed by
+  // ListUnsettledTasks. aSuspects: as listed by ListSuspects.
   void SetFinalTasks(const std::string& aId,
                      std::set<std::string> aTasks,
                      std::vector<SuspectRun> aSuspects = {});
@@ -190,6 +193,7 @@
   void CollectEnds(ProgressBatch& aBatch, TimePoint aNow);
   void AddUnstoredEnd(Worker& aWorker, const EndedTask& aRow);
   [[nodiscard]] bool IsCollected(const Worker& aWorker, const UnstoredEnd& aEnd) const;
+  [[nodiscard]] bool HasStoredEffect(const UnstoredEnd& aEnd) const;
   std::map<std::string, Worker>::iterator EraseWorker(std::map<std::string, Worker>::iterator aIt);
   void DropRun(Worker& aWorker, std::size_t aIndex, bool aNeverRan = false);
   static void SuspectRestart(Worker& aWorker, TimePoint aNow);
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -173,6 +173,8 @@
 struct UnstoredEnd  // of a task; the worker lists it until it is acknowledged
 {
   std::uint64_t mNumber = 0;  // EndedTask::mNumber
+  std::string mTask{};
+  EndKind mKind = EndKind::Failed;
   std::string mJob{};
   std::uint64_t mChange = 0;  // Job::mChanges that includes its effect
 };
@@ -184,7 +186,7 @@
   std::int64_t mBornMs = 0;  // of the incarnation that is known to be the latest; 0: unknown
   TimePoint mBornSeenAt{};   // when mBornMs was learned
   bool mListed = false;      // the directory lists it now
-  // All tasks that it may run, as stored while it was unresponsive.
+  // As listed by Scheduler::ListUnsettledTasks, and stored while it was unresponsive.
   std::optional<std::set<std::string>> mFinalTasks{};
   // What it ran when its leases expired or, of a previous holder, when it was last known.
   std::vector<SuspectRun> mPastRuns{};
--- a/src/fleet/worker_records.cpp
+++ b/src/fleet/worker_records.cpp
@@ -1,5 +1,7 @@
 #include "fleet/worker_records.h"
 
+#include "observe/log.h"
+
 namespace monsoon::fleet {
 
 void WorkerRecords::SetRevision(const std::string& aWorker, std::uint64_t aRevision)
@@ -8,9 +10,10 @@
 }
 
 // A worker gets a record before its first task. While it does not answer, no task starts there, and
-// its record lists, as final, all tasks that it may run; the list is cleared before another task
-// starts there. Each write and each delete depends on the record that it replaces, so that one that
-// the store applies late changes nothing.
+// its record lists, as final, all tasks that it may run or whose end there is not stored: progress
+// is written by other transactions, which may be seconds behind. The list is cleared before another
+// task starts there. Each write and each delete depends on the record that it replaces, so that one
+// that the store applies late changes nothing.
 RecordPlan WorkerRecords::Plan(const Scheduler& aScheduler, std::size_t aMaxEntries) const
 {
   RecordPlan plan;
@@ -28,8 +31,7 @@
     record.mCreatedRevision = worker.mEntry.mCreatedRevision;
     if (isUnresponsive) {
       record.mIsFinal = true;
-      for (const Run& run : worker.mRuns)
-        record.mTasks.push_back(run.mTask);
+      record.mTasks = aScheduler.ListUnsettledTasks(worker);
       record.mSuspects = aScheduler.ListSuspects(worker);
     }
     const auto stored = mRevisions.find(id);
@@ -59,8 +61,13 @@
     worker->mRecorded = true;
     worker->mFinalWanted = false;
     worker->mFinalTasks.reset();
-    if (record.mIsFinal)
-      worker->mFinalTasks.emplace(record.mTasks.begin(), record.mTasks.end());
+    if (!record.mIsFinal)
+      continue;
+    worker->mFinalTasks.emplace(record.mTasks.begin(), record.mTasks.end());
+    Log(LogPart::Task,
+        LogLevel::Info,
+        "stored which tasks of an unresponsive worker a later holder must not start",
+        { { "worker", id }, { "tasks", record.mTasks.size() }, { "runs", worker->mRuns.size() } });
   }
   for (const std::string& id : aPlan.mDeletes)
     mRevisions.erase(id);
--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -261,9 +261,8 @@
       mRecorded[id].mAddress = worker.mAddress;
     }
     if (worker.mFinalWanted && !worker.mReachable) {
-      std::set<std::string> tasks;
-      for (const Run& run : worker.mRuns)
-        tasks.insert(run.mTask);
+      const std::vector<std::string> unsettled = scheduler.ListUnsettledTasks(worker);
+      std::set<std::string> tasks(unsettled.begin(), unsettled.end());
       mFinalTasksByWorker[id] = tasks;
       mSuspectsByWorker[id] = scheduler.ListSuspects(worker);
       worker.mFinalTasks = std::move(tasks);
