Ends of two incarnations of a worker that have the same number are not mixed up

Cause: incarnations number their ends alike. An end whose job was not known yet was matched by its number alone, so an end of the next incarnation with the same number was held back until the older one was dropped, or got the older one's place in the progress of its job: then it could be acknowledged before its own effect was stored, and a lost holder would have lost it.

Change: such ends are matched by number and task (UnstoredEnd::IsOf).

Evidence: "fleet: an end is taken for that of an earlier incarnation, whose job was not known" failed in both sections before: acknowledged with its effect not stored, and not acknowledged with its effect stored.

--- a/src/fleet/progress.cpp
+++ b/src/fleet/progress.cpp
@@ -174,10 +174,9 @@
 // Returns whether the effect of an end is in a batch that was not lost, or it has none.
 bool Scheduler::IsCollected(const Worker& aWorker, const UnstoredEnd& aEnd) const
 {
-  const bool isOrphan =
-    std::any_of(aWorker.mOrphanEnds.begin(), aWorker.mOrphanEnds.end(), [&](const auto& aItem) {
-      return aItem.second.mNumber == aEnd.mNumber;
-    });
+  const bool isOrphan = std::any_of(aWorker.mOrphanEnds.begin(),
+                                    aWorker.mOrphanEnds.end(),
+                                    [&](const auto& aItem) { return aEnd.IsOf(aItem.second); });
   if (isOrphan)
     return false;
   const Job* job = FindJob(aEnd.mJob);
--- a/src/fleet/scheduler_reports.cpp
+++ b/src/fleet/scheduler_reports.cpp
@@ -53,7 +53,7 @@
       if (row.mTask.starts_with(prefix)) {
         ProcessEnd(worker, row, aNow);
         for (UnstoredEnd& it : worker.mUnstoredEnds)
-          if (it.mNumber == row.mNumber)
+          if (it.IsOf(row))
             it.mChange = aJob.mChanges;
       } else {
         worker.mOrphanEnds.emplace_back(seenAt, std::move(row));
--- a/src/fleet/scheduler_state.h
+++ b/src/fleet/scheduler_state.h
@@ -177,6 +177,12 @@
   EndKind mKind = EndKind::Failed;
   std::string mJob{};
   std::uint64_t mChange = 0;  // Job::mChanges that includes its effect
+
+  // The numbers of ends start anew with each incarnation of the worker.
+  [[nodiscard]] bool IsOf(const EndedTask& aRow) const
+  {
+    return mNumber == aRow.mNumber && mTask == aRow.mTask;
+  }
 };
 
 struct Worker
--- a/tests/unit/test_fleet_acknowledged_ends.cpp
+++ b/tests/unit/test_fleet_acknowledged_ends.cpp
@@ -213,6 +213,46 @@
   CHECK(scheduler.FindWorker("w0")->mStoredEnd == 1);
 }
 
+// Incarnations of a worker number their ends alike, so the number alone names none.
+TEST_CASE("fleet: an end is taken for that of an earlier incarnation, whose job was not known")
+{
+  Scheduler scheduler({});
+  EndingWorkers workers(scheduler, 2);
+  for (const char* id : { "b", "c" })
+    scheduler.AddJob(MakeJob(id, 9), {}, false, kStart);
+  for (int n = 0; n < 3; ++n) {
+    workers.End(1, "b.0.0." + std::to_string(n));
+    workers.Report(1, kStart);
+    scheduler.OnProgressStored(scheduler.CollectProgress(kBatchEntries, kStart));
+  }
+  const auto report = [&](std::int64_t aBornMs, const std::string& aTask) {
+    const WorkerReport it{ .mBornMs = aBornMs, .mEnded = { { 1, aTask, 1, EndKind::Done, "" } } };
+    scheduler.OnReport("w0", it, kStart, kStart);
+  };
+  report(1000, "a.0.0.0");
+  workers.End(1, "c.0.0.0");
+  workers.Report(1, kStart);
+  report(2000, "b.0.0.3");
+  const auto storeOneJob = [&] {
+    const ProgressBatch batch = scheduler.CollectProgress(2, kStart);
+    REQUIRE(batch.mJobs.size() == 1);
+    scheduler.OnProgressStored(batch);
+    return batch.mJobs[0].mJob;
+  };
+  SECTION("it is acknowledged before its effect is stored")
+  {
+    scheduler.AddJob(MakeJob("a", 2), {}, false, kStart);
+    REQUIRE(storeOneJob() == "c");
+    CHECK(scheduler.FindWorker("w0")->mStoredEnd == 0);
+  }
+  SECTION("it is acknowledged late")
+  {
+    REQUIRE(storeOneJob() == "c");
+    REQUIRE(storeOneJob() == "b");
+    CHECK(scheduler.FindWorker("w0")->mStoredEnd == 1);
+  }
+}
+
 TEST_CASE("fleet: an end whose effect was not stored is acknowledged, and lost with the holder")
 {
   const auto seed = GENERATE(range(1U, 41U));
