UNASKED: a DELETE of an unknown id is acknowledged once a job that arrives late can't run

Cause: the store may carry out a write that it did not answer seconds later. Cancel found no key and answered 410, and nothing remembered that the id was cancelled.

Change: the holder remembers ids that are cancelled while no job of them is stored (CancelledIds), cancels a job of such an id as it arrives, and stores the ids for its successor before the caller gets its 410. Only jobs that the caller may cancel are concerned. Ruled out: a key for each id that StoreJob requires to be absent: a key and a write for each DELETE, conditions for each POST, and processes of the release before would ignore it.

--- a/src/fleet/entry_callers.cpp
+++ b/src/fleet/entry_callers.cpp
@@ -27,7 +27,8 @@
   const long ms = std::strtol(text.c_str(), nullptr, 10);
   if (ms <= 0)
     return kCallerBudget;
-  return std::max<Duration>(milliseconds(100), milliseconds(std::min(ms, 60'000L)) - kAnswerMargin);
+  const Duration budget = std::min<Duration>(milliseconds(ms), kLongestBudget);
+  return std::max<Duration>(milliseconds(100), budget - kAnswerMargin);
 }
 
 // Returns whether the caller may see a stored job. One that can't be decoded names no team.
@@ -235,9 +236,17 @@
   const TimePoint deadline = BootClock::now() + aBudget;
   while (BootClock::now() < deadline) {
     auto job = co_await mStore.Get(MakeJobKey(aId), platform::kStoreDeadline);
-    if (job && !(*job && MayAccessStored(aAccess, (*job)->mValue)))
+    if (job && *job && !MayAccessStored(aAccess, (*job)->mValue))
       co_return MakeEmptyResponse(http::status::gone);
-    if (job) {
+    if (job && !*job && IsHolder()) {
+      const CancelledId id{ aId, aAccess };  // the job's write may still be on its way
+      const auto cancelled = co_await mHolder->CancelUnstored(id, deadline);
+      if (cancelled)
+        co_return MakeEmptyResponse(http::status::gone);
+      if (cancelled.error().mKind == FailureKind::RateLimited)
+        co_return MakeEmptyResponse(http::status::too_many_requests);
+    }
+    if (job && *job) {
       StoreTransaction transaction;
       transaction.mConditions.emplace_back(MakeCancelKey(aId), 0);
       transaction.mWrites.push_back({ MakeCancelKey(aId), "cancelled" });
@@ -257,6 +266,8 @@
       auto relayed = co_await CallHolder("/cancel", EncodeMessage(request), kPeerDeadline);
       if (relayed)
         co_return MakeEmptyResponse(relayed->empty() ? http::status::ok : http::status::gone);
+      if (relayed.error().mKind == FailureKind::RateLimited)
+        co_return MakeEmptyResponse(http::status::too_many_requests);
     }
     co_await Sleep(milliseconds(50));
   }
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -18,7 +18,8 @@
 
 // Posts a request to the holder, or handles it here if this process is the holder. Fails with
 // StoreUnavailable if no holder is known or reachable, or if it can't serve the request, with
-// PeerUnknown for any other status than 200, and as HttpClient::Call.
+// Conflict or RateLimited if it refused the request, with PeerUnknown for any other status than
+// 200, and as HttpClient::Call.
 Async<Result<std::string>> Entry::CallHolder(const char* aPath,
                                              std::string aBody,
                                              Duration aDeadline)
@@ -49,6 +50,8 @@
     co_return MakeFailure(FailureKind::StoreUnavailable, "the holder can't serve the request");
   if (response->result() == http::status::conflict)
     co_return MakeFailure(FailureKind::Conflict, "the holder refused the request");
+  if (response->result() == http::status::too_many_requests)
+    co_return MakeFailure(FailureKind::RateLimited, "the holder has too many such requests");
   if (response->result() != http::status::ok)
     co_return MakeFailure(FailureKind::PeerUnknown, std::to_string(response->result_int()));
   co_return std::move(response->body());
@@ -156,6 +159,8 @@
       co_await Cancel(std::move(request->mAccess), std::move(request->mId), kStoreWriteDeadline);
     if (response.result() == http::status::gone)
       co_return answer("gone");
+    if (response.result() == http::status::too_many_requests)
+      co_return response;
     co_return response.result() == http::status::ok
       ? answer({})
       : MakeEmptyResponse(http::status::gateway_timeout);
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <variant>
 
+#include "fleet/cancelled_ids.h"
 #include "fleet/peer_messages.h"
 #include "fleet/scheduler.h"
 #include "fleet/settings.h"
@@ -72,6 +73,10 @@
   [[nodiscard]] const LoadSummary& GetLoad();  // made lately
   [[nodiscard]] std::vector<HttpAddress> SampleMembers(const std::string& aExcept);
   void OnJobCancelled(const std::string& aId);
+  // Cancels an id of which no job is stored: from now on, a job that arrives late is cancelled.
+  // Returns once that is stored. Fails with StoreUnavailable if it isn't by aDeadline, and with
+  // RateLimited if there are too many.
+  Async<Result<void>> CancelUnstored(CancelledId aId, TimePoint aDeadline);
   void OnJobAccepted(const std::string& aId, std::string_view aValue);
 
 private:
@@ -141,6 +146,8 @@
   Async<void> LogStats();
   void LogTeamsAtLimit();
   Async<void> ForgetEndedJobs();  // deletes jobs from the store some time after their end
+  Async<void> StoreCancelledIds();
+  Async<void> ForgetCancelledIds();
   Async<void> YieldToLarger();
 
   void ApplyJobItem(const platform::StoreItem& aItem, bool aInherited);
@@ -148,6 +155,7 @@
   Async<void> ReadRevisionOfTakeover();
   void ApplyWorkerItem(const platform::StoreItem& aItem, bool aIsRecent);
   void ApplyHandover(std::string_view aRecord);
+  void ApplyCancelledIds(const platform::StoreItem& aItem);
   void VerifyAddress(const std::string& aId);  // polls all workers that may be where it is listed
   void ApplyReport(const std::string& aId,
                    const WorkerReport& aReport,
@@ -210,6 +218,9 @@
   std::map<std::string, std::uint64_t> mProgressRevisions{};  // by job, in the store
   std::map<std::string, std::string> mEarlyProgress{};        // progress of jobs not read yet
   std::set<std::string> mEarlyCancels{};                      // cancelled jobs not read yet
+  CancelledIds mCancelledIds{};
+  bool mStoringCancelledIds = false;    // StoreCancelledIds is running
+  std::uint64_t mNextCancelledIds = 0;  // number of their next record
   asio::steady_timer mPlanTimer;
   bool mPlanWoken = false;
   asio::steady_timer mStoreTimer;
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -47,6 +47,8 @@
       mProgressRevisions[id] = it.mRevision;
     }
   }
+  for (const StoreItem& it : state.mItems)
+    ApplyCancelledIds(it);
   for (const StoreItem& it : state.mItems)
     ApplyJobItem(it, isInherited);
   for (const StoreItem& it : state.mItems) {
@@ -152,16 +154,31 @@
   const std::int64_t age = aInherited ? ReadWallMillis() - spec->mAcceptedMs : 0;
   const Duration waited =
     std::clamp<Duration>(milliseconds(age), Duration::zero(), mSettings.mKeepEnded);
+  const bool isCancelled = mEarlyCancels.erase(id) != 0 || mCancelledIds.Contains(*spec);
   auto progress = mEarlyProgress.find(id);
   mScheduler.AddJob(std::move(*spec),
                     progress == mEarlyProgress.end() ? std::string_view() : progress->second,
                     aInherited,
                     BootClock::now(),
                     waited);
-  if (mEarlyCancels.erase(id) != 0)
+  if (isCancelled)
     mScheduler.CancelJob(id, BootClock::now());
 }
 
+void Holder::ApplyCancelledIds(const StoreItem& aItem)
+{
+  if (!aItem.mKey.starts_with(kCancelledPrefix))
+    return;
+  const auto record = DecodeMessage<CancelledIdsRecord>(aItem.mValue);
+  if (record)
+    mCancelledIds.AddRecord(aItem.mKey, *record, BootClock::now());
+  else
+    Log(LogPart::Job,
+        LogLevel::Error,
+        "a record of cancelled ids in the store can't be decoded",
+        { { "key", aItem.mKey }, { "what", record.error().mDetail } });
+}
+
 // Returns whether an earlier holder may have started tasks of a job that was read after the
 // election: it may have been told of the job sooner. The revision of a job that this process was
 // told of is not known; the watch delivers it.
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -1,4 +1,6 @@
-// Writes progress and worker records to the store.
+// Writes progress, worker records and cancelled ids to the store.
+#include <algorithm>
+
 #include "fleet/holder_impl.h"
 #include "fleet/keys.h"
 
@@ -12,6 +14,7 @@
   platform::kMaxTransactionEntries - 1;                       // and the holder's key
 constexpr std::size_t kFullBatchJobs = kProgressEntries / 2;  // of running jobs
 constexpr Duration kForgetInterval = seconds(15);
+constexpr Duration kForgetMargin = seconds(30);
 
 }  // namespace
 
@@ -180,8 +183,10 @@
     co_await Sleep(kForgetInterval);
     if (mSteppedDown)
       co_return;
-    std::vector<std::string> ids =
-      mScheduler.ForgetEnded(BootClock::now(), mSettings.mKeepEnded + seconds(30));
+    co_await ForgetCancelledIds();
+    // A write that is carried out once the job's key is gone would start the job anew.
+    const Duration age = std::max(mSettings.mKeepEnded + kForgetMargin, kLongestWrite);
+    std::vector<std::string> ids = mScheduler.ForgetEnded(BootClock::now(), age);
     while (!ids.empty() && !mSteppedDown) {
       StoreTransaction transaction;
       transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
@@ -198,4 +203,76 @@
   }
 }
 
+Async<Result<void>> Holder::CancelUnstored(CancelledId aId, TimePoint aDeadline)
+{
+  auto self = shared_from_this();
+  if (!mLoaded || mSteppedDown)
+    co_return MakeFailure(FailureKind::StoreUnavailable, "this process does not schedule yet");
+  if (!mCancelledIds.Add(aId, BootClock::now()))
+    co_return MakeFailure(FailureKind::RateLimited, "too many ids are cancelled");
+  // It may have arrived since the store was asked for it.
+  const Job* job = mScheduler.FindJob(aId.mId);
+  if (job && MayAccess(aId.mAccess, job->mSpec.mTeam, job->mSpec.mQueue))
+    OnJobCancelled(aId.mId);
+  if (!mStoringCancelledIds)
+    Spawn(mContext, StoreCancelledIds());
+  while (!mCancelledIds.IsStored(aId)) {
+    if (mSteppedDown || BootClock::now() >= aDeadline)
+      co_return MakeFailure(FailureKind::StoreUnavailable, "the cancellation is not stored yet");
+    co_await Sleep(milliseconds(10));
+  }
+  Log(LogPart::Job,
+      LogLevel::Info,
+      "cancelled an id of which no job is stored; one that arrives late is cancelled",
+      { { "job", aId.mId }, { "team", aId.mAccess.mTeam } });
+  co_return Result<void>();
+}
+
+// Stores the cancelled ids. A write without an answer is repeated under the same key.
+Async<void> Holder::StoreCancelledIds()
+{
+  auto self = shared_from_this();
+  mStoringCancelledIds = true;
+  while (!mSteppedDown) {
+    const CancelledIdsRecord record = mCancelledIds.GetNextRecord();
+    if (record.mIds.empty())
+      break;
+    const std::string key = std::string(kCancelledPrefix) + std::to_string(GetEpoch()) + "-" +
+                            std::to_string(mNextCancelledIds);
+    StoreTransaction transaction;
+    transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+    transaction.mWrites.push_back({ key, EncodeMessage(record) });
+    const auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    if (outcome && outcome->mCommitted) {
+      ++mNextCancelledIds;
+      mCancelledIds.OnStored(key, record, BootClock::now());
+      continue;
+    }
+    if (outcome)
+      co_await CheckHolderKey();
+    co_await Sleep(kRetryStore);
+  }
+  mStoringCancelledIds = false;
+}
+
+// Deletes the records of cancelled ids of which no job can arrive any more.
+Async<void> Holder::ForgetCancelledIds()
+{
+  auto self = shared_from_this();
+  std::vector<std::string> keys = mCancelledIds.ListExpired(BootClock::now());
+  while (!keys.empty() && !mSteppedDown) {
+    const std::size_t count = std::min(keys.size(), kProgressEntries);
+    StoreTransaction transaction;
+    transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
+    transaction.mDeletes.assign(keys.end() - static_cast<std::ptrdiff_t>(count), keys.end());
+    const std::vector<std::string> deleted = transaction.mDeletes;
+    const auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
+    if (!outcome || !outcome->mCommitted)
+      co_return;  // they are listed again the next time
+    for (const std::string& it : deleted)
+      mCancelledIds.EraseRecord(it);
+    keys.resize(keys.size() - count);
+  }
+}
+
 }  // namespace monsoon::fleet
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -61,6 +61,12 @@
 
 namespace monsoon::fleet {
 
+template<class Archive>
+void serialize(Archive& aArchive, CallerAccess& aAccess)
+{
+  aArchive(aAccess.mIsKnown, aAccess.mSeesAllJobs, aAccess.mTeam, aAccess.mAnonymousQueue);
+}
+
 // A message with fields that earlier builds did not store. They follow the others and may be
 // missing.
 template<class T>
@@ -152,6 +158,31 @@
   void SerializeAdded(auto& aArchive) const { aArchive(mSuspects); }
 };
 
+// A job that was cancelled while no job of its id was stored.
+struct CancelledId
+{
+  std::string mId{};
+  CallerAccess mAccess{};  // of the caller that cancelled it
+  bool operator==(const CancelledId&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mId, mAccess);
+  }
+};
+
+struct CancelledIdsRecord
+{
+  std::vector<CancelledId> mIds{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mIds);
+  }
+};
+
 // What a holder that stops as planned leaves to the next one.
 struct HandoverRecord
 {
@@ -286,14 +317,8 @@
   {
     aArchive(mId);
   }
-  void SerializeAdded(auto& aArchive) { SerializeAccess(mAccess, aArchive); }
-  void SerializeAdded(auto& aArchive) const { SerializeAccess(mAccess, aArchive); }
-
-private:
-  static void SerializeAccess(auto& aAccess, auto& aArchive)
-  {
-    aArchive(aAccess.mIsKnown, aAccess.mSeesAllJobs, aAccess.mTeam, aAccess.mAnonymousQueue);
-  }
+  void SerializeAdded(auto& aArchive) { aArchive(mAccess); }
+  void SerializeAdded(auto& aArchive) const { aArchive(mAccess); }
 };
 
 struct SubmitRequest  // relayed by a process that the store does not serve
--- a/src/fleet/team_keys.h
+++ b/src/fleet/team_keys.h
@@ -26,6 +26,7 @@
   bool mSeesAllJobs = true;       // no teams are configured
   std::string mTeam{};            // sees its own jobs; empty: none
   std::string mAnonymousQueue{};  // and all jobs of this one
+  bool operator==(const CallerAccess&) const = default;
 };
 
 // Returns the key of an Authorization header "Bearer KEY"; empty if there is none.
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -50,9 +51,10 @@
 enum class StoreMode : std::uint8_t
 {
   Serving,
-  Busy,        // answers 503
-  Silent,      // answers nothing
-  LosesWrites  // a third of the writes are done and not answered
+  Busy,         // answers 503
+  Silent,       // answers nothing
+  LosesWrites,  // a third of the writes are done and not answered
+  DelaysWrites  // a third of the writes are done 1 to 6 s later, and not answered
 };
 
 // ForeignEntry
@@ -90,6 +92,8 @@
                    std::vector<StandinStage> aStages,
                    std::string aTeam = {});
   void SetStoreMode(StoreMode aMode) { mMode = aMode; }
+  // Carries writes of this key out aTime later, and does not answer them; empty: of none.
+  void DelayWrites(std::string aKey, Duration aTime);
   void SetLostAnswers(double aShare) { mLostAnswers = aShare; }  // of orders to workers
   void SetSilent(std::uint32_t aWorker, bool aSilent);           // it runs on and answers nothing
   void SetLateOrders(double aShare) { mLateOrders = aShare; }    // of starts: seconds late
@@ -143,6 +147,8 @@
   Async<HttpResponse> Watch(std::string aPrefix, std::uint64_t aAfter, Duration aWait);
   Async<HttpResponse> Hold(std::uint32_t aWorker, boost::json::value aBody);
   HttpResponse Commit(const boost::json::value& aBody);
+  [[nodiscard]] std::optional<Duration> ChooseDelay(const boost::json::value& aTransaction);
+  Async<HttpResponse> CommitLate(boost::json::value aTransaction, Duration aDelay);
   HttpResponse List(const std::string& aPrefix, const std::string& aAfter) const;
   HttpResponse StartTask(std::uint32_t aWorker,
                          const boost::json::value& aBody,
@@ -199,6 +205,8 @@
   std::uint64_t mRevision = 1;
   std::map<std::string, StoredItem> mItems{};
   std::vector<Event> mHistory{};
+  std::string mDelayedKey{};  // see DelayWrites
+  Duration mWriteDelay{};
   std::uint64_t mFirstRevision = 0;  // watches from before it are told to list again
   std::map<std::uint64_t, std::pair<Duration, TimePoint>> mLeases{};  // lifetime, end
   std::uint64_t mNextLease = 1;
--- a/standin/fleet_store.cpp
+++ b/standin/fleet_store.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kStep = milliseconds(10);
 constexpr std::size_t kHistory = 5000;  // events that a watch can go back
 constexpr std::size_t kPage = 200;      // items of one page
+constexpr Duration kMinWriteDelay = seconds(1);
+constexpr Duration kMaxWriteDelay = seconds(6);
 
 HttpResponse Answer(http::status aStatus, const json::value& aBody)
 {
@@ -156,6 +158,37 @@
   }
 }
 
+void FleetStandin::DelayWrites(std::string aKey, Duration aTime)
+{
+  const std::lock_guard lock(mLock);
+  mDelayedKey = std::move(aKey);
+  mWriteDelay = aTime;
+}
+
+// Returns after which time a transaction is to be carried out without an answer; empty: at once.
+std::optional<Duration> FleetStandin::ChooseDelay(const json::value& aTransaction)
+{
+  const json::array& writes = GetArray(aTransaction, "writes");
+  const bool hasKey = std::any_of(writes.begin(), writes.end(), [this](const json::value& aItem) {
+    return GetString(aItem, "key") == mDelayedKey;
+  });
+  if (!mDelayedKey.empty() && hasKey)
+    return mWriteDelay;
+  if (mMode == StoreMode::DelaysWrites && Happens(0.33))
+    return Draw(kMinWriteDelay, kMaxWriteDelay);
+  return std::nullopt;
+}
+
+Async<HttpResponse> FleetStandin::CommitLate(json::value aTransaction, Duration aDelay)
+{
+  co_await Sleep(aDelay);
+  {
+    const std::lock_guard lock(mLock);
+    Commit(aTransaction);
+  }
+  co_return co_await NeverAnswer();
+}
+
 Async<HttpResponse> FleetStandin::HandleStore(HttpRequest aRequest)
 {
   const StoreMode mode = mMode;
@@ -172,6 +205,15 @@
     co_return co_await Watch(GetQuery(target, "prefix"),
                              std::strtoull(GetQuery(target, "after").c_str(), nullptr, 10),
                              milliseconds(std::atoi(GetQuery(target, "wait_ms").c_str())));
+  if (path == "/kv-txn") {
+    std::optional<Duration> delay;
+    {
+      const std::lock_guard lock(mLock);
+      delay = ChooseDelay(*body);
+    }
+    if (delay)
+      co_return co_await CommitLate(std::move(*body), *delay);
+  }
   const std::lock_guard lock(mLock);
   if (path == "/kv-key") {
     auto it = mItems.find(GetQuery(target, "key"));
--- a/tests/integration/entry_fleet.cpp
+++ b/tests/integration/entry_fleet.cpp
@@ -117,14 +117,18 @@
                                              http::verb aVerb,
                                              std::string aTarget,
                                              std::string aBody,
-                                             std::string aKey)
+                                             std::string aKey,
+                                             Duration aBudget)
 {
   HttpRequest request(aVerb, aTarget, 11);
   request.body() = std::move(aBody);
   if (!aKey.empty())
     request.set(http::field::authorization, "Bearer " + aKey);
+  if (aBudget > Duration::zero())
+    request.set("X-Deadline-Ms", std::to_string(aBudget / milliseconds(1)));
+  const Duration deadline = aBudget > Duration::zero() ? aBudget : seconds(3);
   HttpAddress address{ "127.0.0.1", mProcesses[aIndex].mCallers };
-  co_return co_await mClient.Call(std::move(address), std::move(request), seconds(3));
+  co_return co_await mClient.Call(std::move(address), std::move(request), deadline);
 }
 
 std::string EntryFleet::ReadLog(std::size_t aIndex) const
--- a/tests/integration/entry_fleet.h
+++ b/tests/integration/entry_fleet.h
@@ -59,7 +59,8 @@
                                    http::verb aVerb,
                                    std::string aTarget,
                                    std::string aBody,
-                                   std::string aKey = {});  // of the caller; empty: none
+                                   std::string aKey = {},   // of the caller; empty: none
+                                   Duration aBudget = {});  // of the caller; zero: not stated
 
   [[nodiscard]] standin::FleetStandin& GetPlatform() const { return *mPlatform; }
   [[nodiscard]] EntryProcess& Get(std::size_t aIndex) { return mProcesses[aIndex]; }
