--- a/src/fleet/entry.cpp
+++ b/src/fleet/entry.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kProbeDeadline = milliseconds(700);  // a slow store takes some 400 ms
 constexpr std::size_t kMaxConcurrentProbes = 5;  // kProbeDeadline / kProbeInterval, rounded up
 constexpr Duration kSettingsInterval = seconds(1);
+// Of a watch of the configuration, at least; otherwise one and a half versions, in base64.
+constexpr std::size_t kMinConfigBytes = 256 * 1024;
 constexpr Duration kStopMargin = milliseconds(1500);  // left before SIGKILL
 // The load balancer stops sending callers after two failed checks, 1 s apart.
 constexpr Duration kDrainTime = milliseconds(2200);
@@ -169,38 +171,54 @@
         { "source", aSource } });
   mConfig = std::move(*config);
   mConfigText = aText;
+  mConfigAt = BootClock::now();
   mTeamKeys.Set(mConfig);
   if (mHolder)
     mHolder->SetConfig(mConfig);
 }
 
 // Returns the changes of keys under aPrefix since aRevision, or all keys if aRevision is 0, and
-// advances aRevision. Returns std::nullopt if the store did not answer, or if its history no longer
-// reaches back to aRevision: then resets aRevision, so that the next call lists all keys.
+// advances aRevision. Returns std::nullopt if the store did not answer, if its history no longer
+// reaches back to aRevision, or if the changes have more than aMaxBytes: in the last two cases
+// resets aRevision, so that the next call lists all keys.
 Async<std::optional<platform::StorePage>> Entry::ReadChanges(std::string aPrefix,
-                                                             std::uint64_t& aRevision)
+                                                             std::uint64_t& aRevision,
+                                                             std::size_t aMaxBytes)
 {
+  const TimePoint sentAt = BootClock::now();
   Result<platform::StorePage> page = platform::StorePage{};
   if (aRevision == 0)
-    page = co_await mStore.List(std::move(aPrefix), platform::kStoreDeadline);
+    page = co_await mStore.List(aPrefix, platform::kStoreDeadline);
   else
-    page = co_await mStore.Watch(std::move(aPrefix), aRevision, kWatchWait);
+    page = co_await mStore.Watch(aPrefix, aRevision, kWatchWait, aMaxBytes);
   if (page) {
+    mUnreadPrefixes.erase(aPrefix);
     aRevision = page->mRevision;
     co_return std::move(*page);
   }
-  if (page.error().mKind == FailureKind::Conflict)
+  if (mUnreadPrefixes.insert(aPrefix).second)
+    Log(LogPart::Store,
+        LogLevel::Warn,
+        "the store's keys could not be read",
+        { { "prefix", aPrefix },
+          { "since_revision", aRevision },
+          { "what", page.error().mDetail },
+          { "took_ms", BootClock::now() - sentAt } });
+  if (platform::MustListAgain(page.error()))
     aRevision = 0;
   else
     co_await Sleep(kRetryStore);
   co_return std::nullopt;
 }
 
+// A watch delivers each version in full. While versions of a large configuration follow each other
+// faster than the link carries them, only the newest one is read.
 Async<void> Entry::WatchConfig()
 {
   std::uint64_t revision = 0;
   while (!mStopping) {
-    auto page = co_await ReadChanges(std::string(platform::kOperatorPrefix), revision);
+    const std::size_t mostBytes = std::max(kMinConfigBytes, 2 * mConfigText.size());
+    auto page = co_await ReadChanges(std::string(platform::kConfigKey), revision, mostBytes);
     if (!page)
       continue;
     for (const StoreItem& it : page->mItems)
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
 
 #include "fleet/holder.h"
 #include "fleet/settings.h"
@@ -57,7 +58,11 @@
   HttpResponse HandleReady(const HttpRequest& aRequest);
   // Peers
   Async<HttpResponse> HandlePeer(HttpRequest aRequest);
-  Async<Result<std::string>> CallHolder(const char* aPath, std::string aBody, Duration aDeadline);
+  Async<Result<std::string>> CallHolder(const char* aPath, std::string aBody, CallLimits aLimits);
+  Async<Result<std::string>> CallHolder(const char* aPath, std::string aBody, Duration aDeadline)
+  {
+    return CallHolder(aPath, std::move(aBody), CallLimits{ .mDeadline = aDeadline });
+  }
   Async<void> NotifyHolder(const char* aPath, std::string aBody);
   Async<void> PollHolder();
   Async<void> ReplaceLostHolder();
@@ -80,14 +85,18 @@
   Async<bool> MayBeStored(std::string aId);
   HttpResponse MakeHopelessRefusal(const JobSpec& aSpec, const RefusalDecision& aRefusal);
   // Store and election
-  Async<std::optional<platform::StorePage>> ReadChanges(std::string aPrefix,
-                                                        std::uint64_t& aRevision);
+  Async<std::optional<platform::StorePage>> ReadChanges(
+    std::string aPrefix,
+    std::uint64_t& aRevision,
+    std::size_t aMaxBytes = platform::kMaxResponseBytes);
   Async<void> WatchConfig();
   Async<void> WatchHolder();
   Async<void> Campaign();
   void ApplyConfigItem(const platform::StoreItem& aItem);
   void ApplyConfig(std::string_view aText, std::string_view aSource);
-  Async<void> CatchUpConfig(std::uint64_t aVersion);
+  [[nodiscard]] bool IsConfigDelivered() const;
+  void CatchUpConfig(std::uint64_t aVersion);
+  Async<void> ReadHolderConfig();
   void ApplyHolderItem(const platform::StoreItem& aItem);
   void SetHolder(HolderRecord aRecord);
   [[nodiscard]] bool IsSelf(const HolderRecord& aRecord) const;
@@ -110,8 +119,11 @@
   HttpClient mClient{};
   platform::Store mStore;
   FleetConfig mConfig{};
-  std::string mConfigText{};        // as stored, for members that the store does not serve
+  std::string mConfigText{};                // as stored, for members that the store does not serve
+  std::set<std::string> mUnreadPrefixes{};  // whose last read failed
+  TimePoint mConfigAt{};                    // when mConfig took effect
   std::uint64_t mAheadVersion = 0;  // of a configuration that the holder has and this process not
+  bool mIsReadingConfig = false;    // ReadHolderConfig is running
   TeamKeys mTeamKeys{};
   HolderView mView{};
   std::shared_ptr<Holder> mHolder{};
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kPollDeadline = milliseconds(700);   // the holder keeps a poll open for 400 ms
 constexpr Duration kProbeDeadline = milliseconds(350);  // includes a ping of the holder
 constexpr std::size_t kMembersToProbe = 3;
+constexpr Duration kConfigDelivery = seconds(1);    // between two parts or versions
+constexpr Duration kMaxConfigTime = seconds(5);     // to read it from the holder
 constexpr Duration kServedFor = milliseconds(200);  // an answer of the store shows that it serves
 
 }  // namespace
@@ -22,7 +24,7 @@
 // 200, and as HttpClient::Call.
 Async<Result<std::string>> Entry::CallHolder(const char* aPath,
                                              std::string aBody,
-                                             Duration aDeadline)
+                                             CallLimits aLimits)
 {
   HttpRequest request(http::verb::post, aPath, 11);
   request.body() = std::move(aBody);
@@ -32,7 +34,7 @@
   else if (mView.mRecord) {
     HttpAddress address{ mView.mRecord->mHost, mView.mRecord->mPort };
     const TimePoint sentAt = BootClock::now();
-    response = co_await mClient.Call(std::move(address), std::move(request), aDeadline);
+    response = co_await mClient.Call(std::move(address), std::move(request), aLimits);
     const bool isHolder = response && response->result() != http::status::misdirected_request;
     if (isHolder)
       mHolderFailingSince.reset();
@@ -178,26 +180,40 @@
         { { "what", aPath }, { "why", notified.error().mDetail } });
 }
 
+// Returns whether the store delivers the configuration to this process. A large one takes seconds
+// on a slow link, and would take the holder's link as long for each member that reads it there.
+bool Entry::IsConfigDelivered() const
+{
+  const TimePoint deliveredAt = std::max(mStore.GetReceivingAt(), mConfigAt);
+  return !mStore.GetFailingSince() && BootClock::now() - deliveredAt < kConfigDelivery;
+}
+
 // Reads a newer configuration from the holder, unless the store delivers it until the next poll:
 // the store may not serve this process, and a key that was taken away must not work here for long.
-Async<void> Entry::CatchUpConfig(std::uint64_t aVersion)
+void Entry::CatchUpConfig(std::uint64_t aVersion)
 {
   if (aVersion <= mConfig.mVersion) {
     mAheadVersion = 0;
-    co_return;
-  }
-  if (mAheadVersion == 0) {
+  } else if (mAheadVersion == 0) {
     mAheadVersion = aVersion;
-    co_return;
+  } else if (!mIsReadingConfig && !IsConfigDelivered()) {
+    mIsReadingConfig = true;
+    asio::co_spawn(mContext, ReadHolderConfig(), asio::detached);
   }
-  auto text = co_await CallHolder("/config", {}, kPeerDeadline);
+}
+
+Async<void> Entry::ReadHolderConfig()
+{
+  const CallLimits limits{ kPeerDeadline, kPeerDeadline, kMaxConfigTime };
+  auto text = co_await CallHolder("/config", {}, limits);
+  mIsReadingConfig = false;
   if (text)
     ApplyConfig(*text, "holder");
   else
     Log(LogPart::Config,
         LogLevel::Warn,
         "a newer configuration could not be read from the holder",
-        { { "version", aVersion }, { "why", text.error().mDetail } });
+        { { "version", mAheadVersion }, { "why", text.error().mDetail } });
 }
 
 Async<void> Entry::PollHolder()
@@ -238,7 +254,7 @@
       mMembers = reply->mMembers;
     mLoad = std::move(reply->mLoad);
     mLoadAt = BootClock::now();
-    co_await CatchUpConfig(reply->mConfigVersion);
+    CatchUpConfig(reply->mConfigVersion);
     if (reply->mRequestsLeaseEnd && mView.mRecord && mView.mRecord->mEpoch == poll.mEpoch) {
       // The holder can't reach the store to end its lease itself.
       co_await EndHolderLease(mView.mRecord->mLease);
--- a/src/fleet/holder_load.cpp
+++ b/src/fleet/holder_load.cpp
@@ -290,7 +290,7 @@
     auto page = co_await AwaitChanges(std::string(kJobPrefix), aRevision, isFailing);
     if (mSteppedDown)
       co_return;
-    if (!page && page.error().mKind == FailureKind::Conflict) {
+    if (!page && platform::MustListAgain(page.error())) {
       sentAt = BootClock::now();
       page = co_await mStore.List(std::string(kJobPrefix), 3 * platform::kStoreDeadline);
     }
@@ -324,7 +324,7 @@
       co_return;
     // After a gap, changes of any age arrive together.
     const bool areRecent = page && !wasFailing && BootClock::now() - sentAt < kLateWatch;
-    if (!page && page.error().mKind == FailureKind::Conflict) {
+    if (!page && platform::MustListAgain(page.error())) {
       page =
         co_await mStore.List(std::string(platform::kDirectoryPrefix), 3 * platform::kStoreDeadline);
       if (page) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -88,6 +88,15 @@
     Scope(const Scope&) = delete;
     Scope& operator=(const Scope&) = delete;
 
+    void Extend(TimePoint aDeadline)  // does not shorten it
+    {
+      if (aDeadline <= mEntry->first)
+        return;
+      auto entry = mDeadlines->mPending.extract(mEntry);
+      entry.key() = aDeadline;
+      mEntry = mDeadlines->mPending.insert(std::move(entry));
+    }
+
   private:
     std::shared_ptr<Deadlines> mDeadlines;
     std::multimap<TimePoint, Connection*>::iterator mEntry{};
@@ -139,6 +148,16 @@
   std::uint64_t mWaits = 0;
 };
 
+// Of the parts of a response; see CallLimits.
+struct HttpClient::ReadLimits
+{
+  Deadlines::Scope& mScope;
+  Duration mSilence{};
+  TimePoint mEnd{};  // of the whole response
+  TimePoint* mPartAt = nullptr;
+  bool mIsEnded = false;  // parts still came at mEnd
+};
+
 // Drops connections that the server has closed. These are readable; a request sent on one would be
 // lost. Returns whether there were any.
 bool HttpClient::EraseClosed(std::vector<ConnectionPtr>& aConnections)
@@ -254,7 +273,9 @@
 }
 
 // Reads a response up to its end. Fails if the deadline passes before the next read.
-Async<boost::system::error_code> HttpClient::Read(Connection& aConnection, ResponseParser& aParser)
+Async<boost::system::error_code> HttpClient::Read(Connection& aConnection,
+                                                  ResponseParser& aParser,
+                                                  ReadLimits& aLimits)
 {
   aParser.eager(true);
   for (;;) {
@@ -283,18 +304,26 @@
       aParser.put_eof(ec);
     if (ec || aParser.is_done())
       co_return aConnection.mIsLate ? beast::error::timeout : ec;
+    if (aLimits.mSilence == Duration::zero())
+      continue;
+    const TimePoint now = BootClock::now();
+    aLimits.mIsEnded = now >= aLimits.mEnd;
+    if (aLimits.mIsEnded)
+      co_return beast::error::timeout;
+    aLimits.mScope.Extend(now + aLimits.mSilence);
+    if (aLimits.mPartAt)
+      *aLimits.mPartAt = now;
   }
 }
 
 Async<Result<HttpResponse>> HttpClient::Call(HttpAddress aAddress,
                                              HttpRequest aRequest,
-                                             Duration aDeadline,
-                                             std::size_t aMaxBodyBytes)
+                                             CallLimits aLimits)
 {
   auto executor = co_await asio::this_coro::executor;
   auto& context = static_cast<asio::io_context&>(executor.context());
   const TimePoint sentAt = BootClock::now();
-  const TimePoint deadline = sentAt + aDeadline;
+  const TimePoint deadline = sentAt + aLimits.mDeadline;
   const std::shared_ptr<Deadlines> deadlines = GetDeadlines(context);
   const std::string text = FormatRequest(std::move(aRequest), aAddress);
   const PoolKey key{ &context, std::move(aAddress) };
@@ -327,8 +356,11 @@
   }
 
   ResponseParser parser;
-  parser.body_limit(aMaxBodyBytes);
-  ec = co_await Read(*connection, parser);
+  parser.body_limit(aLimits.mMaxBodyBytes);
+  ReadLimits limits{ *scope, aLimits.mSilence, sentAt + aLimits.mLongest, aLimits.mPartAt };
+  ec = co_await Read(*connection, parser, limits);
+  if (limits.mSilence > Duration::zero() && (ec == http::error::body_limit || limits.mIsEnded))
+    co_return MakeFailure(FailureKind::TooLarge, "the response is too long");
   if (ec == beast::error::timeout) {
     DropUnanswered(key, sentAt);
     co_return MakeFailure(FailureKind::Timeout, "no complete response before the deadline");
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,6 +21,20 @@
   auto operator<=>(const HttpAddress&) const = default;
 };
 
+inline constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;  // of a response, by default
+
+// How long a call may take, and how much it may return.
+struct CallLimits
+{
+  Duration mDeadline{};  // from the call to the response's end or, with mSilence, to its first part
+  // Longest time without a further part of the response once mDeadline is over, for responses that
+  // take long on a slow link; zero: mDeadline is that of the whole response.
+  Duration mSilence{};
+  Duration mLongest{};           // of the whole response, with mSilence
+  TimePoint* mPartAt = nullptr;  // set when a part is received and more are to come
+  std::size_t mMaxBodyBytes = kMaxBodyBytes;
+};
+
 class HttpClient
 {
 public:
@@ -30,13 +44,20 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Sends a request and returns its response. EndpointUnreachable: no byte was written.
-  // EndpointUnknown or Timeout: the request may have arrived. A connection that failed or timed out
-  // is closed and never reused. After a timeout the idle connections that have not been answered
-  // since the request was sent are closed as well: they may have gone silent with it.
+  // EndpointUnknown or Timeout: the request may have arrived. TooLarge, with mSilence only: it was
+  // answered, but the response has more than mMaxBodyBytes, or still came after mLongest. A
+  // connection that failed or timed out is closed and never reused. After a timeout the idle
+  // connections that have not been answered since the request was sent are closed as well: they may
+  // have gone silent with it.
+  Async<Result<HttpResponse>> Call(HttpAddress aAddress, HttpRequest aRequest, CallLimits aLimits);
   Async<Result<HttpResponse>> Call(HttpAddress aAddress,
                                    HttpRequest aRequest,
                                    Duration aDeadline,
-                                   std::size_t aMaxBodyBytes = 8 * 1024 * 1024);
+                                   std::size_t aMaxBodyBytes = kMaxBodyBytes)
+  {
+    const CallLimits limits{ .mDeadline = aDeadline, .mMaxBodyBytes = aMaxBodyBytes };
+    return Call(std::move(aAddress), std::move(aRequest), limits);
+  }
   // Drops the idle connections of an execution context that the server has closed. Returns whether
   // there were any, as after a restart of the server.
   bool DropClosed(asio::io_context& aContext, const HttpAddress& aAddress);
@@ -46,6 +67,7 @@
 private:
   struct Connection;
   class Deadlines;
+  struct ReadLimits;
   using ConnectionPtr = std::unique_ptr<Connection>;
   using PoolKey = std::pair<const void*, HttpAddress>;  // execution context, address
   using ResponseParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -58,7 +80,9 @@
   Async<Result<ConnectionPtr>> Connect(std::shared_ptr<Deadlines> aDeadlines,
                                        HttpAddress aAddress,
                                        TimePoint aDeadline);
-  static Async<boost::system::error_code> Read(Connection& aConnection, ResponseParser& aParser);
+  static Async<boost::system::error_code> Read(Connection& aConnection,
+                                               ResponseParser& aParser,
+                                               ReadLimits& aLimits);
 
   std::mutex mLock{};
   std::map<PoolKey, std::vector<ConnectionPtr>> mIdle;
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -84,10 +84,22 @@
                                     { "max_count", json::object{ { "cpu", it.mMilliCores } } } });
     config["tenants"] = teams;
   }
+  for (std::size_t n = 0; n < mAddedQueues; ++n) {
+    const std::string number = std::to_string(n);
+    queues.push_back(MakeQueue("new-" + number + "-", "/new-" + number + "/"));
+  }
   config["routes"] = queues;
   PutText("op/config", json::serialize(config));
 }
 
+std::size_t FleetStandin::AddQueues(std::size_t aCount)
+{
+  const std::lock_guard lock(mLock);
+  mAddedQueues += aCount;
+  WriteConfig();
+  return mItems["op/config"].mValue.size() / 4 * 3;
+}
+
 void FleetStandin::ReplaceQueue()
 {
   const std::lock_guard lock(mLock);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -106,6 +106,8 @@
   void HideWorker(std::uint32_t aWorker, Duration aTime);  // it runs on and can't reach the store
   void WriteForeignEntry(std::uint32_t aWorker, ForeignEntry aKind);
   void ReplaceQueue();  // by one of another name that serves the same requests
+  // Adds queues that serve /new-N/, N from 0. Returns the size of the configuration in bytes.
+  std::size_t AddQueues(std::size_t aCount);
   // Replaces all teams. Callers need a key, except for the queue under /open/.
   void SetTeams(std::vector<StandinTeam> aTeams);
 
@@ -212,6 +214,7 @@
   std::uint64_t mNextLease = 1;
   std::uint64_t mNextForeign = 0;
   std::uint64_t mConfigVersion = 0;
+  std::size_t mAddedQueues = 0;  // by AddQueues
   std::vector<std::unique_ptr<WorkerState>> mWorkers{};
   std::map<std::string, std::vector<StandinStage>> mJobs{};
   std::map<std::string, std::string> mTeamsOfJobs{};
--- a/tests/integration/proxy.cpp
+++ b/tests/integration/proxy.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <array>
 #include <list>
 #include <random>
 #include <set>
@@ -17,6 +19,7 @@
 namespace {
 
 constexpr std::size_t kChunkBytes = 64 * 1024;
+constexpr std::size_t kSlowChunkBytes = 8 * 1024;  // so that connections share a slow link
 constexpr Duration kFreezePoll = milliseconds(5);
 
 struct Pair
@@ -57,6 +60,8 @@
   udp::socket mUdp;
   LinkFaults mFaults{};
   bool mStopped = false;
+  std::array<TimePoint, 2>
+    mFreeAt{};  // of requests and answers, when the link has sent all of them
   std::set<std::shared_ptr<Pair>> mPairs{};
 
   Duration PickDelay()
@@ -66,6 +71,17 @@
     return mFaults.mDelay + Duration(std::uniform_int_distribution<Duration::rep>(
                               0, mFaults.mJitter.count())(mRandom));
   }
+  // Returns for how long the link is busy with these and earlier bytes of that direction.
+  Duration Occupy(std::size_t aBytes, bool aAnswers)
+  {
+    if (mFaults.mBytesPerS == 0)
+      return {};
+    const TimePoint now = BootClock::now();
+    TimePoint& freeAt = mFreeAt[aAnswers ? 1 : 0];
+    freeAt = std::max(now, freeAt) + Duration(seconds(1)) * static_cast<Duration::rep>(aBytes) /
+                                       static_cast<Duration::rep>(mFaults.mBytesPerS);
+    return freeAt - now;
+  }
   Async<void> Accept();
   Async<void> Open(std::shared_ptr<Pair> aPair);
   Async<void> Pump(std::shared_ptr<Pair> aPair, bool aAnswers);
@@ -88,14 +104,15 @@
   tcp::socket& to = aAnswers ? aPair->mClient : aPair->mServer;
   std::vector<char> buf(kChunkBytes);
   while (!mStopped) {
-    auto [readError, n] = co_await from.async_read_some(asio::buffer(buf), kNoThrow);
+    const std::size_t room = mFaults.mBytesPerS > 0 ? kSlowChunkBytes : buf.size();
+    auto [readError, n] = co_await from.async_read_some(asio::buffer(buf, room), kNoThrow);
     if (readError)
       break;
     if (aAnswers && mFaults.mCutAnswers > 0) {
       --mFaults.mCutAnswers;
       break;
     }
-    const Duration delay = PickDelay();
+    const Duration delay = PickDelay() + Occupy(n, aAnswers);
     if (delay > Duration::zero())
       co_await Sleep(delay);
     while (mFaults.mFrozen && !mStopped)
--- a/tests/integration/proxy.h
+++ b/tests/integration/proxy.h
@@ -13,11 +13,12 @@
 // What a proxy does to what passes. Set while it runs.
 struct LinkFaults
 {
-  Duration mDelay{};          // added one way, each direction
-  Duration mJitter{};         // uniformly added on top; datagrams may overtake each other
-  double mDropDatagrams = 0;  // share of datagrams lost, 0 … 1
-  bool mCut = false;          // connections are closed and refused, datagrams lost
-  bool mFrozen = false;       // connections stay, nothing passes until thawed; datagrams are lost
+  Duration mDelay{};             // added one way, each direction
+  Duration mJitter{};            // uniformly added on top; datagrams may overtake each other
+  std::uint64_t mBytesPerS = 0;  // each direction, over all connections; 0: unlimited
+  double mDropDatagrams = 0;     // share of datagrams lost, 0 … 1
+  bool mCut = false;             // connections are closed and refused, datagrams lost
+  bool mFrozen = false;  // connections stay, nothing passes until thawed; datagrams are lost
   std::uint32_t mCutAnswers = 0;  // so many next answers are swallowed and their connection closed
 };
 
