Soak: writes carried out late, ends beside a slow store and a killed holder, a large configuration on slow links

Seeds without them play as before. Checked: a job whose cancellation was acknowledged is shown as cancelled or unknown, and no task of it runs at the end.

--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -141,6 +141,17 @@
     mDone.begin(), mDone.end(), [&](const std::string& aItem) { return GetJob(aItem) == aJob; }));
 }
 
+bool FleetStandin::IsRunning(const std::string& aJob) const
+{
+  const std::lock_guard lock(mLock);
+  return std::any_of(mWorkers.begin(), mWorkers.end(), [&aJob](const auto& aWorker) {
+    return aWorker->mUp &&
+           std::any_of(aWorker->mRunning.begin(),
+                       aWorker->mRunning.end(),
+                       [&aJob](const Running& aItem) { return GetJob(aItem.mTask) == aJob; });
+  });
+}
+
 std::uint64_t FleetStandin::CountListedEnds() const
 {
   const std::lock_guard lock(mLock);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -119,6 +119,7 @@
   // Those that were not acknowledged within aTime since they were first listed.
   [[nodiscard]] std::uint64_t CountLateEnds(Duration aTime) const;
   [[nodiscard]] std::uint64_t CountEnds(const std::string& aJob) const;  // tasks that ended well
+  [[nodiscard]] bool IsRunning(const std::string& aJob) const;  // a task of it, on a worker
   // Returns how many workers have crashed while they ran the same task, for the job's worst task.
   [[nodiscard]] std::uint64_t CountCrashes(const std::string& aJob) const;
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,8 +4,10 @@
 // change their capacity, fall silent, can't reach the store, lose answers or carry out orders late;
 // slow links to workers, so that starts take effect late and reports overtake each other;
 // other writers of the directory; configurations that replace the queue while it has jobs.
-// In a fifth of the seeds callers are of teams, whose keys and limits change; see soak_teams.h.
-// What must always hold is checked from what callers and workers see.
+// In a third of the seeds also: writes that are carried out late, cancelled jobs, ends that wait
+// for a slow store, a large configuration on slow links; see soak_store.cpp. In a fifth of the
+// seeds callers are of teams, whose keys and limits change; see soak_teams.h. What must always hold
+// is checked from what callers and workers see.
 //
 //   fleet_soak --seed 7 --seconds 20 --processes 5 --workers 8 --runs 10
 #include <tclap/CmdLine.h>
@@ -201,6 +203,7 @@
     else if (mFleet.GetPlatform().CountEnds(it.mId) != it.mTasks)
       mFindings.push_back(it.mId + ": shown as completed with tasks that have not ended");
   }
+  co_await CheckCancelled();
   for (std::string& it : mFleet.GetPlatform().ReadViolations())
     mFindings.push_back(std::move(it));
   mContext.stop();
@@ -218,6 +221,10 @@
     asio::co_spawn(mContext, InjectWorkerFaults(), asio::detached);
     asio::co_spawn(mContext, SlowLinks(), asio::detached);
   }
+  if (mOptions.mStoreFaults)
+    asio::co_spawn(mContext, InjectStoreFaults(), asio::detached);
+  if (mOptions.mStoreFaults && !mOptions.mTeams)
+    asio::co_spawn(mContext, CancelJobs(), asio::detached);
   asio::co_spawn(
     mContext,
     [this]() -> Async<void> {
@@ -237,8 +244,8 @@
     accepted += it.mAccepted ? 1 : 0;
   std::cout << "seed " << mOptions.mSeed << ": " << mSubmissions.size() << " jobs, " << accepted
             << " accepted, " << mFleet.GetPlatform().CountStarts() << " starts, "
-            << mFleet.GetPlatform().CountLateStarts() << " late, " << mFindings.size()
-            << " findings\n";
+            << mFleet.GetPlatform().CountLateStarts() << " late, " << mCancelled.size()
+            << " cancelled, " << mFindings.size() << " findings\n";
   for (const std::string& it : mFindings)
     std::cout << "  " << it << '\n';
   if (!mFindings.empty()) {
@@ -267,6 +274,13 @@
     "", "store-delay-ms", "of each direction", false, 0, "MS", line);
   TCLAP::ValueArg<int> teams(
     "", "teams", "callers of teams; -1: in a fifth of the seeds", false, -1, "-1|0|1", line);
+  TCLAP::ValueArg<int> store("",
+                             "store-faults",
+                             "of soak_store.cpp; -1: in a third of the seeds",
+                             false,
+                             -1,
+                             "-1|0|1",
+                             line);
   TCLAP::ValueArg<std::uint32_t> bound(
     "", "key-bound-ms", "until a revoked key is refused", false, 3000, "MS", line);
   line.parse(argc, argv);
@@ -280,6 +294,9 @@
     options.mFaults = faults.getValue() != 0;
     options.mJobsPerS = rate.getValue();
     options.mTeams = teams.getValue() < 0 ? options.mSeed % 5 == 0 : teams.getValue() != 0;
+    const bool hasStoreFaults =
+      store.getValue() < 0 ? options.mSeed % 3 == 1 : store.getValue() > 0;
+    options.mStoreFaults = hasStoreFaults && options.mFaults;
     options.mKeyBound = milliseconds(bound.getValue());
     options.mStoreDelay = milliseconds(delay.getValue());
     Soak soak(options);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,5 +1,5 @@
 // A run of the soak: callers, faults and checks. See soak.cpp for what it does, soak_faults.cpp for
-// the faults.
+// the faults, soak_store.cpp for those of the store.
 #pragma once
 
 #include <memory>
@@ -20,6 +20,7 @@
   std::uint32_t mJobsPerS = 0;      // 0: 6 to 25
   bool mTeams = false;              // callers are of teams, and need keys
   Duration mKeyBound = seconds(3);  // from the write of a version to its effect; see SoakTeams
+  bool mStoreFaults = false;        // see soak_store.cpp
   Duration mStoreDelay{};           // of all links to the store, unless another fault replaces it
 };
 
@@ -75,6 +76,14 @@
   Async<void> ChangeTeams();
   Async<void> RevokeBehindCut();
   Async<void> CheckEnds();
+  Async<void> InjectStoreFaults();
+  Async<void> DelayWrites(Duration aTime);
+  Async<void> LoseHolderWithEnds(std::uint32_t aWorker, Duration aSlow, Duration aSilent);
+  Async<void> ChangeLargeConfig(std::uint64_t aChanges, bool aIsKilled);
+  Async<void> CancelJobs();
+  Async<void> CancelJob(std::string aId, std::size_t aProcess, Duration aBudget);
+  Async<void> CheckCancelled();
+  void SetStoreLinks(testing::LinkFaults aFaults);
   Async<void> CallAsOther(Submission aSubmission, http::verb aVerb);
   Async<Result<HttpResponse>> Call(http::verb aVerb,
                                    std::string aId,
@@ -92,6 +101,8 @@
   asio::io_context mContext{ 1 };
   testing::EntryFleet mFleet;
   std::vector<Submission> mSubmissions{};
+  std::vector<std::string> mCancelled{};  // jobs whose cancellation was acknowledged
+  std::size_t mMoreQueues = 0;            // changes of the large configuration
   std::vector<std::string> mFindings{};
   std::vector<Calm> mCalm{};  // of each process, with its links
   Calm mStoreCalm{};
