Each write of cancelled ids has a key of its own

Cause: a write of cancelled ids that had no answer was repeated under the same key, with the ids that came meanwhile. The store may carry the first one out after the second, and then ids whose cancellation was acknowledged were no longer stored; the next holder would not have known of them.

Change: CancelledIds makes the writes, each with a key of its own, and lists all of them for deletion, whether they were stored or not.

--- a/src/fleet/cancelled_ids.cpp
+++ b/src/fleet/cancelled_ids.cpp
@@ -1,7 +1,8 @@
 #include "fleet/cancelled_ids.h"
 
 #include <algorithm>
-#include <utility>
+
+#include "fleet/keys.h"
 
 namespace monsoon::fleet {
 
@@ -12,7 +13,7 @@
 
 }  // namespace
 
-const CancelledIds::Cancellation* CancelledIds::Find(const CancelledId& aId) const
+CancelledIds::Cancellation* CancelledIds::Find(const CancelledId& aId)
 {
   const auto [first, last] = mById.equal_range(aId.mId);
   const auto it = std::find_if(
@@ -20,11 +21,6 @@
   return it == last ? nullptr : &it->second;
 }
 
-CancelledIds::Cancellation* CancelledIds::Find(const CancelledId& aId)
-{
-  return const_cast<Cancellation*>(std::as_const(*this).Find(aId));
-}
-
 bool CancelledIds::Add(const CancelledId& aId, TimePoint aNow)
 {
   Cancellation* known = Find(aId);
@@ -40,38 +36,48 @@
   return true;
 }
 
-void CancelledIds::AddRecord(const std::string& aKey,
-                             const CancelledIdsRecord& aRecord,
-                             TimePoint aNow)
+void CancelledIds::SetKey(const CancelledIdsRecord& aRecord, const std::string& aKey)
 {
-  if (!mRecords.try_emplace(aKey, aNow).second)
-    return;
   for (const CancelledId& it : aRecord.mIds) {
-    Cancellation* known = Find(it);
-    if (known)
+    if (Cancellation* known = Find(it))
       known->mKey = aKey;
     else
       mById.emplace(it.mId, Cancellation{ it.mAccess, aKey });
   }
 }
 
-CancelledIdsRecord CancelledIds::GetNextRecord() const
+void CancelledIds::AddRecord(const std::string& aKey,
+                             const CancelledIdsRecord& aRecord,
+                             TimePoint aNow)
+{
+  mRecords.emplace(aKey, aNow);
+  SetKey(aRecord, aKey);
+}
+
+// Each write has a key of its own: one that had no answer may be carried out after the next, which
+// has more ids.
+std::optional<CancelledIdsWrite> CancelledIds::MakeWrite(std::uint64_t aEpoch, TimePoint aNow)
 {
+  if (mUnstored.empty())
+    return std::nullopt;
+  CancelledIdsWrite write;
+  write.mKey.append(kCancelledPrefix).append(std::to_string(aEpoch)).append("-");
+  write.mKey.append(std::to_string(mWrites++));
   const std::size_t count = std::min(mUnstored.size(), kMaxRecordIds);
-  const auto end = mUnstored.begin() + static_cast<std::ptrdiff_t>(count);
-  return { { mUnstored.begin(), end } };
+  write.mRecord.mIds.assign(mUnstored.begin(),
+                            mUnstored.begin() + static_cast<std::ptrdiff_t>(count));
+  mRecords.emplace(write.mKey, aNow);
+  return write;
 }
 
-void CancelledIds::OnStored(const std::string& aKey,
-                            const CancelledIdsRecord& aRecord,
-                            TimePoint aNow)
+void CancelledIds::OnStored(const CancelledIdsWrite& aWrite)
 {
-  AddRecord(aKey, aRecord, aNow);
+  SetKey(aWrite.mRecord, aWrite.mKey);
   mUnstored.erase(mUnstored.begin(),
-                  mUnstored.begin() + static_cast<std::ptrdiff_t>(aRecord.mIds.size()));
+                  mUnstored.begin() + static_cast<std::ptrdiff_t>(aWrite.mRecord.mIds.size()));
 }
 
-bool CancelledIds::IsStored(const CancelledId& aId) const
+bool CancelledIds::IsStored(const CancelledId& aId)
 {
   const Cancellation* known = Find(aId);
   return known && !known->mKey.empty();
--- a/src/fleet/cancelled_ids.h
+++ b/src/fleet/cancelled_ids.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,12 @@
 // From a caller's request to the last moment at which a write for it may be carried out.
 inline constexpr Duration kLongestWrite = kLongestBudget + seconds(30);
 
+struct CancelledIdsWrite
+{
+  std::string mKey{};
+  CancelledIdsRecord mRecord{};
+};
+
 class CancelledIds
 {
 public:
@@ -26,11 +33,10 @@
   [[nodiscard]] bool Add(const CancelledId& aId, TimePoint aNow);
   // Adds a record that is stored under aKey, as of aNow.
   void AddRecord(const std::string& aKey, const CancelledIdsRecord& aRecord, TimePoint aNow);
-  // Returns the ids of the next record to be stored, at most kMaxRecordIds; none if all are stored.
-  [[nodiscard]] CancelledIdsRecord GetNextRecord() const;
-  // aRecord: of GetNextRecord; it was stored under aKey.
-  void OnStored(const std::string& aKey, const CancelledIdsRecord& aRecord, TimePoint aNow);
-  [[nodiscard]] bool IsStored(const CancelledId& aId) const;  // since it was added
+  // Returns the next record to be written, of at most kMaxRecordIds; empty if all ids are stored.
+  [[nodiscard]] std::optional<CancelledIdsWrite> MakeWrite(std::uint64_t aEpoch, TimePoint aNow);
+  void OnStored(const CancelledIdsWrite& aWrite);
+  [[nodiscard]] bool IsStored(const CancelledId& aId);  // since it was added
   // Returns whether a caller that may cancel the job has done so.
   [[nodiscard]] bool Contains(const JobSpec& aJob) const;
   // Lists the keys of the records of which no job can arrive any more.
@@ -43,12 +49,14 @@
     CallerAccess mAccess{};
     std::string mKey{};  // of its newest record; empty: to be stored
   };
-  [[nodiscard]] const Cancellation* Find(const CancelledId& aId) const;
   [[nodiscard]] Cancellation* Find(const CancelledId& aId);
+  void SetKey(const CancelledIdsRecord& aRecord, const std::string& aKey);
 
   std::multimap<std::string, Cancellation> mById{};
   std::vector<CancelledId> mUnstored{};
-  std::map<std::string, TimePoint> mRecords{};  // key → when it was added
+  // Key → when it was added, or was written first; the write may have failed.
+  std::map<std::string, TimePoint> mRecords{};
+  std::uint64_t mWrites = 0;
 };
 
 inline constexpr std::size_t kMaxRecordIds = 1000;
--- a/src/fleet/holder.h
+++ b/src/fleet/holder.h
@@ -219,8 +219,7 @@
   std::map<std::string, std::string> mEarlyProgress{};        // progress of jobs not read yet
   std::set<std::string> mEarlyCancels{};                      // cancelled jobs not read yet
   CancelledIds mCancelledIds{};
-  bool mStoringCancelledIds = false;    // StoreCancelledIds is running
-  std::uint64_t mNextCancelledIds = 0;  // number of their next record
+  bool mStoringCancelledIds = false;  // StoreCancelledIds is running
   asio::steady_timer mPlanTimer;
   bool mPlanWoken = false;
   asio::steady_timer mStoreTimer;
--- a/src/fleet/holder_store.cpp
+++ b/src/fleet/holder_store.cpp
@@ -228,24 +228,20 @@
   co_return Result<void>();
 }
 
-// Stores the cancelled ids. A write without an answer is repeated under the same key.
 Async<void> Holder::StoreCancelledIds()
 {
   auto self = shared_from_this();
   mStoringCancelledIds = true;
   while (!mSteppedDown) {
-    const CancelledIdsRecord record = mCancelledIds.GetNextRecord();
-    if (record.mIds.empty())
+    const auto write = mCancelledIds.MakeWrite(GetEpoch(), BootClock::now());
+    if (!write)
       break;
-    const std::string key = std::string(kCancelledPrefix) + std::to_string(GetEpoch()) + "-" +
-                            std::to_string(mNextCancelledIds);
     StoreTransaction transaction;
     transaction.mConditions.emplace_back(kHolderKey, mGrant.mKeyRevision);
-    transaction.mWrites.push_back({ key, EncodeMessage(record) });
+    transaction.mWrites.push_back({ write->mKey, EncodeMessage(write->mRecord) });
     const auto outcome = co_await mStore.Commit(std::move(transaction), platform::kStoreDeadline);
     if (outcome && outcome->mCommitted) {
-      ++mNextCancelledIds;
-      mCancelledIds.OnStored(key, record, BootClock::now());
+      mCancelledIds.OnStored(*write);
       continue;
     }
     if (outcome)
