--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -136,7 +136,8 @@
 Async<void> Soak::CheckCancelled()
 {
   constexpr int kTries = 20;
-  for (const std::string& id : mCancelled) {
+  const std::vector<std::string> cancelled = mCancelled;  // a late call may still add one
+  for (const std::string& id : cancelled) {
     bool isShown = false;
     for (int n = 0; n < kTries && !isShown; ++n) {
       auto response = co_await mFleet.Call(Draw(mFleet.Count()), http::verb::get, "/q/" + id, {});
